--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+PYTHON ?= python3
+BIN := .venv/bin
+
+.PHONY: setup run up test lint format bench proto
+
+setup: .venv/installed
+
+.venv/installed: requirements.txt requirements-dev.txt packages/*/pyproject.toml
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install -q --disable-pip-version-check -r requirements-dev.txt
+	$(BIN)/pip install -q --disable-pip-version-check --no-deps \
+	  -e packages/carawaymast-core -e packages/carawaymast-node \
+	  -e packages/carawaymast-cli
+	touch $@
+
+run: setup
+	$(BIN)/python -m standins.demo
+
+up: setup
+	$(BIN)/python -m standins.up
+
+lint: setup
+	$(BIN)/ruff format --check -q .
+	$(BIN)/ruff check -q .
+	$(BIN)/flake8
+
+format: setup
+	$(BIN)/ruff check -q --fix .
+	$(BIN)/ruff format -q .
+
+test: lint
+	$(BIN)/python -m features.suite
+
+# The generated files are committed; this is only for a change of the
+# protocol and needs grpcio-tools==1.85.1 in the environment.
+proto:
+	PATH=$(BIN):$$PATH $(BIN)/python -m grpc_tools.protoc -I packages/carawaymast-node \
+	  --python_out=packages/carawaymast-node \
+	  --grpclib_python_out=packages/carawaymast-node \
+	  packages/carawaymast-node/carawaymast_node/peer.proto
--- /dev/null
+++ b/packages/carawaymast-core/carawaymast_core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the scheduler, free of input and output."""
--- /dev/null
+++ b/packages/carawaymast-core/carawaymast_core/account.py
@@ -0,0 +1,121 @@
+"""Counters of what became of each request, and how they are reconciled.
+
+Every request that a node takes in ends in exactly one of the outcomes, so the
+outcomes and what is in flight add up to what was accepted. A ``Tally`` holds
+the counts of one kind; ``Account`` holds the tallies of one node.
+"""
+
+import collections
+import enum
+import typing
+
+from carawaymast_core import errors
+
+__all__ = ['Account', 'Outcome', 'Tally', 'differences', 'merge']
+
+
+class Outcome(enum.StrEnum):
+    """What became of a request."""
+
+    DONE = 'done'
+    FAILED = 'failed'
+    REFUSED = 'refused'
+    UNKNOWN = 'unknown'
+    DISCONNECTED = 'disconnected'
+
+
+class Tally(typing.TypedDict):
+    """Counts of one kind of work on one node.
+
+    ``disconnected`` counts requests whose caller went away before the
+    answer; they did run or not, but nobody was there to be told.
+    """
+
+    team: str
+    accepted: int
+    in_flight: int
+    done: int
+    failed: int
+    refused: int
+    unknown: int
+    disconnected: int
+
+
+OUTCOME_BY_RAN = {
+    errors.Ran.NO: Outcome.REFUSED,
+    errors.Ran.UNKNOWN: Outcome.UNKNOWN,
+    errors.Ran.YES: Outcome.FAILED,
+}
+
+
+def empty_tally(team: str) -> Tally:
+    """Return a tally of nothing."""
+    return {
+        'team': team,
+        'accepted': 0,
+        'in_flight': 0,
+        'done': 0,
+        'failed': 0,
+        'refused': 0,
+        'unknown': 0,
+        'disconnected': 0,
+    }
+
+
+class Account:
+    """The tallies of one node, by kind."""
+
+    def __init__(self) -> None:
+        self.tally_by_kind: dict[str, Tally] = {}
+
+    def accept(self, kind: str, team: str) -> None:
+        """Note a request that was taken in."""
+        if kind not in self.tally_by_kind:
+            self.tally_by_kind[kind] = empty_tally(team)
+        tally = self.tally_by_kind[kind]
+        tally['accepted'] += 1
+        tally['in_flight'] += 1
+
+    def settle(self, kind: str, outcome: Outcome) -> None:
+        """Note the single outcome of a request."""
+        tally = self.tally_by_kind[kind]
+        errors.check(
+            tally['in_flight'] > 0,
+            f'{kind}: an outcome without a request in flight',
+        )
+        tally['in_flight'] -= 1
+        tally[outcome.value] += 1
+
+    def check_accounts(self) -> None:
+        """Raise ``InvariantError`` unless each tally adds up."""
+        errors.check(
+            not differences(self.tally_by_kind),
+            f'tallies do not add up: {differences(self.tally_by_kind)}',
+        )
+
+
+def merge(
+    tallies: typing.Iterable[typing.Mapping[str, Tally]],
+) -> dict[str, Tally]:
+    """Return the sums of several nodes' tallies, by kind."""
+    total: dict[str, Tally] = {}
+    for by_kind in tallies:
+        for kind, tally in by_kind.items():
+            into = total.setdefault(kind, empty_tally(tally['team']))
+            for field, count in tally.items():
+                if field != 'team':
+                    into[field] += count
+    return total
+
+
+def differences(
+    tally_by_kind: typing.Mapping[str, Tally],
+) -> dict[str, int]:
+    """Return accepted less all outcomes and in flight, where not 0."""
+    found: dict[str, int] = collections.defaultdict(int)
+    for kind, tally in tally_by_kind.items():
+        settled = sum(tally[outcome.value] for outcome in Outcome)
+        difference = tally['accepted'] - settled - tally['in_flight']
+        if difference:
+            found[kind] = difference
+    return dict(found)
--- /dev/null
+++ b/packages/carawaymast-core/carawaymast_core/jobs.py
@@ -0,0 +1,264 @@
+"""Jobs and their tasks as they stand in the log.
+
+The functions here build the records that move a job: acceptance, claim of an
+attempt, start refused, end of an attempt, cancellation. Each record names the
+versions it expects, so of two coordinators only one gets an attempt.
+"""
+
+import enum
+import typing
+
+from carawaymast_core import errors
+from carawaymast_core import records
+from carawaymast_core import resources
+
+__all__ = [
+    'JobSpec',
+    'JobState',
+    'TaskRef',
+    'TaskSpec',
+    'TaskState',
+    'Writes',
+]
+
+MAX_ATTEMPTS = 4
+MAX_TASKS = 500
+
+
+class TaskSpec(typing.TypedDict):
+    """A task as the caller declares it; ``run_ms`` is an estimate."""
+
+    name: str
+    cpu_millis: int
+    memory_mb: int
+    accelerators: int
+    run_ms: int
+
+
+class JobSpec(typing.TypedDict):
+    """A job as the caller declares it."""
+
+    kind: str
+    team: str
+    gang: bool
+    tasks: list[TaskSpec]
+
+
+class JobState(enum.StrEnum):
+    """How far a job has come."""
+
+    ACCEPTED = 'accepted'
+    DONE = 'done'
+    FAILED = 'failed'
+    CANCELLED = 'cancelled'
+
+
+class TaskState(enum.StrEnum):
+    """How far a task has come; a task without an entity is pending."""
+
+    PENDING = 'pending'
+    CLAIMED = 'claimed'
+    DONE = 'done'
+    FAILED = 'failed'
+
+
+TASK_ENDED = (TaskState.DONE, TaskState.FAILED)
+
+
+class TaskRef(typing.NamedTuple):
+    """One attempt at one task; also its name at the worker."""
+
+    job_id: str
+    task: str
+    attempt: int
+
+    def __str__(self) -> str:
+        return f'{self.job_id}/{self.task}/{self.attempt}'
+
+
+class Writes(typing.NamedTuple):
+    """The expectations and puts of a record."""
+
+    expects: dict[str, int]
+    puts: dict[str, typing.Any]
+
+
+def parse_ref(text: str) -> TaskRef:
+    """Return the reference that ``str`` of a ``TaskRef`` spells."""
+    job_id, task, attempt = text.split('/')
+    return TaskRef(job_id, task, int(attempt))
+
+
+def job_entity(job_id: str) -> str:
+    """Return the name of a job's entity in the log."""
+    return f'job/{job_id}'
+
+
+def task_entity(job_id: str, task: str) -> str:
+    """Return the name of a task's entity in the log."""
+    return f'task/{job_id}/{task}'
+
+
+def size_of(task: TaskSpec) -> resources.Resources:
+    """Return the declared size of a task."""
+    return resources.Resources(
+        task['cpu_millis'], task['memory_mb'], task['accelerators']
+    )
+
+
+def check_spec(spec: JobSpec) -> None:
+    """Raise ``SchedulerError`` if a job makes no sense."""
+    tasks = spec['tasks']
+    if not 1 <= len(tasks) <= MAX_TASKS:
+        raise _bad(f'tasks has {len(tasks)} items, allowed: 1 to {MAX_TASKS}')
+    names = set()
+    for task in tasks:
+        _check_task(task)
+        if task['name'] in names:
+            raise _bad(f'task name {task["name"]!r} is used twice')
+        names.add(task['name'])
+
+
+def accept(job_id: str, spec: JobSpec, now_ms: int) -> Writes:
+    """Return the writes that accept a new job at wall time ``now_ms``."""
+    entity = job_entity(job_id)
+    value = {
+        'spec': spec,
+        'state': JobState.ACCEPTED.value,
+        'accepted_at_ms': now_ms,
+    }
+    return Writes({entity: 0}, {entity: value})
+
+
+def claim(
+    replica: records.Replica, worker_by_ref: typing.Mapping[TaskRef, str]
+) -> Writes | None:
+    """Return the writes that claim one attempt of each task, all or none.
+
+    Returns None if the job is no longer open or an attempt is outdated.
+    """
+    expects: dict[str, int] = {}
+    puts: dict[str, typing.Any] = {}
+    for ref, worker_id in worker_by_ref.items():
+        job = replica.get(job_entity(ref.job_id))
+        task = replica.get(task_entity(ref.job_id, ref.task))
+        if not is_open(job.value) or next_attempt(task.value) != ref.attempt:
+            return None
+        expects[job_entity(ref.job_id)] = job.version
+        expects[task_entity(ref.job_id, ref.task)] = task.version
+        puts[task_entity(ref.job_id, ref.task)] = {
+            'state': TaskState.CLAIMED.value,
+            'attempt': ref.attempt,
+            'worker': worker_id,
+            'failures': failures(task.value),
+        }
+    return Writes(expects, puts)
+
+
+def end_attempt(
+    replica: records.Replica, ref: TaskRef, outcome: str, now_ms: int
+) -> Writes | None:
+    """Return the writes that end an attempt, or None if it is outdated.
+
+    ``outcome`` is ``done``, ``failed``, ``preempted`` or ``never``. Only a
+    failed attempt counts against the task.
+    """
+    entity = task_entity(ref.job_id, ref.task)
+    task = replica.get(entity)
+    if not is_claimed(task.value, ref):
+        return None
+    failed = failures(task.value) + (outcome == 'failed')
+    value = {'attempt': ref.attempt, 'failures': failed, 'at_ms': now_ms}
+    if outcome == 'done':
+        value['state'] = TaskState.DONE.value
+    elif failed >= MAX_ATTEMPTS:
+        value['state'] = TaskState.FAILED.value
+    else:
+        value['state'] = TaskState.PENDING.value
+    return Writes({entity: task.version}, {entity: value})
+
+
+def finish(
+    replica: records.Replica, job_id: str, now_ms: int
+) -> Writes | None:
+    """Return the writes that end a job whose tasks all ended, or None."""
+    job = replica.get(job_entity(job_id))
+    if not is_open(job.value):
+        return None
+    states = [
+        task_state(replica, job_id, task['name'])
+        for task in job.value['spec']['tasks']
+    ]
+    if any(state not in TASK_ENDED for state in states):
+        return None
+    has_failed = TaskState.FAILED in states
+    state = JobState.FAILED if has_failed else JobState.DONE
+    return _set_state(job, job_id, state, now_ms)
+
+
+def cancel(
+    replica: records.Replica, job_id: str, now_ms: int
+) -> Writes | None:
+    """Return the writes that cancel an open job, or None if it ended."""
+    job = replica.get(job_entity(job_id))
+    if not is_open(job.value):
+        return None
+    return _set_state(job, job_id, JobState.CANCELLED, now_ms)
+
+
+def is_open(job_value: typing.Any) -> bool:
+    """Tell whether a job entity stands for a job with work to do."""
+    return job_value is not None and job_value['state'] == JobState.ACCEPTED
+
+
+def is_claimed(task_value: typing.Any, ref: TaskRef) -> bool:
+    """Tell whether a task entity is claimed by just this attempt."""
+    return (
+        task_value is not None
+        and task_value['state'] == TaskState.CLAIMED
+        and task_value['attempt'] == ref.attempt
+    )
+
+
+def next_attempt(task_value: typing.Any) -> int | None:
+    """Return the number of the next attempt, None if none is due."""
+    if task_value is None:
+        return 1
+    if task_value['state'] != TaskState.PENDING:
+        return None
+    return task_value['attempt'] + 1
+
+
+def failures(task_value: typing.Any) -> int:
+    """Return how many attempts of a task have failed."""
+    return 0 if task_value is None else task_value['failures']
+
+
+def task_state(
+    replica: records.Replica, job_id: str, task: str
+) -> TaskState:
+    """Return how far a task has come."""
+    value = replica.get(task_entity(job_id, task)).value
+    return TaskState.PENDING if value is None else TaskState(value['state'])
+
+
+def _set_state(job, job_id, state, now_ms) -> Writes:
+    entity = job_entity(job_id)
+    value = dict(job.value, state=state.value, ended_at_ms=now_ms)
+    return Writes({entity: job.version}, {entity: value})
+
+
+def _check_task(task: TaskSpec) -> None:
+    name = task['name']
+    if not name or len(name) > 64 or '/' in name:
+        raise _bad(f'task name is {name!r}, allowed: 1 to 64 without /')
+    for field in ('cpu_millis', 'memory_mb', 'run_ms'):
+        if task[field] <= 0:
+            raise _bad(f'{field} of {name!r} is {task[field]}, allowed: > 0')
+    if task['accelerators'] < 0:
+        count = task['accelerators']
+        raise _bad(f'accelerators of {name!r} is {count}, allowed: >= 0')
+
+
+def _bad(detail: str) -> errors.SchedulerError:
+    return errors.SchedulerError(errors.ErrorKind.BAD_REQUEST, detail)
--- /dev/null
+++ b/packages/carawaymast-core/carawaymast_core/membership.py
@@ -0,0 +1,157 @@
+"""Members, the platform's lagging list, and who should try to own what.
+
+A member counts as live while its heartbeats arrive; the platform's list says
+whom to talk to and who is leaving. Rendezvous hashing over the live members,
+own failure domain first, says which node should try to own a worker or
+coordinate a job. It is only a preference: the registers decide.
+"""
+
+import hashlib
+import typing
+
+__all__ = [
+    'Heard',
+    'Member',
+    'Membership',
+    'Vm',
+    'preferred',
+    'preferred_owner',
+]
+
+SUSPECT_AFTER_MS = 1_500
+
+
+class Vm(typing.NamedTuple):
+    """One row of the platform's list of VMs.
+
+    ``role`` is ``node`` or ``worker``; ``state`` is ``live`` or ``leaving``.
+    """
+
+    vm_id: str
+    role: str
+    host: str
+    port: int
+    peer_port: int
+    domain: str
+    rack: str
+    state: str
+
+
+class Member(typing.NamedTuple):
+    """A node that takes part."""
+
+    node_id: str
+    host: str
+    peer_port: int
+    domain: str
+
+
+class Heard(typing.NamedTuple):
+    """When a member was last heard, and whether it is leaving."""
+
+    at_ms: int
+    is_leaving: bool
+
+
+def score(key: str, node_id: str) -> int:
+    """Return the rendezvous weight of a node for a key."""
+    digest = hashlib.blake2b(f'{key}\0{node_id}'.encode(), digest_size=8)
+    return int.from_bytes(digest.digest(), 'big')
+
+
+def preferred(key: str, node_ids: typing.Iterable[str]) -> str | None:
+    """Return the node that rendezvous hashing prefers for ``key``."""
+    return max(node_ids, key=lambda n: (score(key, n), n), default=None)
+
+
+def preferred_owner(
+    worker_id: str, domain: str, members: typing.Iterable[Member]
+) -> str | None:
+    """Return the node that should own a worker, own domain first."""
+    members = list(members)
+    near = [m.node_id for m in members if m.domain == domain]
+    return preferred(worker_id, near or [m.node_id for m in members])
+
+
+class Membership:
+    """The members that one node believes in."""
+
+    def __init__(self, own: Member):
+        self._own = own
+        self._member_by_id: dict[str, Member] = {own.node_id: own}
+        self._heard_by_id: dict[str, Heard] = {}
+        self.is_leaving = False
+
+    @property
+    def own(self) -> Member:
+        """This node itself."""
+        return self._own
+
+    def update_list(self, vms: typing.Iterable[Vm]) -> None:
+        """Take the platform's list; drop nodes that are gone and silent."""
+        listed = {
+            vm.vm_id: Member(vm.vm_id, vm.host, vm.peer_port, vm.domain)
+            for vm in vms
+            if vm.role == 'node'
+        }
+        silent = [
+            node_id
+            for node_id in self._member_by_id
+            if node_id not in listed and node_id not in self._heard_by_id
+        ]
+        for node_id in silent:
+            if node_id != self._own.node_id:
+                del self._member_by_id[node_id]
+        for node_id, member in listed.items():
+            if node_id != self._own.node_id:
+                self._member_by_id[node_id] = member
+
+    def hear(self, member: Member, now_ms: int, is_leaving: bool) -> None:
+        """Note a heartbeat, also from a node that is not listed."""
+        if member.node_id == self._own.node_id:
+            return
+        self._member_by_id[member.node_id] = member
+        self._heard_by_id[member.node_id] = Heard(now_ms, is_leaving)
+
+    def forget_silent(self, now_ms: int) -> list[str]:
+        """Drop and return the members whose heartbeats stopped."""
+        silent = [
+            node_id
+            for node_id, heard in self._heard_by_id.items()
+            if heard.at_ms + SUSPECT_AFTER_MS <= now_ms
+        ]
+        for node_id in silent:
+            del self._heard_by_id[node_id]
+        return silent
+
+    def peers(self) -> list[Member]:
+        """Return all other nodes worth talking to, live or not."""
+        return [
+            member
+            for node_id, member in self._member_by_id.items()
+            if node_id != self._own.node_id
+        ]
+
+    def live(self) -> list[Member]:
+        """Return this node and the members heard lately."""
+        live = [self._member_by_id[node_id] for node_id in self._heard_by_id]
+        return [self._own, *live]
+
+    def staying(self) -> list[Member]:
+        """Return the live members that are not leaving."""
+        staying = [
+            self._member_by_id[node_id]
+            for node_id, heard in self._heard_by_id.items()
+            if not heard.is_leaving
+        ]
+        if not self.is_leaving:
+            staying.append(self._own)
+        return staying
+
+    def is_live(self, node_id: str) -> bool:
+        """Tell whether a node was heard lately."""
+        return node_id == self._own.node_id or node_id in self._heard_by_id
+
+    def member(self, node_id: str) -> Member | None:
+        """Return a member by id, live or not."""
+        return self._member_by_id.get(node_id)
--- /dev/null
+++ b/packages/carawaymast-core/carawaymast_core/workerbook.py
@@ -0,0 +1,401 @@
+"""The owner's book of the workers it owns: reservations and running tasks.
+
+A task starts only against a live reservation. An attempt that the book has
+said never started is refused from then on. A gang that has waited long may
+hold a worker: the space it needs is kept from younger work while running
+tasks drain, and what it does not need stays open to others.
+"""
+
+import enum
+import typing
+
+from carawaymast_core import clock as clock_mod
+from carawaymast_core import errors
+from carawaymast_core import jobs
+from carawaymast_core import placement
+from carawaymast_core import resources
+
+__all__ = ['AttemptStatus', 'Claimant', 'Reservation', 'WorkerBook']
+
+RESERVATION_MS = 3_000
+REFUSED_KEPT = 50_000
+
+
+class AttemptStatus(enum.StrEnum):
+    """What the owner of a worker knows about an attempt."""
+
+    RESERVED = 'reserved'
+    STARTING = 'starting'
+    RUNNING = 'running'
+    ENDED = 'ended'
+    NEVER = 'never'
+
+
+class Claimant(typing.NamedTuple):
+    """Who asks for room; an older claimant goes before a younger one."""
+
+    accepted_at_ms: int
+    job_id: str
+
+
+class Reservation(typing.NamedTuple):
+    """Room on a worker kept for one attempt.
+
+    ``is_pending`` marks a hold whose room has not drained yet.
+    """
+
+    ref: jobs.TaskRef
+    worker_id: str
+    kind: str
+    size: resources.Resources
+    claimant: Claimant
+    expires_at_ms: int
+    is_pending: bool
+
+
+class RunningTask(typing.NamedTuple):
+    """A task that a worker runs or is being asked to run."""
+
+    ref: jobs.TaskRef
+    kind: str
+    size: resources.Resources
+    status: AttemptStatus
+    started_at_ms: int
+
+
+class _Worker:
+    """What the book knows about one worker."""
+
+    def __init__(self, capacity: resources.Resources, domain: str):
+        self.capacity = capacity
+        self.domain = domain
+        self.running_by_ref: dict[jobs.TaskRef, RunningTask] = {}
+        self.reserved_by_ref: dict[jobs.TaskRef, Reservation] = {}
+        self.used = resources.ZERO
+        self.reserved = resources.ZERO
+
+    def free(self) -> resources.Resources:
+        """Return what is neither used nor reserved; holds may overdraw."""
+        return self.capacity.minus(self.used).minus(self.reserved)
+
+
+class WorkerBook:
+    """Reservations and running tasks of the workers that one node owns.
+
+    Invariant: what runs and is firmly reserved on a worker fits its
+    capacity.
+    """
+
+    def __init__(self, clock: clock_mod.Clock):
+        self._clock = clock
+        self._worker_by_id: dict[str, _Worker] = {}
+        self._worker_id_by_ref: dict[jobs.TaskRef, str] = {}
+        self._refused: dict[jobs.TaskRef, None] = {}
+        self._index = placement.PlacementIndex()
+
+    def __len__(self) -> int:
+        return len(self._worker_by_id)
+
+    @property
+    def running_total(self) -> int:
+        """The number of tasks that run or are starting."""
+        return sum(
+            len(worker.running_by_ref)
+            for worker in self._worker_by_id.values()
+        )
+
+    @property
+    def capacity(self) -> resources.Resources:
+        """What all owned workers have together."""
+        total = resources.ZERO
+        for worker in self._worker_by_id.values():
+            total = total.plus(worker.capacity)
+        return total
+
+    @property
+    def used(self) -> resources.Resources:
+        """What runs on all owned workers together."""
+        total = resources.ZERO
+        for worker in self._worker_by_id.values():
+            total = total.plus(worker.used)
+        return total
+
+    def shapes(self) -> set[resources.Resources]:
+        """Return the distinct capacities of the owned workers."""
+        return {worker.capacity for worker in self._worker_by_id.values()}
+
+    def add_worker(
+        self,
+        worker_id: str,
+        capacity: resources.Resources,
+        domain: str,
+        running: typing.Iterable[RunningTask],
+    ) -> None:
+        """Take in a worker with the tasks that it reports as running."""
+        worker = _Worker(capacity, domain)
+        self._worker_by_id[worker_id] = worker
+        for task in running:
+            self._add_running(worker_id, worker, task)
+        self._reindex(worker_id)
+
+    def drop_worker(self, worker_id: str) -> None:
+        """Forget a worker that is no longer owned."""
+        worker = self._worker_by_id.pop(worker_id, None)
+        if worker is None:
+            return
+        self._index.remove(worker_id)
+        for ref in (*worker.running_by_ref, *worker.reserved_by_ref):
+            self._worker_id_by_ref.pop(ref, None)
+
+    def has_worker(self, worker_id: str) -> bool:
+        """Tell whether the worker is in the book."""
+        return worker_id in self._worker_by_id
+
+    def running_on(self, worker_id: str) -> list[RunningTask]:
+        """Return the tasks that run or are starting on a worker."""
+        worker = self._worker_by_id.get(worker_id)
+        return list(worker.running_by_ref.values()) if worker else []
+
+    def reserve(
+        self,
+        ref: jobs.TaskRef,
+        kind: str,
+        size: resources.Resources,
+        claimant: Claimant,
+        may_hold: bool = False,
+        avoid_domains: typing.Container[str] = (),
+        is_allowed: typing.Callable[[str], bool] = lambda worker_id: True,
+    ) -> Reservation | None:
+        """Keep room for an attempt; None if there is none.
+
+        Asking again renews the reservation. With ``may_hold`` the answer may
+        be a pending hold, which turns firm once the room has drained.
+        """
+        if ref in self._refused:
+            return None
+        known = self._reservation(ref)
+        if known is not None:
+            return self._renew(known)
+        if ref in self._worker_id_by_ref:
+            return None
+        worker_id = self._index.best_fit(
+            size,
+            lambda w: is_allowed(w)
+            and self._worker_by_id[w].domain not in avoid_domains,
+        )
+        if worker_id is not None:
+            return self._keep(ref, worker_id, kind, size, claimant, False)
+        if not may_hold:
+            return None
+        return self._hold(ref, kind, size, claimant, is_allowed)
+
+    def release(self, ref: jobs.TaskRef) -> None:
+        """Give up a reservation if there is one."""
+        reservation = self._reservation(ref)
+        if reservation is not None:
+            self._drop_reservation(reservation)
+
+    def expire(self) -> list[jobs.TaskRef]:
+        """Drop the reservations that were not renewed; return them."""
+        now_ms = self._clock.now()
+        expired = [
+            reservation
+            for worker in self._worker_by_id.values()
+            for reservation in worker.reserved_by_ref.values()
+            if reservation.expires_at_ms <= now_ms
+        ]
+        for reservation in expired:
+            self._drop_reservation(reservation)
+        return [reservation.ref for reservation in expired]
+
+    def begin_start(self, ref: jobs.TaskRef) -> str | None:
+        """Turn a firm reservation into a starting task.
+
+        Returns the worker, or None if the start is refused; a refused
+        attempt never starts.
+        """
+        reservation = self._reservation(ref)
+        if reservation is None or reservation.is_pending:
+            self.refuse(ref)
+            return None
+        if reservation.expires_at_ms <= self._clock.now():
+            self.refuse(ref)
+            return None
+        self._drop_reservation(reservation)
+        task = RunningTask(
+            ref,
+            reservation.kind,
+            reservation.size,
+            AttemptStatus.STARTING,
+            self._clock.now(),
+        )
+        worker = self._worker_by_id[reservation.worker_id]
+        self._add_running(reservation.worker_id, worker, task)
+        self._reindex(reservation.worker_id)
+        return reservation.worker_id
+
+    def confirm_start(self, ref: jobs.TaskRef) -> None:
+        """Note that the worker runs the attempt."""
+        worker_id = self._worker_id_by_ref.get(ref)
+        if worker_id is None:
+            return
+        worker = self._worker_by_id[worker_id]
+        task = worker.running_by_ref.get(ref)
+        if task is not None:
+            running = task._replace(status=AttemptStatus.RUNNING)
+            worker.running_by_ref[ref] = running
+
+    def end(self, ref: jobs.TaskRef) -> None:
+        """Note that the attempt ended or that the worker refused it."""
+        worker_id = self._worker_id_by_ref.pop(ref, None)
+        if worker_id is None:
+            return
+        worker = self._worker_by_id[worker_id]
+        task = worker.running_by_ref.pop(ref, None)
+        if task is not None:
+            worker.used = worker.used.minus(task.size)
+        self._reindex(worker_id)
+
+    def refuse(self, ref: jobs.TaskRef) -> None:
+        """Make sure that an attempt never starts from this book."""
+        reservation = self._reservation(ref)
+        if reservation is not None:
+            self._drop_reservation(reservation)
+        self._refused[ref] = None
+        if len(self._refused) > REFUSED_KEPT:
+            del self._refused[next(iter(self._refused))]
+
+    def status(self, ref: jobs.TaskRef, worker_id: str) -> AttemptStatus:
+        """Return what is known of an attempt on an owned worker.
+
+        ``NEVER`` is binding: the attempt is refused from then on.
+        """
+        errors.check(
+            worker_id in self._worker_by_id,
+            f'worker {worker_id} is not owned',
+        )
+        worker = self._worker_by_id[worker_id]
+        task = worker.running_by_ref.get(ref)
+        if task is not None:
+            return task.status
+        if self._reservation(ref) is not None:
+            return AttemptStatus.RESERVED
+        self.refuse(ref)
+        return AttemptStatus.NEVER
+
+    def check_accounts(self) -> None:
+        """Raise ``InvariantError`` unless every worker's sums hold."""
+        for worker_id, worker in self._worker_by_id.items():
+            self._check_worker(worker_id, worker)
+
+    def _check_worker(self, worker_id: str, worker: _Worker) -> None:
+        used = resources.ZERO
+        for task in worker.running_by_ref.values():
+            used = used.plus(task.size)
+        firm = resources.ZERO
+        for reservation in worker.reserved_by_ref.values():
+            if not reservation.is_pending:
+                firm = firm.plus(reservation.size)
+        errors.check(
+            used == worker.used,
+            f'{worker_id}: tasks use {used}, counted {worker.used}',
+        )
+        errors.check(
+            used.plus(firm).fits_in(worker.capacity),
+            f'{worker_id}: {used} used and {firm} reserved exceed '
+            f'{worker.capacity}',
+        )
+
+    def _reservation(self, ref: jobs.TaskRef) -> Reservation | None:
+        worker_id = self._worker_id_by_ref.get(ref)
+        if worker_id is None:
+            return None
+        return self._worker_by_id[worker_id].reserved_by_ref.get(ref)
+
+    def _keep(
+        self, ref, worker_id, kind, size, claimant, is_pending
+    ) -> Reservation:
+        reservation = Reservation(
+            ref,
+            worker_id,
+            kind,
+            size,
+            claimant,
+            self._clock.now() + RESERVATION_MS,
+            is_pending,
+        )
+        worker = self._worker_by_id[worker_id]
+        worker.reserved_by_ref[ref] = reservation
+        worker.reserved = worker.reserved.plus(size)
+        self._worker_id_by_ref[ref] = worker_id
+        self._reindex(worker_id)
+        return reservation
+
+    def _renew(self, known: Reservation) -> Reservation:
+        worker = self._worker_by_id[known.worker_id]
+        is_pending = known.is_pending and not self._has_drained(
+            worker, known
+        )
+        renewed = known._replace(
+            expires_at_ms=self._clock.now() + RESERVATION_MS,
+            is_pending=is_pending,
+        )
+        worker.reserved_by_ref[known.ref] = renewed
+        return renewed
+
+    def _has_drained(self, worker: _Worker, hold: Reservation) -> bool:
+        taken = worker.used
+        for other in worker.reserved_by_ref.values():
+            if not other.is_pending:
+                taken = taken.plus(other.size)
+        return taken.plus(hold.size).fits_in(worker.capacity)
+
+    def _hold(
+        self, ref, kind, size, claimant, is_allowed
+    ) -> Reservation | None:
+        """Evict younger reservations, or hold the emptiest worker."""
+        best = None
+        best_free = None
+        for worker_id, worker in self._worker_by_id.items():
+            if not size.fits_in(worker.capacity) or not is_allowed(worker_id):
+                continue
+            if self._older_holds(worker, claimant, size):
+                continue
+            if best is None or worker.free() > best_free:
+                best = worker_id
+                best_free = worker.free()
+        if best is None:
+            return None
+        worker = self._worker_by_id[best]
+        for other in list(worker.reserved_by_ref.values()):
+            if claimant < other.claimant and not size.fits_in(worker.free()):
+                self.refuse(other.ref)
+        is_pending = not size.fits_in(worker.free())
+        return self._keep(ref, best, kind, size, claimant, is_pending)
+
+    def _older_holds(self, worker, claimant, size) -> bool:
+        """Tell whether older reservations leave no room for ``size``."""
+        older = resources.ZERO
+        for other in worker.reserved_by_ref.values():
+            if other.claimant <= claimant:
+                older = older.plus(other.size)
+        return not older.plus(size).fits_in(worker.capacity)
+
+    def _add_running(self, worker_id, worker, task) -> None:
+        worker.running_by_ref[task.ref] = task
+        worker.used = worker.used.plus(task.size)
+        self._worker_id_by_ref[task.ref] = worker_id
+        errors.check(
+            worker.used.fits_in(worker.capacity),
+            f'{worker_id}: {worker.used} used exceeds {worker.capacity}',
+        )
+
+    def _drop_reservation(self, reservation: Reservation) -> None:
+        worker = self._worker_by_id[reservation.worker_id]
+        del worker.reserved_by_ref[reservation.ref]
+        worker.reserved = worker.reserved.minus(reservation.size)
+        del self._worker_id_by_ref[reservation.ref]
+        self._reindex(reservation.worker_id)
+
+    def _reindex(self, worker_id: str) -> None:
+        self._index.set_free(worker_id, self._worker_by_id[worker_id].free())
--- /dev/null
+++ b/packages/carawaymast-node/carawaymast_node/__init__.py
@@ -0,0 +1,1 @@
+"""The node: one process that plays every role of the scheduler."""
--- /dev/null
+++ b/packages/carawaymast-node/carawaymast_node/beats.py
@@ -0,0 +1,305 @@
+"""Heartbeats: who lives, who demands slots, which table is in force.
+
+One message does all of it: a beat renews the slots that this node holds from
+the receiver, tells it the demand, and learns of a newer table. A beat is sent
+to each peer at a steady interval, and at once to owners when requests wait
+and no slot is idle.
+"""
+
+import asyncio
+import random
+import typing
+
+from carawaymast_core import clock as clock_mod
+from carawaymast_core import membership
+from carawaymast_core import slots
+
+from carawaymast_node import endpoint as endpoint_mod
+from carawaymast_node import entry as entry_mod
+from carawaymast_node import log_service
+from carawaymast_node import owner as owner_mod
+from carawaymast_node import peer_pb2
+from carawaymast_node import peers
+from carawaymast_node import table_keeper
+
+__all__ = ['Beats', 'PeerView']
+
+BEAT_INTERVAL_MS = 500
+DEMAND_PAUSE_MS = 20
+BEAT_TIMEOUT_MS = 800
+
+
+class PeerView(typing.NamedTuple):
+    """What a peer said of itself in its newest beat."""
+
+    table_version: int
+    workers: int
+    slots: int
+    capacity: tuple[int, int, int]
+    used: tuple[int, int, int]
+    shapes: tuple[tuple[int, int, int], ...]
+    reaches_log: bool
+    demand_by_kind: dict[str, int]
+
+
+class Beats:
+    """Sends and answers the heartbeats of one node."""
+
+    def __init__(
+        self,
+        clock: clock_mod.Clock,
+        members: membership.Membership,
+        call: typing.Callable[..., typing.Awaitable[typing.Any]],
+        entry: entry_mod.EntryService,
+        owner: owner_mod.OwnerService,
+        tables: table_keeper.TableKeeper,
+        log: log_service.LogService,
+    ):
+        self._clock = clock
+        self._members = members
+        self._call = call
+        self._entry = entry
+        self._owner = owner
+        self._tables = tables
+        self._log = log
+        self._last_demand_at_ms = 0
+        self._demand_sent = 0
+        self._tasks: set[asyncio.Task] = set()
+        self._last_reply_at_ms = clock.now()
+        self.view_by_id: dict[str, PeerView] = {}
+        self.sent_total = 0
+        self.failed_total = 0
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether this node reaches a peer, or has none to reach."""
+        silent_ms = self._clock.now() - self._last_reply_at_ms
+        return not self._members.peers() or silent_ms < BEAT_INTERVAL_MS * 6
+
+    async def keep_beating(self) -> typing.NoReturn:
+        """Send beats to all members, for as long as the node runs."""
+        while True:
+            self._members.forget_silent(self._clock.now())
+            self._forget_views()
+            self._demand_sent = 0
+            for member in self._targets():
+                self._spawn(self._beat(member))
+            await asyncio.sleep(self._interval_ms() / 1000)
+
+    def demand(self) -> None:
+        """Ask the owners for slots at once, unless just asked."""
+        now_ms = self._clock.now()
+        waiting = len(self._entry.queue)
+        if waiting <= 2 * self._demand_sent:
+            return
+        if now_ms - self._last_demand_at_ms < DEMAND_PAUSE_MS:
+            return
+        self._last_demand_at_ms = now_ms
+        self._demand_sent = waiting
+        for member in self._targets():
+            if self._slots_of(member.node_id):
+                self._spawn(self._beat(member))
+
+    async def say_leaving(self) -> None:
+        """Tell all members at once that this node is leaving."""
+        self._members.is_leaving = True
+        await asyncio.gather(*(self._beat(m) for m in self._targets()))
+
+    async def on_beat(
+        self, beat: peer_pb2.BeatRequest
+    ) -> peer_pb2.BeatReply:
+        """Answer a beat."""
+        member = membership.Member(
+            beat.member.node_id,
+            beat.member.host,
+            beat.member.peer_port,
+            beat.member.domain,
+        )
+        self._members.hear(member, self._clock.now(), beat.is_leaving)
+        self.view_by_id[member.node_id] = _view(beat)
+        grants = self._owner.grantor.on_beat(member, beat)
+        reply = peer_pb2.BeatReply(
+            table_version=self._tables.table.version,
+            grants=grants,
+            lease_ms=slots.SLOT_LEASE_MS,
+        )
+        if beat.table_version < self._tables.table.version:
+            reply.table_json = self._tables.travelling()
+        return reply
+
+    async def on_offer(
+        self, offer: peer_pb2.OfferSlotsRequest
+    ) -> peer_pb2.Empty:
+        """Take in slots that an owner offers."""
+        self._add(
+            offer.owner_id, offer.grants, offer.basis_ms, offer.lease_ms
+        )
+        return peer_pb2.Empty()
+
+    async def on_recall(
+        self, recall: peer_pb2.RecallSlotsRequest
+    ) -> peer_pb2.RecallSlotsReply:
+        """Give idle slots back and mark busy ones."""
+        released = self._entry.cache.recall(recall.owner_id, recall.count)
+        return peer_pb2.RecallSlotsReply(slots=peers.held_slots(released))
+
+    async def on_return(
+        self, message: peer_pb2.ReturnSlotsRequest
+    ) -> peer_pb2.Empty:
+        """Take back slots of this node's workers."""
+        self._owner.grantor.on_return(message.node_id, message.slots)
+        return peer_pb2.Empty()
+
+    def give_back(self, slot_id: slots.SlotId, owner_id: str) -> None:
+        """Return a recalled slot whose request has ended."""
+        member = self._members.member(owner_id)
+        if member is None:
+            return
+        message = peer_pb2.ReturnSlotsRequest(
+            node_id=self._members.own.node_id,
+            slots=peers.held_slots([slot_id]),
+        )
+        self._spawn(self._tell(member, 'ReturnSlots', message))
+
+    async def _beat(self, member: membership.Member) -> None:
+        beat = self._message(member)
+        self.sent_total += 1
+        try:
+            reply = await self._call(
+                member, 'Beat', beat, timeout_ms=BEAT_TIMEOUT_MS
+            )
+        except peers.PeerError:
+            self.failed_total += 1
+            return
+        if member.node_id != self._members.own.node_id:
+            self._last_reply_at_ms = self._clock.now()
+        if reply.table_json:
+            self._tables.adopt(reply.table_json)
+        self._add(
+            member.node_id, reply.grants, beat.sent_at_ms, reply.lease_ms
+        )
+
+    def _message(self, member: membership.Member) -> peer_pb2.BeatRequest:
+        own = self._members.own
+        entry = self._entry
+        held = entry.cache.held_of(member.node_id)
+        return peer_pb2.BeatRequest(
+            member=peer_pb2.Member(
+                node_id=own.node_id,
+                host=own.host,
+                peer_port=own.peer_port,
+                domain=own.domain,
+            ),
+            is_leaving=self._members.is_leaving,
+            table_version=self._tables.table.version,
+            sent_at_ms=self._clock.now(),
+            demand_by_kind=entry.queue.demand_by_kind(),
+            held=peers.held_slots(held),
+            wanted=self._wanted(member.node_id),
+            owner=self._summary(),
+            reaches_log=self._log.is_reachable,
+        )
+
+    def _wanted(self, owner_id: str) -> int:
+        """Return this owner's part of the slots that could be used.
+
+        The part is proportional to the owner's slots; fractions are drawn,
+        so that a single wanted slot is asked of one owner on average.
+        """
+        short = len(self._entry.queue) - self._entry.cache.idle_total
+        fleet = self._entry.fleet_slots
+        if short <= 0 or not fleet:
+            return 0
+        exact = short * self._slots_of(owner_id) / fleet
+        return int(exact + random.random())
+
+    def _summary(self) -> peer_pb2.OwnerSummary:
+        book = self._owner.book
+        return peer_pb2.OwnerSummary(
+            workers=len(book),
+            slots=self._owner.grantor.ledger.total,
+            capacity=peer_pb2.Resources(**book.capacity._asdict()),
+            used=peer_pb2.Resources(**book.used._asdict()),
+            shapes=[
+                peer_pb2.Resources(**shape._asdict())
+                for shape in book.shapes()
+            ],
+        )
+
+    def _slots_of(self, node_id: str) -> int:
+        if node_id == self._members.own.node_id:
+            return self._owner.grantor.ledger.total
+        view = self.view_by_id.get(node_id)
+        return view.slots if view else 0
+
+    def _targets(self) -> list[membership.Member]:
+        return [self._members.own, *self._members.peers()]
+
+    def _interval_ms(self) -> int:
+        return beat_interval_ms(len(self._members.live()))
+
+    def _forget_views(self) -> None:
+        for node_id in list(self.view_by_id):
+            if not self._members.is_live(node_id):
+                del self.view_by_id[node_id]
+        live = self._members.live()
+        self._entry.node_count = len(live)
+        self._entry.fleet_slots = sum(
+            self._slots_of(member.node_id) for member in live
+        )
+
+    def _add(self, owner_id, grants, basis_ms: int, lease_ms: int) -> None:
+        expires_at_ms = basis_ms + lease_ms
+        if expires_at_ms <= self._clock.now():
+            return
+        for grant in grants:
+            self._entry.endpoint_by_worker[grant.worker_id] = (
+                endpoint_mod.Endpoint(grant.worker_id, grant.host, grant.port)
+            )
+            for number in peers.slot_numbers(grant.mask):
+                self._entry.cache.add(
+                    slots.SlotId(grant.worker_id, number),
+                    owner_id,
+                    grant.epoch,
+                    expires_at_ms,
+                )
+        if grants:
+            self._demand_sent = 0
+            self._entry.pump()
+
+    async def _tell(self, member, method: str, message) -> None:
+        try:
+            await self._call(member, method, message)
+        except peers.PeerError:
+            self.failed_total += 1
+
+    def _spawn(self, coroutine: typing.Coroutine) -> None:
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def beat_interval_ms(node_count: int) -> int:
+    """Return the interval of beats, longer for many nodes.
+
+    The messages a node sends in a second stay bounded, since each node
+    beats to every other.
+    """
+    return max(BEAT_INTERVAL_MS, BEAT_INTERVAL_MS * node_count // 16)
+
+
+def _view(beat: peer_pb2.BeatRequest) -> PeerView:
+    return PeerView(
+        beat.table_version,
+        beat.owner.workers,
+        beat.owner.slots,
+        _vector(beat.owner.capacity),
+        _vector(beat.owner.used),
+        tuple(_vector(shape) for shape in beat.owner.shapes),
+        beat.reaches_log,
+        dict(beat.demand_by_kind),
+    )
+
+
+def _vector(message: peer_pb2.Resources) -> tuple[int, int, int]:
+    return message.cpu_millis, message.memory_mb, message.accelerators
--- /dev/null
+++ b/packages/carawaymast-node/carawaymast_node/coordinator.py
@@ -0,0 +1,352 @@
+"""The coordinator role: bringing accepted jobs to their end.
+
+Rendezvous hashing over the live members says which node works on a job. Two
+nodes working on one job are harmless, since an attempt belongs to whichever
+claim comes first in the log.
+"""
+
+import asyncio
+import typing
+
+import circuits
+from carawaymast_core import clock as clock_mod
+from carawaymast_core import jobindex
+from carawaymast_core import jobs
+from carawaymast_core import membership
+from carawaymast_core import records
+from carawaymast_core import retry
+from carawaymast_core import workerbook
+
+from carawaymast_node import log_service
+from carawaymast_node import peer_pb2
+from carawaymast_node import peers
+
+__all__ = ['Coordinator']
+
+COMMIT_TIMEOUT_MS = 10_000
+POLL_MS = 50
+BACKOFF_BASE_MS = 100
+BACKOFF_LONGEST_MS = 1_000
+HOLD_AFTER_MS = 2_000
+JOB_KEPT_MS = 24 * 3600 * 1000
+BATCH_TASKS = 64
+
+
+class _Backoff:
+    """When a job that found no room is tried again."""
+
+    def __init__(self) -> None:
+        self.misses = 0
+        self.next_at_ms = 0
+
+
+class JobCounters(typing.TypedDict):
+    """What the coordinator counted since the node started."""
+
+    claims: int
+    claims_lost: int
+    starts: int
+    starts_refused: int
+    no_room: int
+    jobs_done: int
+    holds: int
+
+
+class Coordinator(circuits.BaseComponent):
+    """Works on the jobs that rendezvous hashing gives to this node."""
+
+    channel = 'jobs'
+
+    def __init__(
+        self,
+        clock: clock_mod.Clock,
+        log: log_service.LogService,
+        members: membership.Membership,
+        call: typing.Callable[..., typing.Awaitable[typing.Any]],
+        free_cpu_of: typing.Callable[[str], int],
+    ):
+        super().__init__()
+        self._clock = clock
+        self._log = log
+        self._members = members
+        self._call = call
+        self._free_cpu_of = free_cpu_of
+        self._backoff_by_id: dict[str, _Backoff] = {}
+        self._active: set[str] = set()
+        self._dirty: dict[str, None] = {}
+        self._background: set[asyncio.Task] = set()
+        self.index = jobindex.JobIndex()
+        self.counters: JobCounters = {
+            'claims': 0,
+            'claims_lost': 0,
+            'starts': 0,
+            'starts_refused': 0,
+            'no_room': 0,
+            'jobs_done': 0,
+            'holds': 0,
+        }
+
+    @property
+    def is_active(self) -> bool:
+        """Whether a job is being worked on at this moment."""
+        return bool(self._active)
+
+    @circuits.handler('log_changed', channel='*')
+    def _on_log_changed(self, changes: list[records.Change]) -> None:
+        """Note which jobs changed."""
+        for change in changes:
+            job_id = self.index.apply(change)
+            if job_id is not None:
+                self._dirty[job_id] = None
+
+    def is_wanted(self, ref: jobs.TaskRef) -> bool:
+        """Tell whether an attempt still belongs to an open job.
+
+        A node that has not read the whole log cannot tell and says yes.
+        """
+        if not self._log.is_caught_up:
+            return True
+        entity = jobs.task_entity(ref.job_id, ref.task)
+        task = self._log.replica.get(entity).value
+        return ref.job_id in self.index.open_ids and (
+            task is None or task['attempt'] <= ref.attempt
+        )
+
+    async def record_end(self, ref: jobs.TaskRef, outcome: str) -> bool:
+        """Record the end of an attempt; tell whether the log has it."""
+        if not self._log.is_caught_up:
+            return False
+        now_ms = clock_mod.wall_ms()
+        writes = jobs.end_attempt(self._log.replica, ref, outcome, now_ms)
+        if writes is None:
+            return True
+        try:
+            return await self._log.commit(writes, COMMIT_TIMEOUT_MS)
+        except log_service.CommitError:
+            return False
+
+    async def keep_working(self) -> typing.NoReturn:
+        """Advance jobs for as long as the node runs."""
+        while True:
+            if self._log.is_caught_up:
+                self._start_due()
+            await asyncio.sleep(POLL_MS / 1000)
+
+    def _start_due(self) -> None:
+        if self._members.is_leaving:
+            return
+        now_ms = self._clock.now()
+        own_id = self._members.own.node_id
+        node_ids = [member.node_id for member in self._members.staying()]
+        for job_id in list(self.index.open_ids):
+            if job_id in self._active:
+                continue
+            backoff = self._backoff_by_id.get(job_id)
+            if backoff is not None and backoff.next_at_ms > now_ms:
+                if job_id not in self._dirty:
+                    continue
+            self._dirty.pop(job_id, None)
+            if membership.preferred(job_id, node_ids) != own_id:
+                self._back_off(job_id, BACKOFF_LONGEST_MS)
+                continue
+            self._active.add(job_id)
+            task = asyncio.ensure_future(self._advance(job_id))
+            self._background.add(task)
+            task.add_done_callback(self._background.discard)
+
+    async def _advance(self, job_id: str) -> None:
+        try:
+            await self._advance_once(job_id)
+        except log_service.CommitError:
+            self._miss(job_id)
+        finally:
+            self._active.discard(job_id)
+
+    async def _advance_once(self, job_id: str) -> None:
+        replica = self._log.replica
+        writes = jobs.finish(replica, job_id, clock_mod.wall_ms())
+        if writes is not None:
+            if await self._log.commit(writes, COMMIT_TIMEOUT_MS):
+                self.counters['jobs_done'] += 1
+                self._backoff_by_id.pop(job_id, None)
+            return
+        value = replica.get(jobs.job_entity(job_id)).value
+        if not jobs.is_open(value):
+            return
+        due = self._due_tasks(job_id, value['spec'])
+        if not due:
+            self._back_off(job_id, BACKOFF_LONGEST_MS)
+            return
+        if value['spec']['gang']:
+            await self._advance_gang(job_id, value, due)
+        else:
+            await self._advance_tasks(job_id, value, due)
+
+    def _due_tasks(
+        self, job_id: str, spec: jobs.JobSpec
+    ) -> dict[jobs.TaskRef, jobs.TaskSpec]:
+        due = {}
+        for task in spec['tasks']:
+            entity = jobs.task_entity(job_id, task['name'])
+            attempt = jobs.next_attempt(self._log.replica.get(entity).value)
+            if attempt is not None:
+                due[jobs.TaskRef(job_id, task['name'], attempt)] = task
+        return due
+
+    async def _advance_tasks(self, job_id, value, due) -> None:
+        """Reserve, claim and start what finds room."""
+        some = dict(list(due.items())[:BATCH_TASKS])
+        owners = self._owners_by_room()
+        places = await self._reserve(job_id, value, some, owners, False)
+        if not places:
+            self.counters['no_room'] += 1
+            self._miss(job_id)
+            return
+        await self._claim_and_start(value, some, places)
+        self._backoff_by_id.pop(job_id, None)
+
+    async def _advance_gang(self, job_id, value, due) -> None:
+        """Reserve all tasks, then claim and start them, or release all.
+
+        Owners are asked in the order of their ids. A gang that has waited
+        long keeps what it has and holds what it lacks.
+        """
+        waited_ms = clock_mod.wall_ms() - value['accepted_at_ms']
+        may_hold = waited_ms >= HOLD_AFTER_MS
+        owners = sorted(self._members.staying(), key=lambda m: m.node_id)
+        places = await self._reserve(job_id, value, due, owners, may_hold)
+        firm = {ref: p for ref, p in places.items() if not p.is_pending}
+        if len(firm) == len(due):
+            await self._claim_and_start(value, due, firm)
+            self._backoff_by_id.pop(job_id, None)
+            return
+        self.counters['no_room'] += 1
+        if may_hold:
+            self.counters['holds'] += 1
+            self._back_off(job_id, BACKOFF_BASE_MS * 3)
+            return
+        await self._release(places)
+        self._miss(job_id)
+
+    async def _reserve(
+        self, job_id, value, due, owners, may_hold
+    ) -> dict[jobs.TaskRef, '_Place']:
+        """Ask owner after owner for room; first without holds, then with."""
+        places: dict[jobs.TaskRef, _Place] = {}
+        rounds = [False, True] if may_hold else [False]
+        for with_hold in rounds:
+            for member in owners:
+                left = {r: t for r, t in due.items() if r not in places}
+                if not left:
+                    return places
+                places.update(
+                    await self._ask(member, job_id, value, left, with_hold)
+                )
+        return places
+
+    async def _ask(self, member, job_id, value, left, may_hold):
+        request = peer_pb2.ReserveTasksRequest(
+            wishes=[
+                peer_pb2.TaskWish(
+                    ref=str(ref),
+                    kind=value['spec']['kind'],
+                    size=peer_pb2.Resources(**jobs.size_of(task)._asdict()),
+                )
+                for ref, task in left.items()
+            ],
+            accepted_at_ms=value['accepted_at_ms'],
+            job_id=job_id,
+            may_hold=may_hold,
+        )
+        try:
+            reply = await self._call(member, 'ReserveTasks', request)
+        except peers.PeerError:
+            return {}
+        return {
+            jobs.parse_ref(place.ref): _Place(
+                member, place.worker_id, place.is_pending
+            )
+            for place in reply.places
+        }
+
+    async def _claim_and_start(self, value, due, places) -> None:
+        worker_by_ref = {ref: p.worker_id for ref, p in places.items()}
+        writes = jobs.claim(self._log.replica, worker_by_ref)
+        applied = False
+        if writes is not None:
+            applied = await self._log.commit(writes, COMMIT_TIMEOUT_MS)
+        if not applied:
+            self.counters['claims_lost'] += 1
+            await self._release(places)
+            return
+        self.counters['claims'] += len(places)
+        by_member = _by_member(places)
+        await asyncio.gather(
+            *(
+                self._start(member, refs, due, worker_by_ref)
+                for member, refs in by_member.items()
+            )
+        )
+
+    async def _start(self, member, refs, due, worker_by_ref) -> None:
+        request = peer_pb2.StartTasksRequest(
+            starts=[
+                peer_pb2.TaskStart(
+                    ref=str(ref),
+                    worker_id=worker_by_ref[ref],
+                    run_ms=due[ref]['run_ms'],
+                )
+                for ref in refs
+            ]
+        )
+        try:
+            reply = await self._call(member, 'StartTasks', request)
+        except peers.PeerError:
+            # The owner compares the log with its book and ends the claim
+            # if the attempt does not run.
+            return
+        self.counters['starts'] += len(reply.statuses)
+        for status in reply.statuses:
+            if status.status == workerbook.AttemptStatus.NEVER:
+                self.counters['starts_refused'] += 1
+                await self.record_end(jobs.parse_ref(status.ref), 'never')
+
+    async def _release(self, places) -> None:
+        for member, refs in _by_member(places).items():
+            message = peer_pb2.TaskRefs(refs=[str(ref) for ref in refs])
+            try:
+                await self._call(member, 'ReleaseTasks', message)
+            except peers.PeerError:
+                continue
+
+    def _owners_by_room(self) -> list[membership.Member]:
+        members = self._members.staying()
+        members.sort(key=lambda m: -self._free_cpu_of(m.node_id))
+        return members
+
+    def _miss(self, job_id: str) -> None:
+        backoff = self._backoff_by_id.setdefault(job_id, _Backoff())
+        wait_ms = retry.backoff_ms(
+            backoff.misses, BACKOFF_BASE_MS, BACKOFF_LONGEST_MS
+        )
+        backoff.misses += 1
+        backoff.next_at_ms = self._clock.now() + wait_ms
+
+    def _back_off(self, job_id: str, wait_ms: int) -> None:
+        backoff = self._backoff_by_id.setdefault(job_id, _Backoff())
+        backoff.next_at_ms = self._clock.now() + wait_ms
+
+
+class _Place(typing.NamedTuple):
+    """Where an owner has reserved room for an attempt."""
+
+    member: membership.Member
+    worker_id: str
+    is_pending: bool
+
+
+def _by_member(places) -> dict[membership.Member, list[jobs.TaskRef]]:
+    by_member: dict[membership.Member, list[jobs.TaskRef]] = {}
+    for ref, place in places.items():
+        by_member.setdefault(place.member, []).append(ref)
+    return by_member
--- /dev/null
+++ b/packages/carawaymast-node/carawaymast_node/entry.py
@@ -0,0 +1,367 @@
+"""The entry role: admission, queue, dispatch and the single answer.
+
+``submit`` takes a request and calls ``reply`` exactly once. The choice of the
+request and of the slot is local: no message is sent for it.
+"""
+
+import asyncio
+import typing
+
+from carawaymast_core import account as account_mod
+from carawaymast_core import clock as clock_mod
+from carawaymast_core import errors
+from carawaymast_core import fairqueue
+from carawaymast_core import retry
+from carawaymast_core import slots
+from carawaymast_core import table as table_mod
+from hdrh import histogram
+
+from carawaymast_node import endpoint as endpoint_mod
+from carawaymast_node import messages
+
+__all__ = ['EntryService', 'Reply']
+
+MAX_DEADLINE_MS = 24 * 3600 * 1000
+MAX_TRIES = 6
+OVERDUE_MIN_MS = 1_000
+OVERDUE_FACTOR = 8
+HISTOGRAM_MAX_MS = 3_600_000
+HISTOGRAM_DIGITS = 2
+EXPIRY_POLL_MS = 20
+
+Reply = typing.Callable[[int, typing.Any], None]
+
+
+class _Request:
+    """A request between its acceptance and its answer."""
+
+    def __init__(
+        self,
+        request_id: str,
+        body: messages.RequestBody,
+        arrived_at_ms: int,
+        row: table_mod.Row,
+        reply: Reply,
+    ):
+        self.request_id = request_id
+        self.body = body
+        self.arrived_at_ms = arrived_at_ms
+        self.deadline_at_ms = arrived_at_ms + body['deadline_ms']
+        longest_at_ms = arrived_at_ms + row.longest_wait_ms
+        self.expires_at_ms = min(self.deadline_at_ms, longest_at_ms)
+        self.reply = reply
+        self.tries = 0
+        self.may_have_run = False
+        self.is_abandoned = False
+
+    def queued(self) -> fairqueue.Queued:
+        """Return the request in the form in which it is queued."""
+        return fairqueue.Queued(
+            self.request_id,
+            self.body['kind'],
+            self.arrived_at_ms,
+            self.expires_at_ms,
+        )
+
+
+class EntryService:
+    """The requests that callers gave to this node."""
+
+    def __init__(
+        self,
+        clock: clock_mod.Clock,
+        endpoints: endpoint_mod.EndpointClient,
+        account: account_mod.Account,
+    ):
+        self._clock = clock
+        self._endpoints = endpoints
+        self._table = table_mod.EMPTY
+        self._request_by_id: dict[str, _Request] = {}
+        self._tasks: set[asyncio.Task] = set()
+        self._budget = retry.RetryBudget()
+        self.account = account
+        self.queue = fairqueue.FairQueue()
+        self.cache = slots.SlotCache()
+        self.endpoint_by_worker: dict[str, endpoint_mod.Endpoint] = {}
+        self.wait_ms_by_kind: dict[str, histogram.HdrHistogram] = {}
+        self.decision_us = histogram.HdrHistogram(1, 10_000_000, 2)
+        self.refusal_by_error: dict[str, int] = {}
+        self.is_draining = False
+        self.fleet_slots = 0
+        self.node_count = 1
+        self.want_slots: typing.Callable[[], None] = lambda: None
+        self.give_back: typing.Callable[[slots.SlotId, str], None]
+        self.give_back = lambda slot_id, owner_id: None
+
+    @property
+    def in_flight(self) -> int:
+        """The number of requests that have no answer yet."""
+        return len(self._request_by_id)
+
+    def take_table(self, table: table_mod.Table) -> None:
+        """Put a newer table in force."""
+        self._table = table
+        self.queue.configure(table)
+
+    def submit(
+        self, request_id: str, body: messages.RequestBody, reply: Reply
+    ) -> None:
+        """Admit a request or raise ``SchedulerError``.
+
+        After admission ``reply`` is called once, with status and body.
+        """
+        request = self.admit(request_id, body, reply)
+        self.enqueue(request)
+
+    def admit(
+        self, request_id: str, body: messages.RequestBody, reply: Reply
+    ) -> _Request:
+        """Check a request against the table and the predicted wait."""
+        started_ms = self._clock.now()
+        row = self._row_for(body)
+        self.account.accept(row.kind, row.team)
+        request = _Request(request_id, body, started_ms, row, reply)
+        self._request_by_id[request_id] = request
+        try:
+            self._check_admission(request, row)
+        except errors.SchedulerError as error:
+            self._settle_refused(request, error)
+            raise
+        return request
+
+    def enqueue(self, request: _Request) -> None:
+        """Put an admitted request into the queue and start what may."""
+        self.queue.push(request.queued())
+        self._budget.earn()
+        self.pump()
+
+    def refuse(self, request: _Request, error: errors.SchedulerError) -> None:
+        """End an admitted request that did not start."""
+        self._finish_error(request, error)
+
+    def abandon(self, request_id: str) -> None:
+        """Note that the caller of a request went away."""
+        request = self._request_by_id.get(request_id)
+        if request is None:
+            return
+        request.is_abandoned = True
+        if self.queue.remove(request_id):
+            self._settle(request, account_mod.Outcome.DISCONNECTED)
+
+    def pump(self) -> None:
+        """Start waiting requests while there are idle slots."""
+        now_ms = self._clock.now()
+        while len(self.queue) and self.cache.has_idle(now_ms):
+            queued = self.queue.pop_next(self.cache.total)
+            if queued is None:
+                break
+            request = self._request_by_id[queued.request_id]
+            use = self.cache.take(queued.request_id)
+            self._start(request, use, now_ms)
+        if len(self.queue):
+            self.want_slots()
+
+    def expire(self) -> None:
+        """Refuse the requests that waited too long, "not run"."""
+        now_ms = self._clock.now()
+        self.cache.lapse(now_ms)
+        for queued in self.queue.pop_expired(now_ms):
+            request = self._request_by_id[queued.request_id]
+            waited_ms = now_ms - request.arrived_at_ms
+            kind = errors.ErrorKind.WAIT_EXCEEDED
+            if now_ms >= request.deadline_at_ms:
+                kind = errors.ErrorKind.DEADLINE_EXCEEDED
+            detail = f'waited {waited_ms} ms for a slot'
+            self._finish_error(request, errors.SchedulerError(kind, detail))
+
+    async def keep_expiring(self) -> typing.NoReturn:
+        """Refuse what waited too long, for as long as the node runs."""
+        while True:
+            await asyncio.sleep(EXPIRY_POLL_MS / 1000)
+            self.expire()
+            self.pump()
+
+    def check_accounts(self) -> None:
+        """Raise ``InvariantError`` unless queue, slots and tallies agree."""
+        self.queue.check_accounts()
+        self.cache.check_accounts()
+        self.account.check_accounts()
+        in_flight = sum(
+            tally['in_flight']
+            for tally in self.account.tally_by_kind.values()
+        )
+        errors.check(
+            in_flight == len(self._request_by_id),
+            f'{in_flight} in flight by kind, {len(self._request_by_id)} by id',
+        )
+
+    def _row_for(self, body: messages.RequestBody) -> table_mod.Row:
+        if self.is_draining:
+            raise errors.SchedulerError(
+                errors.ErrorKind.SHUTTING_DOWN, 'the node is shutting down'
+            )
+        row = self._table.by_kind.get(body['kind'])
+        if row is None:
+            raise errors.SchedulerError(
+                errors.ErrorKind.UNKNOWN_KIND,
+                f'kind is {body["kind"]!r}, the table has no such row',
+            )
+        if row.team != body['team']:
+            raise errors.SchedulerError(
+                errors.ErrorKind.BAD_REQUEST,
+                f'team is {body["team"]!r}, kind {row.kind} is of {row.team}',
+            )
+        if not 0 < body['deadline_ms'] <= MAX_DEADLINE_MS:
+            raise errors.SchedulerError(
+                errors.ErrorKind.BAD_REQUEST,
+                f'deadline_ms is {body["deadline_ms"]}, '
+                f'allowed: 1 to {MAX_DEADLINE_MS} from now',
+            )
+        return row
+
+    def _check_admission(self, request: _Request, row: table_mod.Row) -> None:
+        waiting = self.queue.waiting(row.kind)
+        if waiting >= row.queue_bound:
+            raise errors.SchedulerError(
+                errors.ErrorKind.QUEUE_FULL,
+                f'{waiting} of kind {row.kind} wait, '
+                f'allowed: {row.queue_bound}',
+            )
+        allowed_ms = request.expires_at_ms - request.arrived_at_ms
+        predicted_ms = self.queue.predicted_wait_ms(
+            row.kind, self._expected_slots()
+        )
+        if predicted_ms > allowed_ms:
+            raise errors.SchedulerError(
+                errors.ErrorKind.OVERLOADED,
+                f'predicted wait is {predicted_ms:.0f} ms, '
+                f'allowed: {allowed_ms} ms',
+            )
+
+    def _expected_slots(self) -> int:
+        even = self.fleet_slots // max(1, self.node_count)
+        return max(self.cache.total, even)
+
+    def _start(
+        self, request: _Request, use: slots.SlotUse, now_ms: int
+    ) -> None:
+        if not request.tries:
+            self._record_wait(request, now_ms)
+        request.tries += 1
+        task = asyncio.ensure_future(self._run(request, use, now_ms))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _run(
+        self, request: _Request, use: slots.SlotUse, started_at_ms: int
+    ) -> None:
+        verdict = await self._call_endpoint(request, use, started_at_ms)
+        now_ms = self._clock.now()
+        ran_ms = now_ms - started_at_ms if verdict.ran == 'yes' else None
+        self.queue.finish(request.body['kind'], ran_ms)
+        self._leave_slot(request, use, verdict, now_ms)
+        if verdict.ran == 'unknown':
+            request.may_have_run = True
+        if self._may_retry(request, verdict, now_ms):
+            self.queue.push(request.queued())
+        else:
+            self._finish(request, verdict)
+        self.pump()
+
+    async def _call_endpoint(
+        self, request: _Request, use: slots.SlotUse, started_at_ms: int
+    ) -> endpoint_mod.Verdict:
+        endpoint = self.endpoint_by_worker[use.slot_id.worker_id]
+        left_ms = max(1, request.deadline_at_ms - started_at_ms)
+        try:
+            return await self._endpoints.run(
+                endpoint,
+                request.request_id,
+                use,
+                request.body['payload'],
+                min(left_ms, self._overdue_ms(request.body['kind'])),
+                left_ms,
+            )
+        except Exception as error:
+            # The caller must be told something even after a fault of ours.
+            return endpoint_mod.Verdict('unknown', False, None, repr(error))
+
+    def _overdue_ms(self, kind: str) -> int:
+        usual_ms = self.queue.cost_ms(kind)
+        return max(OVERDUE_MIN_MS, int(usual_ms * OVERDUE_FACTOR))
+
+    def _leave_slot(self, request, use, verdict, now_ms) -> None:
+        slot_id = use.slot_id
+        if verdict.ran == 'unknown':
+            self.cache.quarantine(slot_id, request.request_id)
+            return
+        if verdict.ran == 'no':
+            self.cache.quarantine(slot_id, request.request_id)
+            self.cache.drop_worker(slot_id.worker_id)
+            return
+        owner_id = self.cache.owner_of(slot_id)
+        if self.cache.put_back(slot_id, request.request_id, now_ms):
+            self.give_back(slot_id, owner_id)
+
+    def _may_retry(self, request, verdict, now_ms) -> bool:
+        if request.is_abandoned or request.tries >= MAX_TRIES:
+            return False
+        if now_ms >= request.deadline_at_ms:
+            return False
+        if verdict.ran == 'no':
+            return True
+        if verdict.is_ok or not request.body['idempotent']:
+            return False
+        return verdict.ran == 'unknown' and self._budget.spend()
+
+    def _finish(self, request: _Request, verdict: endpoint_mod.Verdict):
+        if verdict.is_ok:
+            self._settle(request, account_mod.Outcome.DONE)
+            request.reply(
+                200,
+                {
+                    'request_id': request.request_id,
+                    'outcome': 'done',
+                    'result': verdict.result,
+                },
+            )
+            return
+        kind = {
+            'yes': errors.ErrorKind.ENDPOINT_FAILED,
+            'no': errors.ErrorKind.ENDPOINT_REFUSED,
+        }.get(verdict.ran, errors.ErrorKind.OUTCOME_UNKNOWN)
+        self._finish_error(
+            request, errors.SchedulerError(kind, verdict.detail)
+        )
+
+    def _finish_error(self, request, error: errors.SchedulerError) -> None:
+        if request.may_have_run and error.answer.ran is errors.Ran.NO:
+            error = errors.SchedulerError(
+                errors.ErrorKind.OUTCOME_UNKNOWN,
+                f'an earlier try had no answer; then {error.detail}',
+            )
+        self._settle_refused(request, error)
+        body = errors.error_body(error, request.request_id)
+        request.reply(error.answer.status, body)
+
+    def _settle_refused(self, request, error: errors.SchedulerError) -> None:
+        count = self.refusal_by_error.get(error.kind.value, 0)
+        self.refusal_by_error[error.kind.value] = count + 1
+        outcome = account_mod.OUTCOME_BY_RAN[error.answer.ran]
+        self._settle(request, outcome)
+
+    def _settle(self, request, outcome: account_mod.Outcome) -> None:
+        del self._request_by_id[request.request_id]
+        if request.is_abandoned:
+            outcome = account_mod.Outcome.DISCONNECTED
+        self.account.settle(request.body['kind'], outcome)
+
+    def _record_wait(self, request: _Request, now_ms: int) -> None:
+        kind = request.body['kind']
+        waits = self.wait_ms_by_kind.get(kind)
+        if waits is None:
+            waits = histogram.HdrHistogram(
+                1, HISTOGRAM_MAX_MS, HISTOGRAM_DIGITS
+            )
+            self.wait_ms_by_kind[kind] = waits
+        waits.record_value(max(1, now_ms - request.arrived_at_ms))
--- /dev/null
+++ b/packages/carawaymast-node/carawaymast_node/grants.py
@@ -0,0 +1,245 @@
+"""Leasing slots to entry nodes: the owner's side of the slot messages.
+
+The grantor answers beats with grants while slots are free. When they are
+not, it divides its slots between the entry nodes by their demand, recalls
+what some hold beyond their target, and offers what comes back.
+"""
+
+import asyncio
+import typing
+
+from carawaymast_core import clock as clock_mod
+from carawaymast_core import membership
+from carawaymast_core import shares
+from carawaymast_core import slots
+from carawaymast_core import table as table_mod
+
+from carawaymast_node import peer_pb2
+from carawaymast_node import peers
+
+__all__ = ['Grantor']
+
+DEMAND_LIFE_MS = 2_000
+REBALANCE_PAUSE_MS = 10
+
+Call = typing.Callable[..., typing.Awaitable[typing.Any]]
+
+
+class _Demand:
+    """What an entry node said in its newest beat."""
+
+    def __init__(
+        self, member: membership.Member, beat: peer_pb2.BeatRequest, now_ms
+    ):
+        self.member = member
+        self.by_kind = dict(beat.demand_by_kind)
+        self.wanted = beat.wanted
+        self.basis_ms = beat.sent_at_ms
+        self.received_at_ms = now_ms
+        self.recalled = 0
+
+
+class Grantor:
+    """Leases the slots of the ledger to the entry nodes."""
+
+    def __init__(
+        self,
+        node_id: str,
+        clock: clock_mod.Clock,
+        call: Call,
+        lease_left_ms: typing.Callable[[str], int],
+        epoch_of: typing.Callable[[str], int],
+        address_of: typing.Callable[[str], tuple[str, int]],
+    ):
+        self._node_id = node_id
+        self._clock = clock
+        self._call = call
+        self._lease_left_ms = lease_left_ms
+        self._epoch_of = epoch_of
+        self._address_of = address_of
+        self._demand_by_entry: dict[str, _Demand] = {}
+        self._is_scheduled = False
+        self._tasks: set[asyncio.Task] = set()
+        self.table = table_mod.EMPTY
+        self.ledger = slots.SlotLedger()
+        self.offers_total = 0
+        self.recalls_total = 0
+
+    def on_beat(
+        self, member: membership.Member, beat: peer_pb2.BeatRequest
+    ) -> list[peer_pb2.SlotGrant]:
+        """Renew what an entry node holds and grant it what is free."""
+        now_ms = self._clock.now()
+        demand = _Demand(member, beat, now_ms)
+        self._demand_by_entry[member.node_id] = demand
+        renewed = self._renew(member.node_id, beat.held, now_ms)
+        if not beat.wanted:
+            return self._grants(renewed)
+        if self._wanted_total() > self.ledger.free_total:
+            self.schedule_rebalance()
+            return self._grants(renewed)
+        granted = self._lease(member.node_id, self._batch(demand), now_ms)
+        demand.wanted = 0
+        return self._grants(renewed + granted)
+
+    def on_return(self, entry_id: str, held: typing.Iterable) -> None:
+        """Take back slots that an entry node gives up."""
+        for one in held:
+            for number in peers.slot_numbers(one.mask):
+                slot_id = slots.SlotId(one.worker_id, number)
+                self.ledger.release(entry_id, slot_id)
+        if self._wanted_total():
+            self.schedule_rebalance()
+
+    def tick(self) -> None:
+        """Let leases lapse and forget silent entry nodes."""
+        now_ms = self._clock.now()
+        self.ledger.lapse(now_ms)
+        silent = [
+            entry_id
+            for entry_id, demand in self._demand_by_entry.items()
+            if demand.received_at_ms + DEMAND_LIFE_MS <= now_ms
+        ]
+        for entry_id in silent:
+            del self._demand_by_entry[entry_id]
+        self.ledger.check_accounts()
+
+    def schedule_rebalance(self) -> None:
+        """Divide the slots anew after a short pause for more news."""
+        if self._is_scheduled:
+            return
+        self._is_scheduled = True
+        loop = asyncio.get_running_loop()
+        loop.call_later(REBALANCE_PAUSE_MS / 1000, self._rebalance)
+
+    def _rebalance(self) -> None:
+        self._is_scheduled = False
+        demand_by_entry = {
+            entry_id: demand.by_kind
+            for entry_id, demand in self._demand_by_entry.items()
+        }
+        targets = shares.divide_entries(
+            self.ledger.total, self.table.by_kind, demand_by_entry
+        )
+        self._offer_free(targets)
+        self._recall_excess(targets)
+
+    def _offer_free(self, targets: dict[str, int]) -> None:
+        now_ms = self._clock.now()
+        for entry_id, demand in self._by_deficit(targets):
+            deficit = targets[entry_id] - self.ledger.held_count(entry_id)
+            count = min(deficit, demand.wanted, self.ledger.free_total)
+            if count <= 0:
+                continue
+            granted = self._lease(entry_id, count, demand.received_at_ms)
+            if not granted:
+                continue
+            demand.wanted -= len(granted)
+            self._spawn(self._offer(demand, granted, now_ms))
+
+    def _recall_excess(self, targets: dict[str, int]) -> None:
+        missing = 0
+        for entry_id, demand in self._by_deficit(targets):
+            deficit = targets[entry_id] - self.ledger.held_count(entry_id)
+            missing += max(0, min(deficit, demand.wanted))
+        for entry_id, demand in self._demand_by_entry.items():
+            held = self.ledger.held_count(entry_id) - demand.recalled
+            excess = min(held - targets.get(entry_id, 0), missing)
+            if excess <= 0:
+                continue
+            missing -= excess
+            demand.recalled += excess
+            self._spawn(self._recall(demand, excess))
+
+    def _by_deficit(self, targets) -> list[tuple[str, _Demand]]:
+        wanting = [
+            (entry_id, demand)
+            for entry_id, demand in self._demand_by_entry.items()
+            if demand.wanted and entry_id in targets
+        ]
+        wanting.sort(
+            key=lambda item: (
+                self.ledger.held_count(item[0]) - targets[item[0]]
+            )
+        )
+        return wanting
+
+    async def _offer(self, demand: _Demand, granted, now_ms: int) -> None:
+        self.offers_total += 1
+        message = peer_pb2.OfferSlotsRequest(
+            owner_id=self._node_id,
+            basis_ms=demand.basis_ms,
+            lease_ms=slots.SLOT_LEASE_MS,
+            grants=self._grants(granted),
+        )
+        try:
+            await self._call(demand.member, 'OfferSlots', message)
+        except peers.PeerError:
+            # The lease lapses by itself; a report then frees the slots.
+            return
+
+    async def _recall(self, demand: _Demand, count: int) -> None:
+        self.recalls_total += 1
+        message = peer_pb2.RecallSlotsRequest(
+            owner_id=self._node_id, count=count
+        )
+        try:
+            reply = await self._call(demand.member, 'RecallSlots', message)
+        except peers.PeerError:
+            return
+        self.on_return(demand.member.node_id, reply.slots)
+
+    def _spawn(self, coroutine: typing.Coroutine) -> None:
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _wanted_total(self) -> int:
+        return sum(d.wanted for d in self._demand_by_entry.values())
+
+    def _batch(self, demand: _Demand) -> int:
+        """Return how many slots to grant while there are enough for all."""
+        spare = self.ledger.free_total - self._wanted_total()
+        entries = max(1, len(self._demand_by_entry))
+        return demand.wanted + spare // (2 * entries)
+
+    def _renew(self, entry_id, held, now_ms) -> list[slots.SlotId]:
+        renewed = []
+        for one in held:
+            left_ms = self._lease_left_ms(one.worker_id)
+            if left_ms < slots.SLOT_LEASE_MS:
+                continue
+            for number in peers.slot_numbers(one.mask):
+                slot_id = slots.SlotId(one.worker_id, number)
+                until_ms = now_ms + slots.SLOT_LEASE_MS
+                if self.ledger.renew(entry_id, slot_id, until_ms):
+                    renewed.append(slot_id)
+        return renewed
+
+    def _lease(self, entry_id, count, basis_ms) -> list[slots.SlotId]:
+        """Lease slots whose worker is held for long enough."""
+        until_ms = basis_ms + slots.SLOT_LEASE_MS
+        leased = self.ledger.lease(entry_id, count, until_ms)
+        good = []
+        for slot_id in leased:
+            left_ms = self._lease_left_ms(slot_id.worker_id)
+            if left_ms < slots.SLOT_LEASE_MS:
+                self.ledger.release(entry_id, slot_id)
+            else:
+                good.append(slot_id)
+        return good
+
+    def _grants(self, slot_ids) -> list[peer_pb2.SlotGrant]:
+        grants = []
+        for worker_id, mask in peers.masks(slot_ids).items():
+            host, port = self._address_of(worker_id)
+            grants.append(
+                peer_pb2.SlotGrant(
+                    worker_id=worker_id,
+                    mask=mask,
+                    epoch=self._epoch_of(worker_id),
+                    host=host,
+                    port=port,
+                )
+            )
+        return grants
--- /dev/null
+++ b/packages/carawaymast-node/carawaymast_node/log_service.py
@@ -0,0 +1,284 @@
+"""Following the log and committing to it.
+
+The reader keeps a ``Replica`` up to date and tells the other components what
+changed. The writer gathers records and appends them in groups, paced so that
+all nodes together stay within the append budget. ``commit`` returns once the
+record was read back and judged.
+"""
+
+import asyncio
+import contextlib
+import random
+import typing
+import uuid
+
+import circuits
+from carawaymast_core import clock as clock_mod
+from carawaymast_core import jobs
+from carawaymast_core import records
+from carawaymast_core import retry
+
+from carawaymast_node import events
+from carawaymast_node import log_port
+
+__all__ = ['CommitError', 'LogService']
+
+APPENDS_PER_S = 55
+MAX_BATCH = 500
+RETRY_BASE_MS = 50
+RETRY_LONGEST_MS = 1_000
+REACHABLE_MS = 9_000
+SNAPSHOT_FRACTION = 4
+CATCH_UP_LIMIT = log_port.READ_MAX_RECORDS
+SNAPSHOT_POLL_MS = 500
+TAKEOVER_CHANCE = 0.1
+
+
+class CommitError(Exception):
+    """A record was not read back in time.
+
+    ``was_sent`` is false only if the record cannot apply any more.
+    """
+
+    def __init__(self, detail: str, was_sent: bool):
+        super().__init__(detail)
+        self.was_sent = was_sent
+
+
+class _Pending:
+    """A record on its way to the log."""
+
+    def __init__(self, record: records.LogRecord, future: asyncio.Future):
+        self.record = record
+        self.future = future
+        self.was_sent = False
+
+
+class LogCounters(typing.TypedDict):
+    """What the log service counted since the node started."""
+
+    appends: int
+    append_errors: int
+    records_appended: int
+    records_read: int
+    read_errors: int
+    snapshots: int
+    skips: int
+
+
+class LogService(circuits.BaseComponent):
+    """One node's reader and writer of the log."""
+
+    channel = 'log'
+
+    def __init__(
+        self,
+        port: log_port.LogPort,
+        node_id: str,
+        clock: clock_mod.Clock,
+        retention_ms: int,
+        node_count: typing.Callable[[], int],
+    ):
+        super().__init__()
+        self._port = port
+        self._node_id = node_id
+        self._clock = clock
+        self._retention_ms = retention_ms
+        self._node_count = node_count
+        self._queued_by_id: dict[str, _Pending] = {}
+        self._waiter_by_id: dict[str, _Pending] = {}
+        self._has_work = asyncio.Event()
+        self._last_read_at_ms = -REACHABLE_MS
+        self._last_append_at_ms = 0
+        self._snapshot_at_ms = clock.now()
+        self.replica = records.Replica()
+        self.is_caught_up = False
+        self.counters: LogCounters = {
+            'appends': 0,
+            'append_errors': 0,
+            'records_appended': 0,
+            'records_read': 0,
+            'read_errors': 0,
+            'snapshots': 0,
+            'skips': 0,
+        }
+
+    @property
+    def is_reachable(self) -> bool:
+        """Whether the log answered a read lately."""
+        silent_ms = self._clock.now() - self._last_read_at_ms
+        return silent_ms < REACHABLE_MS
+
+    @property
+    def queued_total(self) -> int:
+        """The number of records that wait to be appended."""
+        return len(self._queued_by_id)
+
+    async def commit(self, writes: jobs.Writes, timeout_ms: int) -> bool:
+        """Append a record and tell whether it applied.
+
+        Raises ``CommitError`` if it was not read back within
+        ``timeout_ms``.
+        """
+        record: records.LogRecord = {
+            'id': uuid.uuid4().hex,
+            'node': self._node_id,
+            'expects': writes.expects,
+            'puts': writes.puts,
+        }
+        pending = self._enqueue(record)
+        try:
+            return await asyncio.wait_for(pending.future, timeout_ms / 1000)
+        except asyncio.TimeoutError:
+            detail = f'record not read back within {timeout_ms} ms'
+            raise CommitError(detail, pending.was_sent) from None
+        finally:
+            self._queued_by_id.pop(record['id'], None)
+            self._waiter_by_id.pop(record['id'], None)
+
+    async def follow(self) -> typing.NoReturn:
+        """Read the log for as long as the node runs."""
+        failures = 0
+        while True:
+            try:
+                await self._read_once()
+                failures = 0
+            except log_port.LogTrimmedError as error:
+                self._skip(error.first)
+            except log_port.LogDownError:
+                self.counters['read_errors'] += 1
+                wait_ms = retry.backoff_ms(
+                    failures, RETRY_BASE_MS, RETRY_LONGEST_MS
+                )
+                failures += 1
+                await asyncio.sleep(wait_ms / 1000)
+
+    async def write(self) -> typing.NoReturn:
+        """Append queued records for as long as the node runs."""
+        failures = 0
+        while True:
+            await self._has_work.wait()
+            await self._pace()
+            batch = list(self._queued_by_id.values())[:MAX_BATCH]
+            if not batch:
+                self._has_work.clear()
+                continue
+            try:
+                await self._append(batch)
+                failures = 0
+            except log_port.LogDownError:
+                self.counters['append_errors'] += 1
+                wait_ms = retry.backoff_ms(
+                    failures, RETRY_BASE_MS, RETRY_LONGEST_MS
+                )
+                failures += 1
+                await asyncio.sleep(wait_ms / 1000)
+
+    def snapshot_due(self) -> bool:
+        """Tell whether the state should be appended again.
+
+        A snapshot in each quarter of the retention leaves room for an
+        outage of the log before the newest one is trimmed.
+        """
+        age_ms = self._clock.now() - self._snapshot_at_ms
+        is_old = age_ms > self._retention_ms / SNAPSHOT_FRACTION
+        return is_old and self.replica.is_complete and self.is_reachable
+
+    async def write_snapshot(self) -> None:
+        """Append the whole state as snapshot parts."""
+        as_of = self.replica.next_offset
+        state = self.replica.copy()
+        self._snapshot_at_ms = self._clock.now()
+        snapshot_id = uuid.uuid4().hex
+        for part in records.snapshot_parts(snapshot_id, as_of, state):
+            record: records.LogRecord = {
+                'id': uuid.uuid4().hex,
+                'node': self._node_id,
+                'snapshot': part,
+            }
+            pending = self._enqueue(record)
+            await pending.future
+        self.counters['snapshots'] += 1
+
+    def _enqueue(self, record: records.LogRecord) -> _Pending:
+        future = asyncio.get_running_loop().create_future()
+        pending = _Pending(record, future)
+        self._queued_by_id[record['id']] = pending
+        self._waiter_by_id[record['id']] = pending
+        self._has_work.set()
+        return pending
+
+    async def _pace(self) -> None:
+        interval_ms = 1000 * max(1, self._node_count()) // APPENDS_PER_S
+        due_ms = self._last_append_at_ms + interval_ms
+        left_ms = due_ms - self._clock.now()
+        if left_ms > 0:
+            await asyncio.sleep(left_ms / 1000)
+
+    async def _append(self, batch: list[_Pending]) -> None:
+        self._last_append_at_ms = self._clock.now()
+        self.counters['appends'] += 1
+        was_sent = {pending.record['id']: pending.was_sent for pending in batch}
+        for pending in batch:
+            pending.was_sent = True
+        try:
+            await self._port.append([pending.record for pending in batch])
+        except log_port.LogDownError as error:
+            if not error.was_sent:
+                for pending in batch:
+                    pending.was_sent = was_sent[pending.record['id']]
+            raise
+        self.counters['records_appended'] += len(batch)
+        for pending in batch:
+            self._queued_by_id.pop(pending.record['id'], None)
+
+    async def _read_once(self) -> None:
+        offset = self.replica.next_offset
+        wait_ms = log_port.READ_WAIT_MS if self.is_caught_up else 0
+        batch = await self._port.read(offset, wait_ms)
+        self._last_read_at_ms = self._clock.now()
+        changes = []
+        for index, record in enumerate(batch['records']):
+            applied, made = self.replica.apply(offset + index, record)
+            changes.extend(made)
+            self._resolve(record, applied)
+        self.counters['records_read'] += len(batch['records'])
+        is_at_end = len(batch['records']) < CATCH_UP_LIMIT
+        self.is_caught_up = is_at_end and self.replica.is_complete
+        if changes:
+            self.fire(events.log_changed(changes), '*')
+
+    def _resolve(self, record: records.LogRecord, applied: bool) -> None:
+        if 'snapshot' in record:
+            self._snapshot_at_ms = self._clock.now()
+        pending = self._waiter_by_id.pop(record['id'], None)
+        self._queued_by_id.pop(record['id'], None)
+        if pending is not None and not pending.future.done():
+            pending.future.set_result(applied)
+
+    def _skip(self, first: int) -> None:
+        self.counters['skips'] += 1
+        self.is_caught_up = False
+        self.replica.skip_to(first)
+        for pending in self._waiter_by_id.values():
+            if pending.was_sent and not pending.future.done():
+                error = CommitError('the log was trimmed meanwhile', True)
+                pending.future.set_exception(error)
+
+
+async def keep_snapshots(
+    service: LogService, is_writer: typing.Callable[[], bool]
+) -> typing.NoReturn:
+    """Write a snapshot whenever one is due and this node is to write it.
+
+    Other nodes take over after a random extra wait if none appears, since
+    who should write is only a preference.
+    """
+    while True:
+        await asyncio.sleep(SNAPSHOT_POLL_MS / 1000)
+        if not service.snapshot_due():
+            continue
+        if not is_writer() and random.random() > TAKEOVER_CHANCE:
+            continue
+        with contextlib.suppress(CommitError):
+            await service.write_snapshot()
--- /dev/null
+++ b/packages/carawaymast-node/carawaymast_node/loop.py
@@ -0,0 +1,110 @@
+"""circuits on the loop of asyncio, one thread for both.
+
+``AsyncioPoller`` lets asyncio watch the sockets of circuits. ``Root`` drains
+the event queue of circuits from callbacks of the same loop, so that handlers
+and coroutines never run at the same time.
+"""
+
+import asyncio
+import typing
+
+import circuits
+from circuits.core import pollers
+
+__all__ = ['AsyncioPoller', 'Root', 'periodic']
+
+
+class AsyncioPoller(pollers.BasePoller):
+    """A poller that leaves the waiting to the running asyncio loop."""
+
+    channel = 'asyncio'
+
+    def __init__(self, channel=channel):
+        super().__init__(channel=channel)
+        self._loop = asyncio.get_running_loop()
+
+    def _create_control_con(self):
+        return None, None
+
+    def resume(self):
+        """Do nothing: a fired event wakes the loop by itself."""
+
+    def _generate_events(self, event):
+        """Do nothing: asyncio reports what is ready."""
+
+    def addReader(self, source, fd):  # noqa: N802
+        """Watch a socket for input."""
+        super().addReader(source, fd)
+        self._loop.add_reader(fd, self._report, pollers._read, fd)
+
+    def addWriter(self, source, fd):  # noqa: N802
+        """Watch a socket for room to write."""
+        super().addWriter(source, fd)
+        self._loop.add_writer(fd, self._report, pollers._write, fd)
+
+    def removeReader(self, fd):  # noqa: N802
+        """Stop watching a socket for input."""
+        self._loop.remove_reader(fd)
+        super().removeReader(fd)
+
+    def removeWriter(self, fd):  # noqa: N802
+        """Stop watching a socket for room to write."""
+        self._loop.remove_writer(fd)
+        super().removeWriter(fd)
+
+    def discard(self, fd):
+        """Stop watching a socket."""
+        if fd.fileno() >= 0:
+            self._loop.remove_reader(fd)
+            self._loop.remove_writer(fd)
+        super().discard(fd)
+
+    def _report(self, event_type, fd) -> None:
+        if fd in self._targets:
+            self.fire(event_type(fd), self.getTarget(fd))
+            self.root.drain()
+
+
+class Root(circuits.BaseComponent):
+    """The root of the component tree, drained by the asyncio loop."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._loop = asyncio.get_running_loop()
+        self._is_scheduled = False
+        self._is_draining = False
+
+    def begin(self) -> None:
+        """Declare the tree started, in place of circuits' own loop."""
+        self._running = True
+        self.fire(circuits.core.events.started(self))
+
+    def _fire(self, event, channel, priority=0):
+        super()._fire(event, channel, priority)
+        if not self._is_scheduled and not self._is_draining:
+            self._is_scheduled = True
+            self._loop.call_soon(self.drain)
+
+    def drain(self) -> None:
+        """Dispatch all queued events and step all generator handlers."""
+        self._is_scheduled = False
+        if self._is_draining:
+            return
+        self._is_draining = True
+        try:
+            while len(self._queue) or self._tasks:
+                for task in self._tasks.copy():
+                    self.processTask(*task)
+                self.flush()
+        finally:
+            self._is_draining = False
+
+
+async def periodic(
+    interval_ms: typing.Callable[[], int],
+    step: typing.Callable[[], typing.Awaitable[None]],
+) -> typing.NoReturn:
+    """Run ``step`` again and again, ``interval_ms()`` apart."""
+    while True:
+        await asyncio.sleep(interval_ms() / 1000)
+        await step()
--- /dev/null
+++ b/packages/carawaymast-node/carawaymast_node/main.py
@@ -0,0 +1,45 @@
+"""carawaymastd: start a node from flags and environment variables."""
+
+import asyncio
+import json
+import signal
+import sys
+
+from carawaymast_node import dump
+from carawaymast_node import logs
+from carawaymast_node import loop as loop_mod
+from carawaymast_node import node as node_mod
+from carawaymast_node import settings as settings_mod
+
+__all__ = ['run']
+
+EXIT_USAGE = 2
+
+
+async def serve(settings: settings_mod.Settings) -> None:
+    """Run a node until SIGTERM or SIGINT."""
+    root = loop_mod.Root()
+    loop = asyncio.get_running_loop()
+    async with node_mod.Node(settings) as node:
+        node.register(root)
+        root.begin()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, node.request_stop)
+        loop.add_signal_handler(signal.SIGUSR1, _write_dump, node)
+        logs.changed('started', node=settings.node_id)
+        await node.serve()
+
+
+def _write_dump(node: node_mod.Node) -> None:
+    print(json.dumps(dump.state(node)), file=sys.stderr, flush=True)
+
+
+def run() -> None:
+    """Check the settings and run; the entry point of ``carawaymastd``."""
+    try:
+        settings = settings_mod.load(sys.argv)
+    except settings_mod.SettingError as error:
+        print(f'carawaymastd: {error}', file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+    logs.open_log(settings.log_file)
+    asyncio.run(serve(settings))
--- /dev/null
+++ b/packages/carawaymast-node/carawaymast_node/messages.py
@@ -0,0 +1,171 @@
+"""Bodies that callers, workers and the platform send, and how they parse.
+
+``decode`` turns bytes into a checked ``TypedDict`` or raises a
+``SchedulerError`` of kind ``BAD_REQUEST`` that names what is wrong.
+"""
+
+import typing
+
+import msgspec
+from carawaymast_core import errors
+from carawaymast_core import jobs
+from carawaymast_core import records
+from carawaymast_core import resources
+
+__all__ = [
+    'ListedVm',
+    'LogBatch',
+    'OwnerAnswer',
+    'RequestBody',
+    'RunAnswer',
+    'decode',
+    'decode_answer',
+    'encode',
+]
+
+encode = msgspec.json.encode
+
+
+class RequestBody(typing.TypedDict):
+    """A caller's request; ``deadline_ms`` counts from its arrival."""
+
+    kind: str
+    team: str
+    deadline_ms: int
+    idempotent: bool
+    payload: typing.Any
+
+
+class ListedVm(typing.TypedDict):
+    """One VM in the platform's list."""
+
+    id: str
+    role: str
+    host: str
+    port: int
+    peer_port: int
+    domain: str
+    rack: str
+    state: str
+
+
+class VmList(typing.TypedDict):
+    """The platform's list of VMs."""
+
+    vms: list[ListedVm]
+
+
+class LogBatch(typing.TypedDict):
+    """Records read from the log, the first at the offset asked for.
+
+    ``first`` is the oldest offset that the log still has.
+    """
+
+    first: int
+    records: list[records.LogRecord]
+
+
+class Size(typing.TypedDict):
+    """A vector of resources as it travels."""
+
+    cpu_millis: int
+    memory_mb: int
+    accelerators: int
+
+
+class ReportedTask(typing.TypedDict):
+    """A task that a worker runs."""
+
+    ref: str
+    kind: str
+    size: Size
+
+
+class EndedTask(typing.TypedDict):
+    """A task that ended and was not acknowledged yet."""
+
+    ref: str
+    outcome: str
+
+
+class WorkerReport(typing.TypedDict):
+    """What a worker has and runs; ``boot`` changes when it restarts."""
+
+    boot: str
+    capacity: Size
+    slots: int
+    busy: list[int]
+    tasks: list[ReportedTask]
+    ended: list[EndedTask]
+
+
+class OwnerAnswer(typing.TypedDict):
+    """A worker's answer to a request for its lease."""
+
+    granted: bool
+    holder: str
+    epoch: int
+    remaining_ms: int
+    report: WorkerReport
+
+
+class StartAnswer(typing.TypedDict):
+    """A worker's answer to a start of a task."""
+
+    started: bool
+    detail: str
+
+
+class RunAnswer(typing.TypedDict, total=False):
+    """An endpoint's answer to a request, or what it knows of one."""
+
+    request_id: str
+    ran: str
+    state: str
+    result: typing.Any
+    detail: str
+
+
+_DECODERS = {
+    body_type: msgspec.json.Decoder(body_type)
+    for body_type in (
+        RequestBody,
+        VmList,
+        LogBatch,
+        OwnerAnswer,
+        StartAnswer,
+        RunAnswer,
+        jobs.JobSpec,
+        dict[str, str],
+        list[dict[str, str]],
+    )
+}
+
+
+def decode(body: bytes, body_type: typing.Any) -> typing.Any:
+    """Return the value of ``body_type`` that a caller's body holds."""
+    try:
+        return _DECODERS[body_type].decode(body)
+    except msgspec.MsgspecError as error:
+        raise errors.SchedulerError(
+            errors.ErrorKind.BAD_REQUEST, f'body: {error}'
+        ) from None
+    except (UnicodeDecodeError, RecursionError) as error:
+        raise errors.SchedulerError(
+            errors.ErrorKind.BAD_REQUEST, f'body: {type(error).__name__}'
+        ) from None
+
+
+def decode_answer(body: bytes, body_type: typing.Any) -> typing.Any:
+    """Return what a worker or the platform answered.
+
+    Raises ``ValueError`` if the answer does not have the expected shape.
+    """
+    return _DECODERS[body_type].decode(body)
+
+
+def to_resources(size: Size) -> resources.Resources:
+    """Return a travelling size as a vector."""
+    return resources.Resources(
+        size['cpu_millis'], size['memory_mb'], size['accelerators']
+    )
--- /dev/null
+++ b/packages/carawaymast-node/carawaymast_node/reservations.py
@@ -0,0 +1,77 @@
+"""The owner's answers to coordinators: reserve, release, start."""
+
+import typing
+
+from carawaymast_core import jobs
+from carawaymast_core import resources
+from carawaymast_core import workerbook
+
+from carawaymast_node import owner as owner_mod
+from carawaymast_node import peer_pb2
+from carawaymast_node import peers
+
+__all__ = ['register']
+
+
+def register(
+    service: peers.PeerService, owner: owner_mod.OwnerService
+) -> None:
+    """Let ``service`` answer the calls of coordinators."""
+
+    async def reserve(
+        request: peer_pb2.ReserveTasksRequest,
+    ) -> peer_pb2.ReserveTasksReply:
+        claimant = workerbook.Claimant(request.accepted_at_ms, request.job_id)
+        places = []
+        for wish in request.wishes:
+            place = _reserve_one(owner, wish, claimant, request.may_hold)
+            if place is not None:
+                places.append(place)
+        return peer_pb2.ReserveTasksReply(places=places)
+
+    async def release(request: peer_pb2.TaskRefs) -> peer_pb2.Empty:
+        for ref in request.refs:
+            owner.book.release(jobs.parse_ref(ref))
+        return peer_pb2.Empty()
+
+    async def start(
+        request: peer_pb2.StartTasksRequest,
+    ) -> peer_pb2.TaskStatuses:
+        statuses = []
+        for one in request.starts:
+            if not owner.owns(one.worker_id):
+                continue
+            ref = jobs.parse_ref(one.ref)
+            status = await owner.start_task(one.worker_id, ref, one.run_ms)
+            statuses.append(peer_pb2.TaskStatus(ref=one.ref, status=status))
+        return peer_pb2.TaskStatuses(statuses=statuses)
+
+    service.handler_by_method['ReserveTasks'] = reserve
+    service.handler_by_method['ReleaseTasks'] = release
+    service.handler_by_method['StartTasks'] = start
+
+
+def _reserve_one(
+    owner: owner_mod.OwnerService,
+    wish: peer_pb2.TaskWish,
+    claimant: workerbook.Claimant,
+    may_hold: bool,
+) -> typing.Any:
+    size = resources.Resources(
+        wish.size.cpu_millis, wish.size.memory_mb, wish.size.accelerators
+    )
+    reservation = owner.book.reserve(
+        jobs.parse_ref(wish.ref),
+        wish.kind,
+        size,
+        claimant,
+        may_hold,
+        is_allowed=owner.may_place,
+    )
+    if reservation is None:
+        return None
+    return peer_pb2.TaskPlace(
+        ref=wish.ref,
+        worker_id=reservation.worker_id,
+        is_pending=reservation.is_pending,
+    )
--- /dev/null
+++ b/packages/carawaymast-node/carawaymast_node/settings.py
@@ -0,0 +1,215 @@
+"""Settings as flags and environment variables, checked before anything opens.
+
+Each setting is a flag of absl; the environment variable of the same name in
+capitals, after ``CARAWAYMAST_``, is used where the flag is not given.
+``load`` returns a ``Settings`` or raises ``SettingError``.
+"""
+
+import ipaddress
+import os
+import typing
+
+from absl import flags
+
+__all__ = ['SETTINGS', 'SettingError', 'Settings', 'load']
+
+ENV_PREFIX = 'CARAWAYMAST_'
+MAX_PORT = 65_535
+
+
+class SettingError(Exception):
+    """A setting has a value that is not allowed."""
+
+
+class Setting(typing.NamedTuple):
+    """One setting: its name, default, check and meaning."""
+
+    name: str
+    default: str | None
+    parse: typing.Callable[[str], typing.Any]
+    allowed: str
+    help: str
+
+
+class Settings(typing.NamedTuple):
+    """The checked settings of a node."""
+
+    node_id: str
+    host: str
+    http_port: int
+    peer_port: int
+    domain: str
+    region: str
+    log_url: str
+    vms_url: str
+    owner_lease_ms: int
+    log_retention_ms: int
+    max_body_bytes: int
+    max_connections: int
+    client_timeout_ms: int
+    drain_ms: int
+    log_file: str
+
+
+def _name(text: str) -> str:
+    if not text or len(text) > 64:
+        raise ValueError(text)
+    if not text.replace('-', '').replace('_', '').isalnum():
+        raise ValueError(text)
+    return text
+
+
+def _host(text: str) -> str:
+    return str(ipaddress.ip_address(text))
+
+
+def _url(text: str) -> str:
+    scheme, _, rest = text.partition('://')
+    host, _, port = rest.rpartition(':')
+    _host(host.strip('[]'))
+    _whole(1, MAX_PORT)(port)
+    if scheme != 'http':
+        raise ValueError(text)
+    return text
+
+
+def _whole(low: int, high: int) -> typing.Callable[[str], int]:
+    def parse(text: str) -> int:
+        value = int(text)
+        if not low <= value <= high:
+            raise ValueError(text)
+        return value
+
+    return parse
+
+
+def _number(
+    name: str, default: int | None, low: int, high: int, meaning: str
+) -> Setting:
+    text = None if default is None else str(default)
+    allowed = f'a whole number from {low} to {high}'
+    return Setting(name, text, _whole(low, high), allowed, meaning)
+
+
+NAME_ALLOWED = 'letters, digits, - and _, 1 to 64'
+URL_ALLOWED = 'http://IP:PORT'
+
+SETTINGS: typing.Final[list[Setting]] = [
+    Setting('node_id', None, _name, NAME_ALLOWED, 'Unique id of the node.'),
+    Setting(
+        'host',
+        '127.0.0.1',
+        _host,
+        'an IP address',
+        'Address to listen on and to tell others.',
+    ),
+    _number('http_port', None, 1, MAX_PORT, 'Port for callers.'),
+    _number('peer_port', None, 1, MAX_PORT, 'Port for other nodes.'),
+    Setting(
+        'domain', None, _name, NAME_ALLOWED, 'Failure domain of the node.'
+    ),
+    Setting('region', 'local', _name, NAME_ALLOWED, 'Region of the node.'),
+    Setting('log_url', None, _url, URL_ALLOWED, "The platform's log."),
+    Setting('vms_url', None, _url, URL_ALLOWED, "The platform's VM list."),
+    _number(
+        'owner_lease_ms',
+        6_000,
+        5_000,
+        120_000,
+        'Length of the lease on a worker, in ms.',
+    ),
+    _number(
+        'log_retention_ms',
+        3_600_000,
+        5_000,
+        30 * 24 * 3_600_000,
+        'How long the log keeps records, in ms.',
+    ),
+    _number(
+        'max_body_bytes',
+        262_144,
+        1_024,
+        16_777_216,
+        'Largest body of a request, in bytes.',
+    ),
+    _number(
+        'max_connections',
+        2_000,
+        1,
+        50_000,
+        'Most connections from callers at a time.',
+    ),
+    _number(
+        'client_timeout_ms',
+        10_000,
+        100,
+        600_000,
+        'Time a caller has to send a whole request, in ms.',
+    ),
+    _number(
+        'drain_ms',
+        30_000,
+        100,
+        600_000,
+        'Longest graceful shutdown, in ms.',
+    ),
+    Setting(
+        'log_file', '-', str, 'a path or - for stderr', 'Where logs go.'
+    ),
+]
+
+
+def define(flag_values: flags.FlagValues) -> None:
+    """Define a flag for each setting."""
+    for setting in SETTINGS:
+        meaning = f'{setting.help} Allowed: {setting.allowed}.'
+        flags.DEFINE_string(
+            setting.name,
+            None,
+            f'{meaning} Default: {setting.default}.',
+            flag_values=flag_values,
+        )
+
+
+def load(
+    arguments: typing.Sequence[str],
+    environment: typing.Mapping[str, str] = os.environ,
+) -> Settings:
+    """Return the settings that a command line and environment give.
+
+    Raises ``SettingError`` that names the setting, the value and what is
+    allowed.
+    """
+    flag_values = flags.FlagValues()
+    define(flag_values)
+    try:
+        rest = flag_values(arguments)
+    except flags.Error as error:
+        raise SettingError(str(error)) from None
+    if len(rest) > 1:
+        raise SettingError(
+            f'argument {rest[1]!r} is not a setting, allowed: --NAME=VALUE'
+        )
+    values = {
+        setting.name: _value(setting, flag_values, environment)
+        for setting in SETTINGS
+    }
+    return Settings(**values)
+
+
+def _value(setting, flag_values, environment) -> typing.Any:
+    text = flag_values[setting.name].value
+    if text is None:
+        text = environment.get(ENV_PREFIX + setting.name.upper())
+    if text is None:
+        text = setting.default
+    if text is None:
+        raise SettingError(
+            f'setting {setting.name} is missing, allowed: {setting.allowed}'
+        )
+    try:
+        return setting.parse(text)
+    except ValueError:
+        raise SettingError(
+            f'setting {setting.name} is {text!r}, allowed: {setting.allowed}'
+        ) from None
--- /dev/null
+++ b/packages/carawaymast-node/carawaymast_node/table_keeper.py
@@ -0,0 +1,126 @@
+"""The table in force on this node.
+
+Rows come from the log; a node that cannot reach the log takes a newer table
+from its peers. The version never goes down.
+"""
+
+import typing
+
+import circuits
+import msgspec
+from carawaymast_core import errors
+from carawaymast_core import jobs
+from carawaymast_core import records
+from carawaymast_core import table as table_mod
+
+from carawaymast_node import events
+from carawaymast_node import log_service
+
+__all__ = ['TableKeeper']
+
+TABLE_ENTITY = 'table'
+ROW_PREFIX = 'row/'
+EDIT_TIMEOUT_MS = 5_000
+
+
+class TravellingTable(typing.TypedDict):
+    """A table as one node passes it to another."""
+
+    version: int
+    rows: list[dict[str, str]]
+
+
+class TableKeeper(circuits.BaseComponent):
+    """Holds the newest table that this node has learned."""
+
+    channel = 'table'
+
+    def __init__(self, log: log_service.LogService):
+        super().__init__()
+        self._log = log
+        self.table = table_mod.EMPTY
+        self._travelling = b''
+
+    @circuits.handler('log_changed', channel='*', priority=10)
+    def _on_log_changed(self, changes: list[records.Change]) -> None:
+        """Rebuild the table if any of its rows changed."""
+        if any(change.entity == TABLE_ENTITY for change in changes):
+            rows = self._log.replica.with_prefix(ROW_PREFIX).values()
+            version = self._log.replica.get(TABLE_ENTITY).version
+            by_kind = {}
+            for versioned in rows:
+                row = table_mod.decode_row(versioned.value)
+                by_kind[row.kind] = row
+            self._take(table_mod.Table(version, by_kind))
+
+    def travelling(self) -> bytes:
+        """Return the table in the form in which it is passed on."""
+        if not self._travelling:
+            rows = [
+                table_mod.encode_row(row)
+                for row in self.table.by_kind.values()
+            ]
+            body = {'version': self.table.version, 'rows': rows}
+            self._travelling = msgspec.json.encode(body)
+        return self._travelling
+
+    def adopt(self, body: bytes) -> None:
+        """Take a table that a peer passed on if it is newer."""
+        travelling = msgspec.json.decode(body, type=TravellingTable)
+        rows = [table_mod.parse_row(fields) for fields in travelling['rows']]
+        by_kind = {row.kind: row for row in rows}
+        self._take(table_mod.Table(travelling['version'], by_kind))
+
+    async def edit(
+        self,
+        version: int,
+        rows: typing.Iterable[table_mod.Row],
+        removed_kinds: typing.Iterable[str] = (),
+    ) -> int:
+        """Put rows into the table made from ``version``.
+
+        Returns the new version. Raises ``SchedulerError``: ``CONFLICT`` if
+        another edit came first, ``LOG_UNAVAILABLE`` if nothing changed,
+        ``OUTCOME_UNKNOWN`` if the log did not say.
+        """
+        if version != self.table.version:
+            raise _lost_race(version, self.table.version)
+        rows = list(rows)
+        removed_kinds = list(removed_kinds)
+        by_kind = dict(self.table.by_kind)
+        for kind in removed_kinds:
+            by_kind.pop(kind, None)
+        by_kind.update((row.kind, row) for row in rows)
+        table_mod.checked_table(by_kind)
+        puts: dict[str, typing.Any] = {TABLE_ENTITY: {}}
+        for kind in removed_kinds:
+            puts[ROW_PREFIX + kind] = None
+        for row in rows:
+            puts[ROW_PREFIX + row.kind] = table_mod.encode_row(row)
+        writes = jobs.Writes({TABLE_ENTITY: version}, puts)
+        if not await self._commit(writes):
+            raise _lost_race(version, self.table.version)
+        return version + 1
+
+    async def _commit(self, writes: jobs.Writes) -> bool:
+        try:
+            return await self._log.commit(writes, EDIT_TIMEOUT_MS)
+        except log_service.CommitError as error:
+            kind = errors.ErrorKind.LOG_UNAVAILABLE
+            if error.was_sent:
+                kind = errors.ErrorKind.OUTCOME_UNKNOWN
+            raise errors.SchedulerError(kind, str(error)) from None
+
+    def _take(self, table: table_mod.Table) -> None:
+        if table.version <= self.table.version:
+            return
+        self.table = table
+        self._travelling = b''
+        self.fire(events.table_changed(table), '*')
+
+
+def _lost_race(version: int, current: int) -> errors.SchedulerError:
+    return errors.SchedulerError(
+        errors.ErrorKind.CONFLICT,
+        f'version is {version}, the table is at {current}',
+    )
--- /dev/null
+++ b/packages/carawaymast-node/carawaymast_node/worker_port.py
@@ -0,0 +1,82 @@
+"""The small port through which an owner talks to a worker, over HTTP.
+
+``WorkerPort`` is a table of plain functions, so that a worker that speaks
+another protocol needs only another such table.
+"""
+
+import asyncio
+import typing
+
+import aiohttp
+from carawaymast_core import membership
+
+from carawaymast_node import messages
+
+__all__ = ['WorkerDownError', 'WorkerPort', 'http_port']
+
+CALL_TIMEOUT_MS = 900
+
+
+class WorkerDownError(Exception):
+    """A call to a worker had no answer; it may have taken effect."""
+
+
+class WorkerPort(typing.NamedTuple):
+    """What an owner may ask of a worker."""
+
+    acquire: typing.Callable[..., typing.Awaitable[messages.OwnerAnswer]]
+    release: typing.Callable[..., typing.Awaitable[None]]
+    start: typing.Callable[..., typing.Awaitable[messages.StartAnswer]]
+    stop: typing.Callable[..., typing.Awaitable[None]]
+    acknowledge: typing.Callable[..., typing.Awaitable[None]]
+
+
+def http_port(session: aiohttp.ClientSession) -> WorkerPort:
+    """Return the port of workers that speak HTTP."""
+    timeout = aiohttp.ClientTimeout(CALL_TIMEOUT_MS / 1000)
+
+    async def post(vm: membership.Vm, path: str, body: typing.Any) -> bytes:
+        url = f'http://{vm.host}:{vm.port}{path}'
+        try:
+            async with session.post(
+                url, data=messages.encode(body), timeout=timeout
+            ) as response:
+                return await response.read()
+        except (aiohttp.ClientError, OSError, asyncio.TimeoutError) as error:
+            raise WorkerDownError(f'{vm.vm_id}{path}: {error!r}') from None
+
+    async def acquire(vm, holder: str, lease_ms: int):
+        body = {'holder': holder, 'lease_ms': lease_ms}
+        answer = await post(vm, '/v1/owner', body)
+        return _checked(answer, messages.OwnerAnswer)
+
+    async def release(vm, holder: str, epoch: int):
+        await post(
+            vm, '/v1/owner/release', {'holder': holder, 'epoch': epoch}
+        )
+
+    async def start(vm, epoch: int, ref: str, kind: str, size, run_ms: int):
+        body = {
+            'epoch': epoch,
+            'ref': ref,
+            'kind': kind,
+            'size': size._asdict(),
+            'run_ms': run_ms,
+        }
+        answer = await post(vm, '/v1/tasks/start', body)
+        return _checked(answer, messages.StartAnswer)
+
+    async def stop(vm, epoch: int, ref: str):
+        await post(vm, '/v1/tasks/stop', {'epoch': epoch, 'ref': ref})
+
+    async def acknowledge(vm, epoch: int, refs: list[str]):
+        await post(vm, '/v1/tasks/ack', {'epoch': epoch, 'refs': refs})
+
+    return WorkerPort(acquire, release, start, stop, acknowledge)
+
+
+def _checked(body: bytes, body_type: typing.Any) -> typing.Any:
+    try:
+        return messages.decode_answer(body, body_type)
+    except ValueError as error:
+        raise WorkerDownError(f'bad answer: {error}') from None
--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,234 @@
+"""The demo: a mixed load with a flood and a killed node, and its account."""
+
+import asyncio
+import sys
+import time
+
+import tabulate
+from carawaymast_core import account
+
+from standins import deployment
+from standins import load
+
+__all__ = ['main']
+
+LENGTH_S = 20.0
+FLOOD_FROM_S = 7.0
+FLOOD_UNTIL_S = 13.0
+KILL_AT_S = 10
+SEED = 20261204
+SETTLE_S = 8.0
+JOBS = 12
+
+STREAMS = [
+    load.Stream('placement-check', 'kilima', 60, 15, True, 4_000),
+    load.Stream('glyph-preview', 'ficha', 60, 20, True, 4_000),
+    load.Stream('tool-path-check', 'ficha', 20, 50, True, 10_000),
+    load.Stream('renewal', 'kilima', 20, 100, False, 60_000),
+    load.Stream('roster', 'kilima', 5, 200, False, 60_000),
+    load.Stream('engraving-set', 'ficha', 5, 400, False, 60_000),
+    load.Stream(
+        'renewal',
+        'kilima',
+        600,
+        100,
+        False,
+        60_000,
+        FLOOD_FROM_S,
+        FLOOD_UNTIL_S,
+    ),
+]
+
+
+def job_body(number: int) -> dict:
+    """Return a job of renewals; every third is a gang."""
+    tasks = [
+        {
+            'name': f'part-{index}',
+            'cpu_millis': 2_000,
+            'memory_mb': 4_000,
+            'accelerators': 0,
+            'run_ms': 1_500,
+        }
+        for index in range(4)
+    ]
+    is_gang = number % 3 == 0
+    return {
+        'kind': 'renewal',
+        'team': 'kilima',
+        'gang': is_gang,
+        'tasks': tasks,
+    }
+
+
+def submit_jobs(url: str) -> list[str]:
+    """Submit the jobs and return their ids."""
+    job_ids = []
+    for number in range(JOBS):
+        status, body = deployment.call(
+            'POST', f'{url}/v1/jobs', job_body(number)
+        )
+        if status != 202:
+            raise RuntimeError(f'job {number} was refused: {body}')
+        job_ids.append(body['job_id'])
+    return job_ids
+
+
+def play(running: deployment.Deployment) -> load.Caller:
+    """Send the load; kill a node in the middle."""
+    victim = running.node_names[-1]
+    started = time.monotonic()
+
+    def live_urls() -> list[str]:
+        return [
+            running.url_by_name[name]
+            for name in running.node_names
+            if running.process_by_name[name].poll() is None
+        ]
+
+    caller = load.Caller(live_urls)
+
+    def on_second(second: int) -> None:
+        if second == KILL_AT_S:
+            running.kill(victim)
+            running.unlist(victim)
+        done = sum(r.done for r in caller.result_by_kind.values())
+        sent = sum(r.sent for r in caller.result_by_kind.values())
+        elapsed = time.monotonic() - started
+        notes = {
+            int(FLOOD_FROM_S): ' flood of renewals begins',
+            KILL_AT_S: f' {victim} killed',
+            int(FLOOD_UNTIL_S): ' flood ends',
+        }
+        print(
+            f'{elapsed:5.1f} s  sent {sent}  done {done}'
+            f'{notes.get(second, "")}',
+            flush=True,
+        )
+
+    arrivals = load.draw_arrivals(STREAMS, LENGTH_S, SEED)
+    asyncio.run(caller.play(arrivals, on_second))
+    return caller
+
+
+def print_table(caller: load.Caller) -> None:
+    """Print what the callers saw, kind by kind."""
+    rows = [
+        [
+            kind,
+            result.sent,
+            result.done,
+            result.refused,
+            result.unknown,
+            result.failed,
+            result.node_lost,
+            result.latency_ms.get_value_at_percentile(50),
+            result.latency_ms.get_value_at_percentile(99),
+        ]
+        for kind, result in sorted(caller.result_by_kind.items())
+    ]
+    headers = [
+        'kind',
+        'accepted',
+        'answered once',
+        'refused "not run"',
+        'outcome unknown',
+        'failed',
+        'node killed',
+        'p50 ms',
+        'p99 ms',
+    ]
+    print(tabulate.tabulate(rows, headers))
+    print(f'errors told to callers: {caller.errors}')
+
+
+def job_states(running, job_ids: list[str]) -> list[str]:
+    """Return the state of each job as a live node shows it."""
+    url = running.url_by_name[running.node_names[0]]
+    return [
+        deployment.call('GET', f'{url}/v1/jobs/{job_id}')[1]['state']
+        for job_id in job_ids
+    ]
+
+
+def check(running, caller: load.Caller, job_ids: list[str]) -> list[str]:
+    """Return what does not add up."""
+    faults = []
+    executed: dict[str, int] = {}
+    for name in running.worker_names:
+        evidence = running.evidence(name)
+        counters = evidence['counters']
+        print(f'{name}: {counters}')
+        if counters['doubles'] or counters['overcommits']:
+            faults.append(f'{name} saw {counters}')
+        for ref, count in evidence['executions'].items():
+            executed[ref] = executed.get(ref, 0) + count
+    for kind, result in caller.result_by_kind.items():
+        if not result.adds_up:
+            faults.append(f'{kind}: the outcomes do not add up')
+        if result.wrong_answers:
+            faults.append(f'{kind}: {result.wrong_answers} wrong answers')
+    doubled = [ref for ref, count in executed.items() if count > 1]
+    ran_anyway = [ref for ref in caller.not_run_ids if ref in executed]
+    not_run = [ref for ref in caller.done_ids if ref not in executed]
+    print(
+        f'executions {sum(executed.values())}, doubled {len(doubled)}, '
+        f'"not run" but ran {len(ran_anyway)}, '
+        f'answered but never ran {len(not_run)}'
+    )
+    for what, found in (
+        ('executed twice', doubled),
+        ('ran after "not run"', ran_anyway),
+        ('answered without a run', not_run),
+    ):
+        if found:
+            faults.append(f'{len(found)} {what}: {found[:3]}')
+    states = job_states(running, job_ids)
+    print(f'jobs: {len(states)} accepted, {states.count("done")} done')
+    if states.count('done') != len(states):
+        faults.append(f'jobs ended as {states}')
+    for name in running.node_names:
+        if running.process_by_name[name].poll() is None:
+            faults.extend(check_node(running, name))
+    return faults
+
+
+def check_node(running, name: str) -> list[str]:
+    """Return what does not add up in the account of a live node."""
+    url = f'{running.url_by_name[name]}/v1/account'
+    tallies = deployment.call('GET', url)[1]
+    in_flight = sum(tally['in_flight'] for tally in tallies.values())
+    faults = [
+        f'{name}: {kind} differs by {difference}'
+        for kind, difference in account.differences(tallies).items()
+    ]
+    if in_flight:
+        faults.append(f'{name}: {in_flight} requests still in flight')
+    return faults
+
+
+def main() -> int:
+    """Run the demo; return the exit status."""
+    with deployment.Deployment() as running:
+        print(f'{len(running.node_names)} nodes, 6 workers of 8 slots')
+        url = running.url_by_name[running.node_names[0]]
+        job_ids = submit_jobs(url)
+        caller = play(running)
+        try:
+            running.wait_until(
+                lambda: set(job_states(running, job_ids)) == {'done'},
+                'the jobs to end',
+                SETTLE_S,
+            )
+        except TimeoutError as error:
+            print(error)
+        print_table(caller)
+        faults = check(running, caller, job_ids)
+    for fault in faults:
+        print(f'FAULT {fault}')
+    print('the account adds up' if not faults else 'it does not add up')
+    return 1 if faults else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/standins/deployment.py
@@ -0,0 +1,282 @@
+"""A small deployment on loopback: the platform's stand-ins and real nodes.
+
+``Deployment`` is a context manager that owns its processes; it ends only
+those it started. It is used by the demo, the scenarios and the benchmarks.
+"""
+
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import typing
+import urllib.error
+import urllib.request
+
+__all__ = ['Deployment', 'call', 'free_port']
+
+ROOT = pathlib.Path(__file__).parent.parent
+HOST = '127.0.0.1'
+READY_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 10.0
+DOMAINS = ('westlands', 'embakasi', 'kasarani')
+DAEMON = pathlib.Path(sys.executable).parent / 'carawaymastd'
+
+
+def free_port() -> int:
+    """Return a port that was free a moment ago."""
+    with socket.socket() as sock:
+        sock.bind((HOST, 0))
+        return sock.getsockname()[1]
+
+
+def call(
+    method: str,
+    url: str,
+    body: typing.Any = None,
+    headers: typing.Mapping[str, str] | None = None,
+    timeout_s: float = 10.0,
+) -> tuple[int, typing.Any]:
+    """Make one HTTP call with JSON bodies; return status and body."""
+    data = None if body is None else json.dumps(body).encode()
+    request = urllib.request.Request(
+        url, data, dict(headers or {}), method=method
+    )
+    try:
+        with urllib.request.urlopen(request, timeout=timeout_s) as response:
+            return response.status, json.loads(response.read() or b'null')
+    except urllib.error.HTTPError as error:
+        return error.code, json.loads(error.read() or b'null')
+
+
+class Deployment:
+    """The processes of a small deployment."""
+
+    def __init__(
+        self,
+        node_count: int = 3,
+        worker_count: int = 6,
+        retention_ms: int = 3_600_000,
+        settings: typing.Mapping[str, str] | None = None,
+    ):
+        self._node_count = node_count
+        self._worker_count = worker_count
+        self._retention_ms = retention_ms
+        self._settings = dict(settings or {})
+        self._directory = tempfile.TemporaryDirectory(prefix='carawaymast-')
+        self.process_by_name: dict[str, subprocess.Popen] = {}
+        self.url_by_name: dict[str, str] = {}
+        self.port_by_name: dict[str, int] = {}
+
+    def __enter__(self) -> 'Deployment':
+        try:
+            self._start_all()
+        except BaseException:
+            self.__exit__(None, None, None)
+            raise
+        return self
+
+    def __exit__(self, *exc_info) -> None:
+        for name in list(self.process_by_name):
+            self.signal(name, signal.SIGCONT)
+            self.process_by_name[name].terminate()
+        give_up_at = time.monotonic() + STOP_TIMEOUT_S
+        for process in self.process_by_name.values():
+            try:
+                process.wait(max(0.1, give_up_at - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+        self._directory.cleanup()
+
+    @property
+    def node_names(self) -> list[str]:
+        """The names of the nodes that were started."""
+        return [n for n in self.process_by_name if n.startswith('node')]
+
+    @property
+    def worker_names(self) -> list[str]:
+        """The names of the workers that were started."""
+        return [n for n in self.process_by_name if n.startswith('worker')]
+
+    def start_node(self, name: str, domain: str) -> None:
+        """Start a node and put it on the list; it is not awaited."""
+        port, peer_port = free_port(), free_port()
+        values = {
+            'node_id': name,
+            'http_port': port,
+            'peer_port': peer_port,
+            'domain': domain,
+            'log_url': self.url_by_name['log'],
+            'vms_url': self.url_by_name['vms'],
+            'log_retention_ms': self._retention_ms,
+            'log_file': self.log_path(name),
+            **self._settings,
+        }
+        arguments = [f'--{key}={value}' for key, value in values.items()]
+        self._spawn(name, port, [str(DAEMON), *arguments])
+        self.list_vm(name, 'node', port, peer_port, domain)
+
+    def start_worker(
+        self,
+        name: str,
+        domain: str,
+        capacity: typing.Sequence[int],
+        port: int | None = None,
+    ) -> None:
+        """Start a worker and put it on the list."""
+        port = port or free_port()
+        numbers = [str(number) for number in (port, *capacity)]
+        module = [sys.executable, '-m', 'standins.worker']
+        self._spawn(name, port, module + numbers)
+        self.list_vm(name, 'worker', port, 0, domain)
+
+    def list_vm(
+        self,
+        name: str,
+        role: str,
+        port: int,
+        peer_port: int,
+        domain: str,
+        state: str = 'live',
+    ) -> None:
+        """Put a VM on the platform's list."""
+        vm = {
+            'id': name,
+            'role': role,
+            'host': HOST,
+            'port': port,
+            'peer_port': peer_port,
+            'domain': domain,
+            'rack': f'{domain}-1',
+            'state': state,
+        }
+        call('POST', f'{self.url_by_name["vms"]}/v1/vms', {'vms': [vm]})
+
+    def unlist(self, name: str) -> None:
+        """Take a VM off the platform's list."""
+        call('DELETE', f'{self.url_by_name["vms"]}/v1/vms/{name}')
+
+    def signal(self, name: str, number: int) -> None:
+        """Send a signal to one of the processes."""
+        process = self.process_by_name[name]
+        if process.poll() is None:
+            process.send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """End a process by SIGKILL and wait for it."""
+        process = self.process_by_name[name]
+        process.kill()
+        process.wait()
+
+    def state(self, name: str) -> typing.Any:
+        """Return the dump of a node's state."""
+        return call('GET', f'{self.url_by_name[name]}/v1/state')[1]
+
+    def evidence(self, name: str) -> typing.Any:
+        """Return what a worker has seen."""
+        return call('GET', f'{self.url_by_name[name]}/v1/evidence')[1]
+
+    def log_path(self, name: str) -> pathlib.Path:
+        """Return where the log lines of a process go."""
+        return pathlib.Path(self._directory.name) / f'{name}.log'
+
+    def wait_until(
+        self,
+        condition: typing.Callable[[], bool],
+        what: str,
+        timeout_s: float = READY_TIMEOUT_S,
+    ) -> float:
+        """Wait until ``condition`` holds; return how long it took."""
+        started = time.monotonic()
+        while time.monotonic() - started < timeout_s:
+            try:
+                if condition():
+                    return time.monotonic() - started
+            except (OSError, ValueError):
+                pass
+            time.sleep(0.05)
+        raise TimeoutError(f'waited {timeout_s} s for {what}')
+
+    def wait_ready(self, names: typing.Sequence[str]) -> None:
+        """Wait until nodes are ready and all workers have owners."""
+
+        def is_ready() -> bool:
+            return all(
+                call('GET', f'{self.url_by_name[name]}/readyz')[0] == 200
+                for name in names
+            )
+
+        def has_slots() -> bool:
+            workers = len(self.worker_names)
+            return all(
+                self.state(name)['entry']['fleet_slots'] == workers * 8
+                for name in names
+            )
+
+        self.wait_until(is_ready, f'{names} to be ready')
+        self.wait_until(has_slots, 'all workers to be owned')
+
+    def load_table(self, node: str) -> None:
+        """Put the table of the small deployment in force."""
+        self.wait_until(
+            lambda: self.state(node)['log']['caught_up'], 'the log'
+        )
+        text = (ROOT / 'standins' / 'table.csv').read_text()
+        header, *lines = text.splitlines()
+        names = header.split(',')
+        rows = [
+            dict(zip(names, line.split(','), strict=True)) for line in lines
+        ]
+        status, body = call(
+            'PUT',
+            f'{self.url_by_name[node]}/v1/table',
+            rows,
+            {'If-Match': '0'},
+        )
+        if status != 200:
+            raise RuntimeError(f'the table was refused: {body}')
+
+    def _start_all(self) -> None:
+        log_port, vms_port = free_port(), free_port()
+        python = [sys.executable, '-m']
+        self._spawn(
+            'log',
+            log_port,
+            [*python, 'standins.log', str(log_port), str(self._retention_ms)],
+        )
+        self._spawn(
+            'vms', vms_port, [*python, 'standins.vms', str(vms_port)]
+        )
+        self.wait_until(lambda: self._answers('log', '/v1/stats'), 'the log')
+        self.wait_until(lambda: self._answers('vms', '/v1/vms'), 'the list')
+        for number in range(self._worker_count):
+            domain = DOMAINS[number % len(DOMAINS)]
+            self.start_worker(f'worker-{number}', domain, (16_000, 64_000, 2))
+        for number in range(self._node_count):
+            domain = DOMAINS[number % len(DOMAINS)]
+            self.start_node(f'node-{number}', domain)
+        first = self.node_names[0]
+        self.wait_until(lambda: self._answers(first, '/livez'), first)
+        self.load_table(first)
+        self.wait_ready(self.node_names)
+
+    def _answers(self, name: str, path: str) -> bool:
+        return call('GET', self.url_by_name[name] + path)[0] == 200
+
+    def _spawn(self, name: str, port: int, command: list[str]) -> None:
+        self.url_by_name[name] = f'http://{HOST}:{port}'
+        self.port_by_name[name] = port
+        with open(self.log_path(f'{name}.err'), 'ab') as errors:
+            self.process_by_name[name] = subprocess.Popen(
+                command,
+                cwd=ROOT,
+                stdin=subprocess.DEVNULL,
+                stdout=errors,
+                stderr=errors,
+                env=os.environ | {'PYTHONPATH': str(ROOT)},
+            )
--- /dev/null
+++ b/standins/load.py
@@ -0,0 +1,163 @@
+"""Callers: an open-loop load of several kinds, and what became of each.
+
+Arrivals are drawn from a seed before the load starts, so that two runs send
+the same requests at the same times.
+"""
+
+import asyncio
+import itertools
+import random
+import time
+import typing
+
+import aiohttp
+import msgspec
+from hdrh import histogram
+
+__all__ = ['Arrival', 'Caller', 'Stream', 'draw_arrivals']
+
+MAX_LATENCY_MS = 600_000
+CLIENT_TIMEOUT_S = 150
+
+
+class Stream(typing.NamedTuple):
+    """Requests of one kind at one rate during a part of the load."""
+
+    kind: str
+    team: str
+    rate: float
+    run_ms: int
+    is_idempotent: bool
+    deadline_ms: int
+    from_s: float = 0.0
+    until_s: float = float('inf')
+
+
+class Arrival(typing.NamedTuple):
+    """One request at its time from the start of the load."""
+
+    at_s: float
+    stream: Stream
+    number: int
+
+
+class KindResult:
+    """What the callers of one kind saw."""
+
+    def __init__(self) -> None:
+        self.sent = 0
+        self.done = 0
+        self.failed = 0
+        self.refused = 0
+        self.unknown = 0
+        self.node_lost = 0
+        self.wrong_answers = 0
+        self.latency_ms = histogram.HdrHistogram(1, MAX_LATENCY_MS, 2)
+
+    @property
+    def adds_up(self) -> bool:
+        """Whether each request sent had one outcome."""
+        ended = self.done + self.failed + self.refused + self.unknown
+        return self.sent == ended + self.node_lost
+
+
+def draw_arrivals(
+    streams: typing.Sequence[Stream], length_s: float, seed: int
+) -> list[Arrival]:
+    """Return the arrivals of all streams in the order of time."""
+    source = random.Random(seed)
+    arrivals = []
+    numbers = itertools.count()
+    for stream in streams:
+        at_s = stream.from_s
+        end_s = min(length_s, stream.until_s)
+        while True:
+            at_s += source.expovariate(stream.rate)
+            if at_s >= end_s:
+                break
+            arrivals.append(Arrival(at_s, stream, next(numbers)))
+    arrivals.sort()
+    return arrivals
+
+
+class Caller:
+    """Sends arrivals to nodes in turn and keeps the outcomes."""
+
+    def __init__(
+        self,
+        urls: typing.Callable[[], list[str]],
+        pick: typing.Callable[[list[str], int], str] | None = None,
+    ):
+        self._urls = urls
+        self._pick = pick or (lambda urls, number: urls[number % len(urls)])
+        self.result_by_kind: dict[str, KindResult] = {}
+        self.not_run_ids: set[str] = set()
+        self.done_ids: set[str] = set()
+        self.errors: dict[str, int] = {}
+
+    async def play(
+        self,
+        arrivals: typing.Sequence[Arrival],
+        on_second: typing.Callable[[int], None] = lambda second: None,
+    ) -> None:
+        """Send each arrival at its time and wait for all answers."""
+        timeout = aiohttp.ClientTimeout(CLIENT_TIMEOUT_S)
+        connector = aiohttp.TCPConnector(limit=0)
+        async with aiohttp.ClientSession(
+            connector=connector, timeout=timeout
+        ) as session:
+            started = time.monotonic()
+            seconds = 0
+            async with asyncio.TaskGroup() as group:
+                for arrival in arrivals:
+                    elapsed = time.monotonic() - started
+                    if elapsed >= seconds:
+                        on_second(seconds)
+                        seconds += 1
+                    if arrival.at_s > elapsed:
+                        await asyncio.sleep(arrival.at_s - elapsed)
+                    group.create_task(self._send(session, arrival))
+
+    async def _send(self, session, arrival: Arrival) -> None:
+        stream = arrival.stream
+        result = self.result_by_kind.setdefault(stream.kind, KindResult())
+        result.sent += 1
+        url = self._pick(self._urls(), arrival.number)
+        body = msgspec.json.encode(
+            {
+                'kind': stream.kind,
+                'team': stream.team,
+                'deadline_ms': stream.deadline_ms,
+                'idempotent': stream.is_idempotent,
+                'payload': {'run_ms': stream.run_ms, 'echo': arrival.number},
+            }
+        )
+        started = time.monotonic()
+        try:
+            async with session.post(
+                f'{url}/v1/requests', data=body
+            ) as response:
+                answer = msgspec.json.decode(await response.read())
+        except (aiohttp.ClientError, OSError, msgspec.DecodeError):
+            result.node_lost += 1
+            return
+        elapsed_ms = (time.monotonic() - started) * 1000
+        self._count(result, arrival, answer, elapsed_ms)
+
+    def _count(self, result, arrival, answer, elapsed_ms: float) -> None:
+        if answer.get('outcome') == 'done':
+            result.done += 1
+            result.latency_ms.record_value(max(1, int(elapsed_ms)))
+            self.done_ids.add(answer['request_id'])
+            if answer['result'] != {'echo': arrival.number}:
+                result.wrong_answers += 1
+            return
+        error = answer['error']
+        self.errors[error] = self.errors.get(error, 0) + 1
+        if answer['ran'] == 'no':
+            result.refused += 1
+            self.not_run_ids.add(answer['request_id'])
+        elif answer['ran'] == 'yes':
+            result.failed += 1
+        else:
+            result.unknown += 1
--- /dev/null
+++ b/standins/worker.py
@@ -0,0 +1,278 @@
+"""A stand-in for a worker with a runner of slots.
+
+It keeps the owner lease with the real register of the core, runs requests in
+slots and tasks under the lease, and counts what must never happen: double
+executions and over-commitment. It does not trust its owners, so the counts
+are evidence against them.
+"""
+
+import asyncio
+import collections
+import sys
+import uuid
+
+from aiohttp import web
+from carawaymast_core import clock as clock_mod
+from carawaymast_core import lease as lease_mod
+from carawaymast_core import resources
+
+from standins import serving
+
+__all__ = ['Worker']
+
+TASK_LEASE_MS = 30_000
+KEPT_REQUESTS = 20_000
+
+
+class Worker:
+    """One worker: lease, slots, tasks, and the evidence it gathers."""
+
+    def __init__(self, capacity: resources.Resources, slot_count: int):
+        self._clock = clock_mod.monotonic()
+        self._boot = uuid.uuid4().hex
+        self._register = lease_mod.LeaseRegister(self._clock)
+        self._capacity = capacity
+        self._slot_count = slot_count
+        self._busy: dict[int, str] = {}
+        self._request_by_id: collections.OrderedDict[str, dict]
+        self._request_by_id = collections.OrderedDict()
+        self._task_by_ref: dict[str, dict] = {}
+        self._ended_by_ref: dict[str, str] = {}
+        self._refused: set[str] = set()
+        self._renewed_at_ms = self._clock.now()
+        self._is_silent = False
+        self._fail_tasks = False
+        self._executions: collections.Counter[str] = collections.Counter()
+        self._counters = collections.Counter(
+            doubles=0, overcommits=0, runs=0, refusals=0, tasks=0, epochs=0
+        )
+
+    async def acquire(self, request: web.Request) -> web.Response:
+        """Grant, renew or refuse the owner lease, with a report."""
+        body = await serving.body_of(request)
+        grant = self._register.acquire(body['holder'], body['lease_ms'])
+        if grant.is_granted:
+            self._renewed_at_ms = self._clock.now()
+        return serving.answer(
+            {
+                'granted': grant.is_granted,
+                'holder': grant.holder,
+                'epoch': grant.epoch,
+                'remaining_ms': grant.remaining_ms,
+                'report': self._report(),
+            }
+        )
+
+    async def release(self, request: web.Request) -> web.Response:
+        """End the lease of a holder."""
+        body = await serving.body_of(request)
+        self._register.release(body['holder'], body['epoch'])
+        return serving.answer({})
+
+    async def run(self, request: web.Request) -> web.Response:
+        """Run a request in a slot."""
+        body = await serving.body_of(request)
+        request_id = body['request_id']
+        refusal = self._refusal(body)
+        if refusal:
+            self._counters['refusals'] += 1
+            return serving.answer(
+                {'request_id': request_id, 'ran': 'no', 'detail': refusal}
+            )
+        self._begin_run(request_id, body['slot'])
+        payload = body['payload']
+        try:
+            await asyncio.sleep(payload['run_ms'] / 1000)
+            result = {'echo': payload['echo']}
+            answer = {'request_id': request_id, 'ran': 'yes'}
+            if payload['echo'] == 'fail':
+                answer['detail'] = 'the runner failed'
+            else:
+                answer['result'] = result
+        except (KeyError, TypeError) as error:
+            answer = {
+                'request_id': request_id,
+                'ran': 'yes',
+                'detail': f'bad payload: {error!r}',
+            }
+        self._busy.pop(body['slot'], None)
+        self._request_by_id[request_id] = {'state': 'done', **answer}
+        if self._is_silent:
+            await asyncio.sleep(3600)
+        return serving.answer(answer)
+
+    async def look_up(self, request: web.Request) -> web.Response:
+        """Tell what became of a request; refuse it if it never came."""
+        request_id = (await serving.body_of(request))['request_id']
+        known = self._request_by_id.get(request_id)
+        if known is None:
+            self._refused.add(request_id)
+            known = {
+                'request_id': request_id,
+                'state': 'unseen',
+                'ran': 'no',
+                'detail': 'never arrived',
+            }
+        return serving.answer(known)
+
+    async def start(self, request: web.Request) -> web.Response:
+        """Start a task if the epoch is current and it was not refused."""
+        body = await serving.body_of(request)
+        ref = body['ref']
+        detail = ''
+        if not self._register.is_current(body['epoch']):
+            detail = 'stale epoch'
+        elif ref in self._refused or ref in self._ended_by_ref:
+            detail = 'refused before'
+        if detail:
+            return serving.answer({'started': False, 'detail': detail})
+        if ref not in self._task_by_ref:
+            self._begin_task(body)
+        return serving.answer({'started': True, 'detail': ''})
+
+    async def stop(self, request: web.Request) -> web.Response:
+        """Stop a task; one that never came is refused from then on."""
+        body = await serving.body_of(request)
+        if self._register.is_current(body['epoch']):
+            ref = body['ref']
+            self._refused.add(ref)
+            known = self._task_by_ref.get(ref)
+            if known is not None:
+                known['handle'].cancel()
+                self._end_task(ref, 'failed')
+            elif ref not in self._ended_by_ref:
+                self._ended_by_ref[ref] = 'never'
+        return serving.answer({})
+
+    async def acknowledge(self, request: web.Request) -> web.Response:
+        """Forget tasks whose end the owner has recorded."""
+        body = await serving.body_of(request)
+        for ref in body['refs']:
+            if self._ended_by_ref.pop(ref, None) is not None:
+                self._refused.add(ref)
+        return serving.answer({})
+
+    async def evidence(self, request: web.Request) -> web.Response:
+        """Return the counters, and each task's or request's executions."""
+        counters = dict(self._counters)
+        counters['busy'] = len(self._busy)
+        counters['running_tasks'] = len(self._task_by_ref)
+        return serving.answer(
+            {
+                'counters': counters,
+                'executions': dict(self._executions),
+                'running': sorted(self._task_by_ref),
+            }
+        )
+
+    async def set_fault(self, request: web.Request) -> web.Response:
+        """Set ``silent`` (run, but never answer) or ``fail_tasks``."""
+        body = await serving.body_of(request)
+        self._is_silent = body.get('silent', self._is_silent)
+        self._fail_tasks = body.get('fail_tasks', self._fail_tasks)
+        return serving.answer({})
+
+    def routes(self):
+        """Return the routes of the worker and its runner."""
+        return [
+            web.post('/v1/owner', self.acquire),
+            web.post('/v1/owner/release', self.release),
+            web.post('/v1/run', self.run),
+            web.post('/v1/lookup', self.look_up),
+            web.post('/v1/tasks/start', self.start),
+            web.post('/v1/tasks/stop', self.stop),
+            web.post('/v1/tasks/ack', self.acknowledge),
+            web.get('/v1/evidence', self.evidence),
+            web.post('/v1/fault', self.set_fault),
+        ]
+
+    async def keep_task_leases(self) -> None:
+        """Stop the tasks if no owner renews the lease for long."""
+        while True:
+            await asyncio.sleep(0.5)
+            silent_ms = self._clock.now() - self._renewed_at_ms
+            if silent_ms <= TASK_LEASE_MS:
+                continue
+            for ref, task in list(self._task_by_ref.items()):
+                task['handle'].cancel()
+                self._end_task(ref, 'failed')
+
+    def _report(self) -> dict:
+        return {
+            'boot': self._boot,
+            'capacity': self._capacity._asdict(),
+            'slots': self._slot_count,
+            'busy': sorted(self._busy),
+            'tasks': [
+                {'ref': ref, 'kind': task['kind'], 'size': task['size']}
+                for ref, task in self._task_by_ref.items()
+            ],
+            'ended': [
+                {'ref': ref, 'outcome': outcome}
+                for ref, outcome in self._ended_by_ref.items()
+            ],
+        }
+
+    def _refusal(self, body: dict) -> str:
+        if not self._register.is_current(body['epoch']):
+            return 'stale epoch'
+        if not 0 <= body['slot'] < self._slot_count:
+            return 'no such slot'
+        if body['slot'] in self._busy:
+            return 'slot is busy'
+        if body['request_id'] in self._refused:
+            return 'refused before'
+        return ''
+
+    def _begin_run(self, request_id: str, slot: int) -> None:
+        self._counters['runs'] += 1
+        self._count_execution(request_id)
+        self._busy[slot] = request_id
+        self._request_by_id[request_id] = {
+            'request_id': request_id,
+            'state': 'running',
+        }
+        while len(self._request_by_id) > KEPT_REQUESTS:
+            self._request_by_id.popitem(last=False)
+
+    def _begin_task(self, body: dict) -> None:
+        ref = body['ref']
+        self._counters['tasks'] += 1
+        self._count_execution(ref)
+        handle = asyncio.ensure_future(self._run_task(ref, body['run_ms']))
+        self._task_by_ref[ref] = {
+            'kind': body['kind'],
+            'size': body['size'],
+            'handle': handle,
+        }
+        used = resources.ZERO
+        for task in self._task_by_ref.values():
+            used = used.plus(resources.Resources(**task['size']))
+        if not used.fits_in(self._capacity):
+            self._counters['overcommits'] += 1
+
+    async def _run_task(self, ref: str, run_ms: int) -> None:
+        await asyncio.sleep(0.01 if self._fail_tasks else run_ms / 1000)
+        self._end_task(ref, 'failed' if self._fail_tasks else 'done')
+
+    def _end_task(self, ref: str, outcome: str) -> None:
+        if self._task_by_ref.pop(ref, None) is not None:
+            self._ended_by_ref[ref] = outcome
+
+    def _count_execution(self, name: str) -> None:
+        self._executions[name] += 1
+        if self._executions[name] > 1:
+            self._counters['doubles'] += 1
+
+
+async def main(port: int, capacity: resources.Resources, slots: int) -> None:
+    """Serve a worker on a port."""
+    worker = Worker(capacity, slots)
+    keeper = asyncio.ensure_future(worker.keep_task_leases())
+    await serving.serve(worker.routes(), '127.0.0.1', port)
+    keeper.cancel()
+
+
+if __name__ == '__main__':
+    numbers = [int(text) for text in sys.argv[1:]]
+    asyncio.run(main(numbers[0], resources.Resources(*numbers[1:4]), 8))
