--- /dev/null
+++ b/packages/carawaymast-cli/carawaymast_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line for operators."""
--- /dev/null
+++ b/packages/carawaymast-cli/carawaymast_cli/tables.py
@@ -0,0 +1,101 @@
+"""The ``table`` commands: show, diff, apply and set."""
+
+import time
+import typing
+
+from carawaymast_cli import client as client_mod
+from carawaymast_cli import output
+from carawaymast_core import table as table_mod
+
+__all__ = ['apply', 'diff', 'put_cell', 'show']
+
+IN_FORCE_TIMEOUT_S = 6.0
+POLL_S = 0.1
+
+
+def show(client: client_mod.Client, out: output.Output) -> int:
+    """Print the table in force."""
+    body = client.get('/v1/table')
+    out.rows(body['rows'], table_mod.COLUMNS, body)
+    return 0
+
+
+def diff(client: client_mod.Client, out: output.Output, path: str) -> int:
+    """Print what ``apply`` would change; status 1 if anything would."""
+    changes = _changes(client.get('/v1/table'), _read(path))
+    out.rows(changes, ('kind', 'column', 'now', 'file'), changes)
+    return 1 if changes else 0
+
+
+def apply(client: client_mod.Client, out: output.Output, path: str) -> int:
+    """Put the table of a file in force and say on how many nodes it is."""
+    rows = [table_mod.row_fields(row) for row in _read(path).values()]
+    version = client.get('/v1/table')['version']
+    answer = client.call('PUT', '/v1/table', rows, {'If-Match': str(version)})
+    return _report(client, out, answer['version'])
+
+
+def put_cell(
+    client: client_mod.Client,
+    out: output.Output,
+    kind: str,
+    assignments: typing.Sequence[str],
+) -> int:
+    """Change columns of one row, given as ``column=value``."""
+    body = client.get('/v1/table')
+    fields = next((r for r in body['rows'] if r['kind'] == kind), None)
+    if fields is None:
+        raise client_mod.CallError(f'the table has no row {kind!r}')
+    for assignment in assignments:
+        column, _, value = assignment.partition('=')
+        fields[column] = value
+    row = table_mod.row_fields(table_mod.parse_row(fields))
+    answer = client.call(
+        'PUT',
+        f'/v1/table/rows/{kind}',
+        row,
+        {'If-Match': str(body['version'])},
+    )
+    return _report(client, out, answer['version'])
+
+
+def _read(path: str) -> dict[str, table_mod.Row]:
+    with open(path) as file:
+        return table_mod.parse(file.read())
+
+
+def _changes(body, by_kind) -> list[dict[str, str]]:
+    now = {fields['kind']: fields for fields in body['rows']}
+    wanted = {kind: table_mod.row_fields(r) for kind, r in by_kind.items()}
+    changes = []
+    for kind in sorted(now | wanted):
+        for column in table_mod.COLUMNS[1:]:
+            old = now.get(kind, {}).get(column, '')
+            new = wanted.get(kind, {}).get(column, '')
+            if old != new:
+                changes.append(
+                    {'kind': kind, 'column': column, 'now': old, 'file': new}
+                )
+    return changes
+
+
+def _report(client, out: output.Output, version: int) -> int:
+    """Wait until the change is in force on all live nodes; report."""
+    give_up_at = time.monotonic() + IN_FORCE_TIMEOUT_S
+    while True:
+        members = client.get('/v1/state')['members']
+        in_force = sum(
+            (member['table_version'] or 0) >= version
+            for member in members.values()
+        )
+        is_late = time.monotonic() > give_up_at
+        if in_force == len(members) or is_late:
+            break
+        time.sleep(POLL_S)
+    body = {'version': version, 'in_force': in_force, 'live': len(members)}
+    out.line(
+        f'version {version} is in force on {in_force} of {len(members)} '
+        'live nodes',
+        body,
+    )
+    return 0 if in_force == len(members) else 1
--- a/packages/carawaymast-core/carawaymast_core/account.py
+++ b/packages/carawaymast-core/carawaymast_core/account.py
@@ -11,7 +11,7 @@
 
 from carawaymast_core import errors
 
-__all__ = ['Account', 'Outcome', 'Tally', 'differences', 'merge']
+__all__ = ['Account', 'Outcome', 'Tally', 'differences', 'merge', 'since']
 
 
 class Outcome(enum.StrEnum):
@@ -27,11 +27,13 @@
 class Tally(typing.TypedDict):
     """Counts of one kind of work on one node.
 
+    ``carried`` counts requests that were in flight when the tally began.
     ``disconnected`` counts requests whose caller went away before the
     answer; they did run or not, but nobody was there to be told.
     """
 
     team: str
+    carried: int
     accepted: int
     in_flight: int
     done: int
@@ -52,6 +54,7 @@
     """Return a tally of nothing."""
     return {
         'team': team,
+        'carried': 0,
         'accepted': 0,
         'in_flight': 0,
         'done': 0,
@@ -108,14 +111,35 @@
     return total
 
 
+def since(
+    now: typing.Mapping[str, Tally], base: typing.Mapping[str, Tally]
+) -> dict[str, Tally]:
+    """Return the tallies of the time between ``base`` and ``now``."""
+    by_kind: dict[str, Tally] = {}
+    for kind, tally in now.items():
+        part = dict(tally)
+        start = base.get(kind)
+        if start is not None:
+            for field in ('accepted', *Outcome):
+                part[field] -= start[field]
+            part['carried'] = start['in_flight']
+        by_kind[kind] = part
+    return by_kind
+
+
 def differences(
     tally_by_kind: typing.Mapping[str, Tally],
 ) -> dict[str, int]:
-    """Return accepted less all outcomes and in flight, where not 0."""
+    """Return, where not 0, how far a tally is from adding up.
+
+    What was carried in or accepted must equal all outcomes plus what is in
+    flight.
+    """
     found: dict[str, int] = collections.defaultdict(int)
     for kind, tally in tally_by_kind.items():
         settled = sum(tally[outcome.value] for outcome in Outcome)
-        difference = tally['accepted'] - settled - tally['in_flight']
+        taken_in = tally['carried'] + tally['accepted']
+        difference = taken_in - settled - tally['in_flight']
         if difference:
             found[kind] = difference
     return dict(found)
--- a/packages/carawaymast-core/carawaymast_core/jobs.py
+++ b/packages/carawaymast-core/carawaymast_core/jobs.py
@@ -234,9 +234,7 @@
     return 0 if task_value is None else task_value['failures']
 
 
-def task_state(
-    replica: records.Replica, job_id: str, task: str
-) -> TaskState:
+def task_state(replica: records.Replica, job_id: str, task: str) -> TaskState:
     """Return how far a task has come."""
     value = replica.get(task_entity(job_id, task)).value
     return TaskState.PENDING if value is None else TaskState(value['state'])
--- a/packages/carawaymast-core/carawaymast_core/slots.py
+++ b/packages/carawaymast-core/carawaymast_core/slots.py
@@ -101,9 +101,7 @@
             for slot_id in self._ids_by_worker.get(worker_id, [])
         )
 
-    def lease(
-        self, entry_id: str, count: int, until_ms: int
-    ) -> list[SlotId]:
+    def lease(self, entry_id: str, count: int, until_ms: int) -> list[SlotId]:
         """Lease up to ``count`` free slots until ``until_ms``."""
         taken = []
         while self._free and len(taken) < count:
@@ -332,9 +330,7 @@
             f'slot {slot_id} does not run {request_id}',
         )
 
-    def recall(
-        self, owner_id: str, count: int
-    ) -> list[SlotId]:
+    def recall(self, owner_id: str, count: int) -> list[SlotId]:
         """Give back up to ``count`` slots of an owner.
 
         Idle slots are returned at once; for the rest, busy slots are marked
--- a/packages/carawaymast-core/carawaymast_core/workerbook.py
+++ b/packages/carawaymast-core/carawaymast_core/workerbook.py
@@ -180,8 +180,10 @@
             return None
         worker_id = self._index.best_fit(
             size,
-            lambda w: is_allowed(w)
-            and self._worker_by_id[w].domain not in avoid_domains,
+            lambda w: (
+                is_allowed(w)
+                and self._worker_by_id[w].domain not in avoid_domains
+            ),
         )
         if worker_id is not None:
             return self._keep(ref, worker_id, kind, size, claimant, False)
@@ -333,9 +335,7 @@
 
     def _renew(self, known: Reservation) -> Reservation:
         worker = self._worker_by_id[known.worker_id]
-        is_pending = known.is_pending and not self._has_drained(
-            worker, known
-        )
+        is_pending = known.is_pending and not self._has_drained(worker, known)
         renewed = known._replace(
             expires_at_ms=self._clock.now() + RESERVATION_MS,
             is_pending=is_pending,
--- a/packages/carawaymast-node/carawaymast_node/account_writer.py
+++ b/packages/carawaymast-node/carawaymast_node/account_writer.py
@@ -11,13 +11,13 @@
 
 from carawaymast_core import account as account_mod
 from carawaymast_core import jobs
-
+from carawaymast_core import records
 from carawaymast_node import log_service
 
-__all__ = ['ACCOUNT_PREFIX', 'AccountWriter']
+__all__ = ['ACCOUNT_PREFIX', 'AccountWriter', 'merged']
 
 ACCOUNT_PREFIX = 'account/'
-WRITE_INTERVAL_MS = 5_000
+WRITE_INTERVAL_MS = 2_000
 COMMIT_TIMEOUT_MS = 4_000
 LAST_TRIES = 3
 
@@ -35,6 +35,8 @@
         self._log = log
         self._account = account
         self._written: typing.Any = {}
+        self._day = _today()
+        self._base: dict[str, account_mod.Tally] = {}
 
     async def keep_writing(self) -> typing.NoReturn:
         """Write the tallies while they change."""
@@ -50,11 +52,20 @@
 
     async def write(self) -> bool:
         """Write the tallies once; tell whether the log has them."""
-        tallies = copy.deepcopy(self._account.tally_by_kind)
+        self._account.check_accounts()
+        now = copy.deepcopy(self._account.tally_by_kind)
+        if not await self._put(account_mod.since(now, self._base)):
+            return False
+        if self._day != _today():
+            self._day = _today()
+            self._base = now
+            self._written = {}
+        return True
+
+    async def _put(self, tallies: dict[str, account_mod.Tally]) -> bool:
         if tallies == self._written:
             return True
-        self._account.check_accounts()
-        entity = f'{ACCOUNT_PREFIX}{_today()}/{self._holder}'
+        entity = f'{ACCOUNT_PREFIX}{self._day}/{self._holder}'
         version = self._log.replica.get(entity).version
         writes = jobs.Writes({entity: version}, {entity: tallies})
         try:
@@ -66,5 +77,31 @@
         return applied
 
 
+def merged(
+    replica: records.Replica, first_day: str, last_day: str
+) -> dict[str, typing.Any]:
+    """Return the tallies of all node processes in a range of days.
+
+    Days are written ``2026-12-31``; both ends belong to the range.
+    """
+    tallies_by_holder: dict[str, list] = {}
+    for entity, versioned in replica.with_prefix(ACCOUNT_PREFIX).items():
+        _, day, holder = entity.split('/')
+        if first_day <= day <= last_day:
+            tallies_by_holder.setdefault(holder, []).append(versioned.value)
+    by_holder = {
+        holder: account_mod.merge(tallies)
+        for holder, tallies in tallies_by_holder.items()
+    }
+    total = account_mod.merge(by_holder.values())
+    return {
+        'from': first_day,
+        'to': last_day,
+        'by_kind': total,
+        'by_holder': by_holder,
+        'differences': account_mod.differences(total),
+    }
+
+
 def _today() -> str:
     return datetime.datetime.now(datetime.UTC).strftime('%Y-%m-%d')
--- a/packages/carawaymast-node/carawaymast_node/api.py
+++ b/packages/carawaymast-node/carawaymast_node/api.py
@@ -5,19 +5,22 @@
 """
 
 import asyncio
+import datetime
 import functools
 import typing
+import urllib.parse
 import uuid
 
 import circuits
+from circuits.web import events as web_events
+
 from carawaymast_core import clock as clock_mod
 from carawaymast_core import errors
 from carawaymast_core import jobs
 from carawaymast_core import keys
 from carawaymast_core import resources
 from carawaymast_core import table as table_mod
-from circuits.web import events as web_events
-
+from carawaymast_node import account_writer
 from carawaymast_node import entry as entry_mod
 from carawaymast_node import guard as guard_mod
 from carawaymast_node import log_service
@@ -82,6 +85,8 @@
         report = self._reports.get(path)
         if method == 'POST' and path == '/v1/requests':
             self._on_post_request(request, response, request_id)
+        elif method == 'GET' and path == '/v1/account' and request.qs:
+            self._send(response, *self._get_account(request.qs))
         elif method in ('GET', 'HEAD') and report is not None:
             self._send(response, *report())
         elif method == 'POST' and path == '/v1/jobs':
@@ -330,6 +335,21 @@
         ]
         return 200, {'version': table.version, 'rows': rows}
 
+    def _get_account(self, query: str) -> Answered:
+        """Return what the log holds of all nodes' tallies."""
+        values = urllib.parse.parse_qs(query)
+        days = []
+        for name in ('from', 'to'):
+            text = values.get(name, [''])[0]
+            try:
+                days.append(datetime.date.fromisoformat(text).isoformat())
+            except ValueError:
+                raise errors.SchedulerError(
+                    errors.ErrorKind.BAD_REQUEST,
+                    f'{name} is {text!r}, allowed: a day as 2026-12-31',
+                ) from None
+        return 200, account_writer.merged(self._log.replica, *days)
+
     async def _put_row(self, request, kind: str) -> Answered:
         fields = _decode_fields(request, dict[str, str])
         row = table_mod.parse_row({**fields, 'kind': kind})
--- a/packages/carawaymast-node/carawaymast_node/beats.py
+++ b/packages/carawaymast-node/carawaymast_node/beats.py
@@ -13,7 +13,6 @@
 from carawaymast_core import clock as clock_mod
 from carawaymast_core import membership
 from carawaymast_core import slots
-
 from carawaymast_node import endpoint as endpoint_mod
 from carawaymast_node import entry as entry_mod
 from carawaymast_node import log_service
@@ -105,9 +104,7 @@
         self._members.is_leaving = True
         await asyncio.gather(*(self._beat(m) for m in self._targets()))
 
-    async def on_beat(
-        self, beat: peer_pb2.BeatRequest
-    ) -> peer_pb2.BeatReply:
+    async def on_beat(self, beat: peer_pb2.BeatRequest) -> peer_pb2.BeatReply:
         """Answer a beat."""
         member = membership.Member(
             beat.member.node_id,
@@ -131,9 +128,7 @@
         self, offer: peer_pb2.OfferSlotsRequest
     ) -> peer_pb2.Empty:
         """Take in slots that an owner offers."""
-        self._add(
-            offer.owner_id, offer.grants, offer.basis_ms, offer.lease_ms
-        )
+        self._add(offer.owner_id, offer.grants, offer.basis_ms, offer.lease_ms)
         return peer_pb2.Empty()
 
     async def on_recall(
--- a/packages/carawaymast-node/carawaymast_node/coordinator.py
+++ b/packages/carawaymast-node/carawaymast_node/coordinator.py
@@ -9,6 +9,7 @@
 import typing
 
 import circuits
+
 from carawaymast_core import clock as clock_mod
 from carawaymast_core import jobindex
 from carawaymast_core import jobs
@@ -16,7 +17,6 @@
 from carawaymast_core import records
 from carawaymast_core import retry
 from carawaymast_core import workerbook
-
 from carawaymast_node import log_service
 from carawaymast_node import peer_pb2
 from carawaymast_node import peers
--- a/packages/carawaymast-node/carawaymast_node/endpoint.py
+++ b/packages/carawaymast-node/carawaymast_node/endpoint.py
@@ -9,8 +9,8 @@
 import typing
 
 import aiohttp
-from carawaymast_core import slots
 
+from carawaymast_core import slots
 from carawaymast_node import messages
 
 __all__ = ['Endpoint', 'EndpointClient', 'Verdict']
@@ -173,6 +173,4 @@
         return Verdict('unknown', False, None, 'answer to another request')
     ran = answer.get('ran', 'unknown')
     is_ok = ran == 'yes' and 'result' in answer
-    return Verdict(
-        ran, is_ok, answer.get('result'), answer.get('detail', '')
-    )
+    return Verdict(ran, is_ok, answer.get('result'), answer.get('detail', ''))
--- a/packages/carawaymast-node/carawaymast_node/entry.py
+++ b/packages/carawaymast-node/carawaymast_node/entry.py
@@ -7,6 +7,8 @@
 import asyncio
 import typing
 
+from hdrh import histogram
+
 from carawaymast_core import account as account_mod
 from carawaymast_core import clock as clock_mod
 from carawaymast_core import errors
@@ -14,8 +16,6 @@
 from carawaymast_core import retry
 from carawaymast_core import slots
 from carawaymast_core import table as table_mod
-from hdrh import histogram
-
 from carawaymast_node import endpoint as endpoint_mod
 from carawaymast_node import messages
 
@@ -187,8 +187,7 @@
         self.cache.check_accounts()
         self.account.check_accounts()
         in_flight = sum(
-            tally['in_flight']
-            for tally in self.account.tally_by_kind.values()
+            tally['in_flight'] for tally in self.account.tally_by_kind.values()
         )
         errors.check(
             in_flight == len(self._request_by_id),
--- a/packages/carawaymast-node/carawaymast_node/grants.py
+++ b/packages/carawaymast-node/carawaymast_node/grants.py
@@ -13,7 +13,6 @@
 from carawaymast_core import shares
 from carawaymast_core import slots
 from carawaymast_core import table as table_mod
-
 from carawaymast_node import peer_pb2
 from carawaymast_node import peers
 
@@ -158,9 +157,7 @@
             if demand.wanted and entry_id in targets
         ]
         wanting.sort(
-            key=lambda item: (
-                self.ledger.held_count(item[0]) - targets[item[0]]
-            )
+            key=lambda item: self.ledger.held_count(item[0]) - targets[item[0]]
         )
         return wanting
 
--- a/packages/carawaymast-node/carawaymast_node/guard.py
+++ b/packages/carawaymast-node/carawaymast_node/guard.py
@@ -9,11 +9,11 @@
 import typing
 
 import circuits
-from carawaymast_core import clock as clock_mod
-from carawaymast_core import errors
 from circuits.net import events as net_events
 from circuits.web import wrappers
 
+from carawaymast_core import clock as clock_mod
+from carawaymast_core import errors
 from carawaymast_node import messages
 
 __all__ = ['Guard', 'GuardCounters']
--- a/packages/carawaymast-node/carawaymast_node/log_port.py
+++ b/packages/carawaymast-node/carawaymast_node/log_port.py
@@ -3,8 +3,8 @@
 import asyncio
 
 import aiohttp
-from carawaymast_core import records
 
+from carawaymast_core import records
 from carawaymast_node import messages
 
 __all__ = ['LogDownError', 'LogPort', 'LogTrimmedError']
--- a/packages/carawaymast-node/carawaymast_node/log_service.py
+++ b/packages/carawaymast-node/carawaymast_node/log_service.py
@@ -13,11 +13,11 @@
 import uuid
 
 import circuits
+
 from carawaymast_core import clock as clock_mod
 from carawaymast_core import jobs
 from carawaymast_core import records
 from carawaymast_core import retry
-
 from carawaymast_node import events
 from carawaymast_node import log_port
 
@@ -218,15 +218,15 @@
     async def _append(self, batch: list[_Pending]) -> None:
         self._last_append_at_ms = self._clock.now()
         self.counters['appends'] += 1
-        was_sent = {pending.record['id']: pending.was_sent for pending in batch}
+        fresh = [pending for pending in batch if not pending.was_sent]
         for pending in batch:
             pending.was_sent = True
         try:
             await self._port.append([pending.record for pending in batch])
         except log_port.LogDownError as error:
             if not error.was_sent:
-                for pending in batch:
-                    pending.was_sent = was_sent[pending.record['id']]
+                for pending in fresh:
+                    pending.was_sent = False
             raise
         self.counters['records_appended'] += len(batch)
         for pending in batch:
--- a/packages/carawaymast-node/carawaymast_node/messages.py
+++ b/packages/carawaymast-node/carawaymast_node/messages.py
@@ -7,6 +7,7 @@
 import typing
 
 import msgspec
+
 from carawaymast_core import errors
 from carawaymast_core import jobs
 from carawaymast_core import records
--- a/packages/carawaymast-node/carawaymast_node/node.py
+++ b/packages/carawaymast-node/carawaymast_node/node.py
@@ -9,14 +9,14 @@
 
 import aiohttp
 import circuits
+from circuits.web import servers
+from grpclib import server as grpc_server
+
 from carawaymast_core import account as account_mod
 from carawaymast_core import clock as clock_mod
 from carawaymast_core import errors
 from carawaymast_core import membership
 from carawaymast_core import resources
-from circuits.web import servers
-from grpclib import server as grpc_server
-
 from carawaymast_node import account_writer
 from carawaymast_node import api as api_mod
 from carawaymast_node import beats as beats_mod
@@ -327,5 +327,3 @@
             'cpu_s': usage.ru_utime + usage.ru_stime,
             'rss_mb': pages * resource.getpagesize() / 1_000_000,
         }
-
-
--- a/packages/carawaymast-node/carawaymast_node/owner.py
+++ b/packages/carawaymast-node/carawaymast_node/owner.py
@@ -16,7 +16,6 @@
 from carawaymast_core import resources
 from carawaymast_core import slots
 from carawaymast_core import workerbook
-
 from carawaymast_node import grants
 from carawaymast_node import messages
 from carawaymast_node import worker_port
--- a/packages/carawaymast-node/carawaymast_node/peers.py
+++ b/packages/carawaymast-node/carawaymast_node/peers.py
@@ -8,11 +8,11 @@
 import asyncio
 import typing
 
-from carawaymast_core import membership
 from grpclib import client
 from grpclib import exceptions
 from grpclib import server
 
+from carawaymast_core import membership
 from carawaymast_node import peer_grpc
 from carawaymast_node import peer_pb2
 
--- a/packages/carawaymast-node/carawaymast_node/reservations.py
+++ b/packages/carawaymast-node/carawaymast_node/reservations.py
@@ -5,7 +5,6 @@
 from carawaymast_core import jobs
 from carawaymast_core import resources
 from carawaymast_core import workerbook
-
 from carawaymast_node import owner as owner_mod
 from carawaymast_node import peer_pb2
 from carawaymast_node import peers
--- a/packages/carawaymast-node/carawaymast_node/settings.py
+++ b/packages/carawaymast-node/carawaymast_node/settings.py
@@ -153,9 +153,7 @@
         600_000,
         'Longest graceful shutdown, in ms.',
     ),
-    Setting(
-        'log_file', '-', str, 'a path or - for stderr', 'Where logs go.'
-    ),
+    Setting('log_file', '-', str, 'a path or - for stderr', 'Where logs go.'),
 ]
 
 
--- a/packages/carawaymast-node/carawaymast_node/table_keeper.py
+++ b/packages/carawaymast-node/carawaymast_node/table_keeper.py
@@ -8,11 +8,11 @@
 
 import circuits
 import msgspec
+
 from carawaymast_core import errors
 from carawaymast_core import jobs
 from carawaymast_core import records
 from carawaymast_core import table as table_mod
-
 from carawaymast_node import events
 from carawaymast_node import log_service
 
--- a/packages/carawaymast-node/carawaymast_node/vm_list.py
+++ b/packages/carawaymast-node/carawaymast_node/vm_list.py
@@ -4,8 +4,8 @@
 import typing
 
 import aiohttp
-from carawaymast_core import membership
 
+from carawaymast_core import membership
 from carawaymast_node import messages
 
 __all__ = ['VmListReader']
--- a/packages/carawaymast-node/carawaymast_node/worker_port.py
+++ b/packages/carawaymast-node/carawaymast_node/worker_port.py
@@ -8,8 +8,8 @@
 import typing
 
 import aiohttp
-from carawaymast_core import membership
 
+from carawaymast_core import membership
 from carawaymast_node import messages
 
 __all__ = ['WorkerDownError', 'WorkerPort', 'http_port']
@@ -51,9 +51,7 @@
         return _checked(answer, messages.OwnerAnswer)
 
     async def release(vm, holder: str, epoch: int):
-        await post(
-            vm, '/v1/owner/release', {'holder': holder, 'epoch': epoch}
-        )
+        await post(vm, '/v1/owner/release', {'holder': holder, 'epoch': epoch})
 
     async def start(vm, epoch: int, ref: str, kind: str, size, run_ms: int):
         body = {
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -5,8 +5,8 @@
 import time
 
 import tabulate
-from carawaymast_core import account
 
+from carawaymast_core import account
 from standins import deployment
 from standins import load
 
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -249,9 +249,7 @@
             log_port,
             [*python, 'standins.log', str(log_port), str(self._retention_ms)],
         )
-        self._spawn(
-            'vms', vms_port, [*python, 'standins.vms', str(vms_port)]
-        )
+        self._spawn('vms', vms_port, [*python, 'standins.vms', str(vms_port)])
         self.wait_until(lambda: self._answers('log', '/v1/stats'), 'the log')
         self.wait_until(lambda: self._answers('vms', '/v1/vms'), 'the list')
         for number in range(self._worker_count):
--- a/standins/load.py
+++ b/standins/load.py
@@ -11,8 +11,8 @@
 import typing
 
 import aiohttp
-import msgspec
 from hdrh import histogram
+import msgspec
 
 __all__ = ['Arrival', 'Caller', 'Stream', 'draw_arrivals']
 
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -3,8 +3,8 @@
 import asyncio
 import signal
 
-import msgspec
 from aiohttp import web
+import msgspec
 
 __all__ = ['answer', 'body_of', 'serve']
 
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -12,10 +12,10 @@
 import uuid
 
 from aiohttp import web
+
 from carawaymast_core import clock as clock_mod
 from carawaymast_core import lease as lease_mod
 from carawaymast_core import resources
-
 from standins import serving
 
 __all__ = ['Worker']
