The stand-ins serve plain functions of bodies

Cause: tests on a virtual clock need the worker and the log without HTTP.

Change: handlers of the stand-ins take and return bodies; one small module turns them into routes.

--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -159,7 +159,8 @@
 
     def unlist(self, name: str) -> None:
         """Take a VM off the platform's list."""
-        call('DELETE', f'{self.url_by_name["vms"]}/v1/vms/{name}')
+        url = self.url_by_name['vms']
+        call('POST', f'{url}/v1/vms/remove', {'id': name})
 
     def signal(self, name: str, number: int) -> None:
         """Send a signal to one of the processes."""
--- a/standins/log.py
+++ b/standins/log.py
@@ -8,8 +8,9 @@
 import asyncio
 import sys
 import time
+import typing
 
-from aiohttp import web
+import msgspec
 
 from standins import serving
 
@@ -19,7 +20,12 @@
 class Log:
     """Records in memory, from the oldest kept offset on."""
 
-    def __init__(self, retention_ms: int):
+    def __init__(
+        self,
+        retention_ms: int,
+        now_s: typing.Callable[[], float] = time.monotonic,
+    ):
+        self._now_s = now_s
         self._retention_ms = retention_ms
         self._kept: list[tuple[float, dict]] = []
         self._first = 0
@@ -33,34 +39,32 @@
         self._appends = 0
         self._bytes = 0
 
-    async def append(self, request: web.Request) -> web.Response:
+    async def append(self, body: dict) -> serving.Answer:
         """Append records in the order given."""
         refused = await self._apply_fault()
         if refused is not None:
             return refused
-        raw = await request.read()
-        self._bytes += len(raw)
+        self._bytes += len(msgspec.json.encode(body))
         self._appends += 1
-        body = await serving.body_of(request)
         first_offset = self._next()
-        now = time.monotonic()
+        now = self._now_s()
         self._kept.extend((now, record) for record in body['records'])
         self._grown.set()
         self._grown = asyncio.Event()
         if self._fault['lose_answers'] > 0:
             self._fault['lose_answers'] -= 1
-            return serving.answer({'error': 'lost'}, 500)
-        return serving.answer({'first_offset': first_offset})
+            return 500, {'error': 'lost'}
+        return 200, {'first_offset': first_offset}
 
-    async def read(self, request: web.Request) -> web.Response:
+    async def read(self, query: dict) -> serving.Answer:
         """Return records from an offset, waiting if there are none."""
         refused = await self._apply_fault()
         if refused is not None:
             return refused
         self._trim()
-        offset = int(request.query['from'])
-        wait_s = int(request.query['wait_ms']) / 1000
-        limit = int(request.query['max'])
+        offset = int(query['from'])
+        wait_s = int(query['wait_ms']) / 1000
+        limit = int(query['max'])
         if offset >= self._next() and wait_s > 0:
             grown = self._grown
             try:
@@ -68,69 +72,67 @@
             except asyncio.TimeoutError:
                 pass
         if offset < self._first:
-            return serving.answer({'first': self._first, 'records': []}, 410)
+            return 410, {'first': self._first, 'records': []}
         start = offset - self._first
         rows = [record for _, record in self._kept[start : start + limit]]
-        return serving.answer({'first': self._first, 'records': rows})
+        return 200, {'first': self._first, 'records': rows}
 
-    async def set_fault(self, request: web.Request) -> web.Response:
+    def set_fault(self, body: dict) -> dict:
         """Change the faults."""
-        self._fault.update(await serving.body_of(request))
-        return serving.answer(self._fault)
+        self._fault.update(body)
+        return self._fault
 
-    async def trim(self, request: web.Request) -> web.Response:
+    def trim(self, body: dict) -> dict:
         """Trim all but the given number of newest records."""
-        keep = (await serving.body_of(request))['keep']
+        keep = body['keep']
         gone = max(0, len(self._kept) - keep)
         self._first += gone
         del self._kept[:gone]
-        return serving.answer({'first': self._first})
+        return {'first': self._first}
 
-    async def stats(self, request: web.Request) -> web.Response:
+    def stats(self, body: dict) -> dict:
         """Return how much was appended."""
-        return serving.answer(
-            {
-                'appends': self._appends,
-                'bytes': self._bytes,
-                'first': self._first,
-                'next': self._next(),
-            }
-        )
-
-    def routes(self):
-        """Return the routes of the log."""
-        return [
-            web.post('/v1/records', self.append),
-            web.get('/v1/records', self.read),
-            web.post('/v1/fault', self.set_fault),
-            web.post('/v1/trim', self.trim),
-            web.get('/v1/stats', self.stats),
-        ]
+        return {
+            'appends': self._appends,
+            'bytes': self._bytes,
+            'first': self._first,
+            'next': self._next(),
+        }
+
+    def handlers(self):
+        """Return the functions of the log by route."""
+        return {
+            ('POST', '/v1/records'): self.append,
+            ('GET', '/v1/records'): self.read,
+            ('POST', '/v1/fault'): self.set_fault,
+            ('POST', '/v1/trim'): self.trim,
+            ('GET', '/v1/stats'): self.stats,
+        }
 
     def _next(self) -> int:
         return self._first + len(self._kept)
 
     def _trim(self) -> None:
-        oldest = time.monotonic() - self._retention_ms / 1000
+        oldest = self._now_s() - self._retention_ms / 1000
         gone = 0
         while gone < len(self._kept) and self._kept[gone][0] < oldest:
             gone += 1
         self._first += gone
         del self._kept[:gone]
 
-    async def _apply_fault(self) -> web.Response | None:
+    async def _apply_fault(self) -> serving.Answer | None:
         if self._fault['hang']:
             await asyncio.sleep(3600)
         if self._fault['delay_ms']:
             await asyncio.sleep(self._fault['delay_ms'] / 1000)
         if self._fault['down']:
-            return serving.answer({'error': 'down'}, 503)
+            return 503, {'error': 'down'}
         return None
 
 
 async def main(port: int, retention_ms: int) -> None:
     """Serve the log on a port."""
-    await serving.serve(Log(retention_ms).routes(), '127.0.0.1', port)
+    await serving.serve(Log(retention_ms).handlers(), '127.0.0.1', port)
 
 
 if __name__ == '__main__':
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -1,32 +1,50 @@
-"""What the stand-in processes share: routes, start and stop."""
+"""What the stand-in processes share: routes, start and stop.
+
+A handler is a plain function or a coroutine from a body to a body, or to a
+status and a body, so that tests can also call it without HTTP.
+"""
 
 import asyncio
+import inspect
 import signal
+import typing
 
 from aiohttp import web
 import msgspec
 
-__all__ = ['answer', 'body_of', 'serve']
+__all__ = ['Answer', 'Handlers', 'serve']
 
+Answer = tuple[int, typing.Any]
+Handlers = typing.Mapping[tuple[str, str], typing.Callable[..., typing.Any]]
 
-async def body_of(request: web.Request):
-    """Return the decoded JSON body of a request."""
-    return msgspec.json.decode(await request.read())
 
+def route(method: str, path: str, handler) -> web.RouteDef:
+    """Return the HTTP route to a handler of bodies."""
 
-def answer(body, status: int = 200) -> web.Response:
-    """Return a JSON response."""
-    return web.Response(
-        body=msgspec.json.encode(body),
-        status=status,
-        content_type='application/json',
-    )
+    async def serve_one(request: web.Request) -> web.Response:
+        body = dict(request.query)
+        if method == 'POST':
+            body = msgspec.json.decode(await request.read())
+        answer = handler(body)
+        if inspect.isawaitable(answer):
+            answer = await answer
+        status, answer = answer if isinstance(answer, tuple) else (200, answer)
+        return web.Response(
+            body=msgspec.json.encode(answer),
+            status=status,
+            content_type='application/json',
+        )
 
+    return web.route(method, path, serve_one)
 
-async def serve(routes, host: str, port: int) -> None:
-    """Serve ``routes`` until SIGTERM or SIGINT."""
+
+async def serve(handlers: Handlers, host: str, port: int) -> None:
+    """Serve ``handlers`` until SIGTERM or SIGINT."""
     app = web.Application(client_max_size=64 * 1024 * 1024)
-    app.add_routes(routes)
+    app.add_routes(
+        route(method, path, handler)
+        for (method, path), handler in handlers.items()
+    )
     runner = web.AppRunner(app, access_log=None, shutdown_timeout=1.0)
     await runner.setup()
     await web.TCPSite(runner, host, port).start()
--- a/standins/vms.py
+++ b/standins/vms.py
@@ -3,8 +3,6 @@
 import asyncio
 import sys
 
-from aiohttp import web
-
 from standins import serving
 
 __all__ = ['VmList']
@@ -16,31 +14,31 @@
     def __init__(self) -> None:
         self._vm_by_id: dict[str, dict] = {}
 
-    async def show(self, request: web.Request) -> web.Response:
+    def show(self, body: dict) -> dict:
         """Return the list."""
-        return serving.answer({'vms': list(self._vm_by_id.values())})
+        return {'vms': list(self._vm_by_id.values())}
 
-    async def put(self, request: web.Request) -> web.Response:
+    def put(self, body: dict) -> dict:
         """Add or change VMs."""
-        for vm in (await serving.body_of(request))['vms']:
+        for vm in body['vms']:
             self._vm_by_id[vm['id']] = vm
-        return serving.answer({})
+        return {}
 
-    async def remove(self, request: web.Request) -> web.Response:
+    def remove(self, body: dict) -> dict:
         """Take a VM off the list."""
-        self._vm_by_id.pop(request.match_info['id'], None)
-        return serving.answer({})
+        self._vm_by_id.pop(body['id'], None)
+        return {}
 
-    def routes(self):
-        """Return the routes of the list."""
-        return [
-            web.get('/v1/vms', self.show),
-            web.post('/v1/vms', self.put),
-            web.delete('/v1/vms/{id}', self.remove),
-        ]
+    def handlers(self):
+        """Return the functions of the list by route."""
+        return {
+            ('GET', '/v1/vms'): self.show,
+            ('POST', '/v1/vms'): self.put,
+            ('POST', '/v1/vms/remove'): self.remove,
+        }
 
 
 if __name__ == '__main__':
     asyncio.run(
-        serving.serve(VmList().routes(), '127.0.0.1', int(sys.argv[1]))
+        serving.serve(VmList().handlers(), '127.0.0.1', int(sys.argv[1]))
     )
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -11,8 +11,6 @@
 import sys
 import uuid
 
-from aiohttp import web
-
 from carawaymast_core import clock as clock_mod
 from carawaymast_core import lease as lease_mod
 from carawaymast_core import resources
@@ -27,8 +25,13 @@
 class Worker:
     """One worker: lease, slots, tasks, and the evidence it gathers."""
 
-    def __init__(self, capacity: resources.Resources, slot_count: int):
-        self._clock = clock_mod.monotonic()
+    def __init__(
+        self,
+        capacity: resources.Resources,
+        slot_count: int,
+        clock: clock_mod.Clock | None = None,
+    ):
+        self._clock = clock or clock_mod.monotonic()
         self._boot = uuid.uuid4().hex
         self._register = lease_mod.LeaseRegister(self._clock)
         self._capacity = capacity
@@ -47,38 +50,31 @@
             doubles=0, overcommits=0, runs=0, refusals=0, tasks=0, epochs=0
         )
 
-    async def acquire(self, request: web.Request) -> web.Response:
+    def acquire(self, body: dict) -> dict:
         """Grant, renew or refuse the owner lease, with a report."""
-        body = await serving.body_of(request)
         grant = self._register.acquire(body['holder'], body['lease_ms'])
         if grant.is_granted:
             self._renewed_at_ms = self._clock.now()
-        return serving.answer(
-            {
-                'granted': grant.is_granted,
-                'holder': grant.holder,
-                'epoch': grant.epoch,
-                'remaining_ms': grant.remaining_ms,
-                'report': self._report(),
-            }
-        )
+        return {
+            'granted': grant.is_granted,
+            'holder': grant.holder,
+            'epoch': grant.epoch,
+            'remaining_ms': grant.remaining_ms,
+            'report': self._report(),
+        }
 
-    async def release(self, request: web.Request) -> web.Response:
+    def release(self, body: dict) -> dict:
         """End the lease of a holder."""
-        body = await serving.body_of(request)
         self._register.release(body['holder'], body['epoch'])
-        return serving.answer({})
+        return {}
 
-    async def run(self, request: web.Request) -> web.Response:
+    async def run(self, body: dict) -> dict:
         """Run a request in a slot."""
-        body = await serving.body_of(request)
         request_id = body['request_id']
         refusal = self._refusal(body)
         if refusal:
             self._counters['refusals'] += 1
-            return serving.answer(
-                {'request_id': request_id, 'ran': 'no', 'detail': refusal}
-            )
+            return {'request_id': request_id, 'ran': 'no', 'detail': refusal}
         self._begin_run(request_id, body['slot'])
         payload = body['payload']
         try:
@@ -99,11 +95,11 @@
         self._request_by_id[request_id] = {'state': 'done', **answer}
         if self._is_silent:
             await asyncio.sleep(3600)
-        return serving.answer(answer)
+        return answer
 
-    async def look_up(self, request: web.Request) -> web.Response:
+    def look_up(self, body: dict) -> dict:
         """Tell what became of a request; refuse it if it never came."""
-        request_id = (await serving.body_of(request))['request_id']
+        request_id = body['request_id']
         known = self._request_by_id.get(request_id)
         if known is None:
             self._refused.add(request_id)
@@ -113,11 +109,10 @@
                 'ran': 'no',
                 'detail': 'never arrived',
             }
-        return serving.answer(known)
+        return known
 
-    async def start(self, request: web.Request) -> web.Response:
+    def start(self, body: dict) -> dict:
         """Start a task if the epoch is current and it was not refused."""
-        body = await serving.body_of(request)
         ref = body['ref']
         detail = ''
         if not self._register.is_current(body['epoch']):
@@ -125,14 +120,13 @@
         elif ref in self._refused or ref in self._ended_by_ref:
             detail = 'refused before'
         if detail:
-            return serving.answer({'started': False, 'detail': detail})
+            return {'started': False, 'detail': detail}
         if ref not in self._task_by_ref:
             self._begin_task(body)
-        return serving.answer({'started': True, 'detail': ''})
+        return {'started': True, 'detail': ''}
 
-    async def stop(self, request: web.Request) -> web.Response:
+    def stop(self, body: dict) -> dict:
         """Stop a task; one that never came is refused from then on."""
-        body = await serving.body_of(request)
         if self._register.is_current(body['epoch']):
             ref = body['ref']
             self._refused.add(ref)
@@ -142,49 +136,45 @@
                 self._end_task(ref, 'failed')
             elif ref not in self._ended_by_ref:
                 self._ended_by_ref[ref] = 'never'
-        return serving.answer({})
+        return {}
 
-    async def acknowledge(self, request: web.Request) -> web.Response:
+    def acknowledge(self, body: dict) -> dict:
         """Forget tasks whose end the owner has recorded."""
-        body = await serving.body_of(request)
         for ref in body['refs']:
             if self._ended_by_ref.pop(ref, None) is not None:
                 self._refused.add(ref)
-        return serving.answer({})
+        return {}
 
-    async def evidence(self, request: web.Request) -> web.Response:
+    def evidence(self, body: dict) -> dict:
         """Return the counters, and each task's or request's executions."""
         counters = dict(self._counters)
         counters['busy'] = len(self._busy)
         counters['running_tasks'] = len(self._task_by_ref)
-        return serving.answer(
-            {
-                'counters': counters,
-                'executions': dict(self._executions),
-                'running': sorted(self._task_by_ref),
-            }
-        )
+        return {
+            'counters': counters,
+            'executions': dict(self._executions),
+            'running': sorted(self._task_by_ref),
+        }
 
-    async def set_fault(self, request: web.Request) -> web.Response:
+    def set_fault(self, body: dict) -> dict:
         """Set ``silent`` (run, but never answer) or ``fail_tasks``."""
-        body = await serving.body_of(request)
         self._is_silent = body.get('silent', self._is_silent)
         self._fail_tasks = body.get('fail_tasks', self._fail_tasks)
-        return serving.answer({})
+        return {}
 
-    def routes(self):
-        """Return the routes of the worker and its runner."""
-        return [
-            web.post('/v1/owner', self.acquire),
-            web.post('/v1/owner/release', self.release),
-            web.post('/v1/run', self.run),
-            web.post('/v1/lookup', self.look_up),
-            web.post('/v1/tasks/start', self.start),
-            web.post('/v1/tasks/stop', self.stop),
-            web.post('/v1/tasks/ack', self.acknowledge),
-            web.get('/v1/evidence', self.evidence),
-            web.post('/v1/fault', self.set_fault),
-        ]
+    def handlers(self):
+        """Return the functions of the worker by route."""
+        return {
+            ('POST', '/v1/owner'): self.acquire,
+            ('POST', '/v1/owner/release'): self.release,
+            ('POST', '/v1/run'): self.run,
+            ('POST', '/v1/lookup'): self.look_up,
+            ('POST', '/v1/tasks/start'): self.start,
+            ('POST', '/v1/tasks/stop'): self.stop,
+            ('POST', '/v1/tasks/ack'): self.acknowledge,
+            ('GET', '/v1/evidence'): self.evidence,
+            ('POST', '/v1/fault'): self.set_fault,
+        }
 
     async def keep_task_leases(self) -> None:
         """Stop the tasks if no owner renews the lease for long."""
@@ -269,7 +259,7 @@
     """Serve a worker on a port."""
     worker = Worker(capacity, slots)
     keeper = asyncio.ensure_future(worker.keep_task_leases())
-    await serving.serve(worker.routes(), '127.0.0.1', port)
+    await serving.serve(worker.handlers(), '127.0.0.1', port)
     keeper.cancel()
 
 
