The roles of a node stand apart from its process

Cause: node.py both opened ports and wired roles, so the roles could only be tested over the network.

Change: roles.py wires the roles over the ports it is given; node.py opens the ports, and starts and stops.

--- a/packages/carawaymast-node/carawaymast_node/api.py
+++ b/packages/carawaymast-node/carawaymast_node/api.py
@@ -18,14 +18,12 @@
 from carawaymast_core import errors
 from carawaymast_core import jobs
 from carawaymast_core import keys
-from carawaymast_core import resources
 from carawaymast_core import table as table_mod
 from carawaymast_node import account_writer
-from carawaymast_node import entry as entry_mod
 from carawaymast_node import guard as guard_mod
 from carawaymast_node import log_service
 from carawaymast_node import messages
-from carawaymast_node import table_keeper
+from carawaymast_node import roles as roles_mod
 
 __all__ = ['Api']
 
@@ -44,19 +42,16 @@
     def __init__(
         self,
         guard: guard_mod.Guard,
-        entry: entry_mod.EntryService,
-        tables: table_keeper.TableKeeper,
-        log: log_service.LogService,
+        roles: roles_mod.Roles,
         reports: typing.Mapping[str, typing.Callable[[], Answered]],
-        fleet_shapes: typing.Callable[[], set[resources.Resources]],
     ):
         super().__init__()
         self._guard = guard
-        self._entry = entry
-        self._tables = tables
-        self._log = log
+        self._roles = roles
+        self._entry = roles.entry
+        self._tables = roles.tables
+        self._log = roles.log
         self._reports = reports
-        self._fleet_shapes = fleet_shapes
         self._background: set[asyncio.Task] = set()
         self._request_id_by_sock: dict[typing.Any, str] = {}
         self.is_draining = False
@@ -109,10 +104,7 @@
     def _on_post_request(self, request, response, request_id: str) -> None:
         raw = request.body.getvalue()
         body = messages.decode(raw, messages.RequestBody)
-        if self._tables.table.version == 0:
-            raise errors.SchedulerError(
-                errors.ErrorKind.NOT_READY, 'the node has no table yet'
-            )
+        self._check_ready()
         key = request.headers.get(KEY_HEADER)
         sock = request.sock
         self._request_id_by_sock[sock] = request_id
@@ -127,6 +119,17 @@
             self._keyed(name, keys.digest(raw), request_id, body, reply),
         )
 
+    def _check_ready(self) -> None:
+        if self._tables.table.version == 0:
+            raise errors.SchedulerError(
+                errors.ErrorKind.NOT_READY, 'the node has no table yet'
+            )
+        if self._roles.is_isolated:
+            raise errors.SchedulerError(
+                errors.ErrorKind.NOT_READY,
+                'the node reaches neither the log nor any peer',
+            )
+
     def _reply(self, sock, response, status: int, body) -> None:
         self._request_id_by_sock.pop(sock, None)
         self._send(response, status, body)
@@ -270,7 +273,7 @@
                 f'team is {spec["team"]!r}, kind {row.kind} is of {row.team}',
             )
         jobs.check_spec(spec)
-        shapes = self._fleet_shapes()
+        shapes = self._roles.fleet_shapes()
         if not shapes:
             raise errors.SchedulerError(
                 errors.ErrorKind.NOT_READY, 'no worker is known yet'
--- a/packages/carawaymast-node/carawaymast_node/dump.py
+++ b/packages/carawaymast-node/carawaymast_node/dump.py
@@ -13,23 +13,23 @@
 def metrics(node: 'node_mod.Node') -> dict[str, typing.Any]:
     """Return the counters and waiting times of a node."""
     return {
-        'node': node.members.own.node_id,
+        'node': node.roles.members.own.node_id,
         'uptime_ms': node.clock.now() - node.started_at_ms,
         'waits_ms': waits(node),
-        'decision_us': _percentiles(node.entry.decision_us),
-        'refusals': node.entry.refusal_by_error,
-        'log': node.log.counters,
-        'owner': node.owner.counters,
-        'jobs': node.coordinator.counters,
+        'decision_us': _percentiles(node.roles.entry.decision_us),
+        'refusals': node.roles.entry.refusal_by_error,
+        'log': node.roles.log.counters,
+        'owner': node.roles.owner.counters,
+        'jobs': node.roles.coordinator.counters,
         'guard': node.guard.counters,
         'beats': {
-            'sent': node.beats.sent_total,
-            'failed': node.beats.failed_total,
+            'sent': node.roles.beats.sent_total,
+            'failed': node.roles.beats.failed_total,
             'channels_replaced': node.clients.replaced_total,
         },
         'slots': {
-            'offers': node.owner.grantor.offers_total,
-            'recalls': node.owner.grantor.recalls_total,
+            'offers': node.roles.owner.grantor.offers_total,
+            'recalls': node.roles.owner.grantor.recalls_total,
         },
         'process': node.resources_used(),
     }
@@ -39,24 +39,24 @@
     """Return the percentiles of the waiting time of each kind, in ms."""
     return {
         kind: _percentiles(waits)
-        for kind, waits in node.entry.wait_ms_by_kind.items()
+        for kind, waits in node.roles.entry.wait_ms_by_kind.items()
     }
 
 
 def state(node: 'node_mod.Node') -> dict[str, typing.Any]:
     """Return what a node knows and holds, role by role."""
-    entry = node.entry
-    ledger = node.owner.grantor.ledger
+    entry = node.roles.entry
+    ledger = node.roles.owner.grantor.ledger
     return {
-        'node': node.members.own.node_id,
-        'domain': node.members.own.domain,
+        'node': node.roles.members.own.node_id,
+        'domain': node.roles.members.own.domain,
         'ready': node.is_ready,
         'draining': node.is_draining,
-        'isolated': node.is_isolated,
-        'table_version': node.tables.table.version,
+        'isolated': node.roles.is_isolated,
+        'table_version': node.roles.tables.table.version,
         'members': {
-            member.node_id: _member_state(node, member)
-            for member in node.members.live()
+            member.node_id: _member_state(node.roles, member)
+            for member in node.roles.members.live()
         },
         'entry': {
             'in_flight': entry.in_flight,
@@ -67,35 +67,35 @@
             'fleet_slots': entry.fleet_slots,
         },
         'owner': {
-            'workers': sorted(node.owner.owned_ids),
+            'workers': sorted(node.roles.owner.owned_ids),
             'slots': ledger.total,
             'slots_free': ledger.free_total,
             'held_by': {
                 entry_id: ledger.held_count(entry_id)
                 for entry_id in ledger.holders()
             },
-            'tasks_running': node.owner.book.running_total,
-            'capacity': node.owner.book.capacity._asdict(),
-            'used': node.owner.book.used._asdict(),
+            'tasks_running': node.roles.owner.book.running_total,
+            'capacity': node.roles.owner.book.capacity._asdict(),
+            'used': node.roles.owner.book.used._asdict(),
         },
         'jobs': {
-            'open': len(node.coordinator.index.open_ids),
-            'claimed': node.coordinator.index.claimed_total,
+            'open': len(node.roles.coordinator.index.open_ids),
+            'claimed': node.roles.coordinator.index.claimed_total,
         },
         'log': {
-            'next_offset': node.log.replica.next_offset,
-            'entities': len(node.log.replica),
-            'caught_up': node.log.is_caught_up,
-            'reachable': node.log.is_reachable,
-            'queued': node.log.queued_total,
-            'snapshot_as_of': node.log.replica.snapshot_as_of,
+            'next_offset': node.roles.log.replica.next_offset,
+            'entities': len(node.roles.log.replica),
+            'caught_up': node.roles.log.is_caught_up,
+            'reachable': node.roles.log.is_reachable,
+            'queued': node.roles.log.queued_total,
+            'snapshot_as_of': node.roles.log.replica.snapshot_as_of,
         },
         'connections': node.guard.open_total,
     }
 
 
-def _member_state(node, member) -> dict[str, typing.Any]:
-    view = node.beats.view_by_id.get(member.node_id)
+def _member_state(roles, member) -> dict[str, typing.Any]:
+    view = roles.beats.view_by_id.get(member.node_id)
     return {
         'domain': member.domain,
         'address': f'{member.host}:{member.peer_port}',
--- /dev/null
+++ b/packages/carawaymast-node/carawaymast_node/roles.py
@@ -0,0 +1,205 @@
+"""The roles of a node, wired together over the ports they are given.
+
+``Roles`` opens nothing itself, so the same roles run in a process over HTTP
+and gRPC, and in a test over plain functions on a virtual clock.
+"""
+
+import asyncio
+import typing
+
+import circuits
+
+from carawaymast_core import account as account_mod
+from carawaymast_core import clock as clock_mod
+from carawaymast_core import membership
+from carawaymast_core import resources
+from carawaymast_node import account_writer
+from carawaymast_node import beats as beats_mod
+from carawaymast_node import coordinator as coordinator_mod
+from carawaymast_node import endpoint as endpoint_mod
+from carawaymast_node import entry as entry_mod
+from carawaymast_node import log_port as log_port_mod
+from carawaymast_node import log_service
+from carawaymast_node import logs
+from carawaymast_node import owner as owner_mod
+from carawaymast_node import peers
+from carawaymast_node import reservations
+from carawaymast_node import table_keeper
+from carawaymast_node import worker_port as worker_port_mod
+
+__all__ = ['Ports', 'Roles']
+
+ISOLATED_AFTER_MS = 4_000
+CHECK_INTERVAL_MS = 500
+
+CallPeer = typing.Callable[..., typing.Awaitable[typing.Any]]
+
+
+class Ports(typing.NamedTuple):
+    """How a node reaches the rest of the world."""
+
+    log: log_port_mod.LogPort
+    workers: worker_port_mod.WorkerPort
+    endpoints: endpoint_mod.EndpointClient
+    call_peer: CallPeer
+
+
+class Roles(circuits.BaseComponent):
+    """All roles of one node."""
+
+    channel = 'roles'
+
+    def __init__(
+        self,
+        own: membership.Member,
+        holder: str,
+        clock: clock_mod.Clock,
+        ports: Ports,
+        owner_lease_ms: int,
+        log_retention_ms: int,
+    ):
+        super().__init__()
+        self._ports = ports
+        self._isolated_since_ms: int | None = None
+        self.clock = clock
+        self.service = peers.PeerService()
+        self.members = membership.Membership(own)
+        self.account = account_mod.Account()
+        self.log = log_service.LogService(
+            ports.log,
+            own.node_id,
+            clock,
+            log_retention_ms,
+            lambda: len(self.members.live()),
+        ).register(self)
+        self.tables = table_keeper.TableKeeper(self.log).register(self)
+        self.entry = entry_mod.EntryService(
+            clock, ports.endpoints, self.account
+        )
+        self.owner = owner_mod.OwnerService(
+            holder,
+            clock,
+            ports.workers,
+            self.members,
+            owner_lease_ms,
+            self.call,
+        )
+        self.beats = beats_mod.Beats(
+            clock,
+            self.members,
+            self.call,
+            self.entry,
+            self.owner,
+            self.tables,
+            self.log,
+        )
+        self.coordinator = coordinator_mod.Coordinator(
+            clock, self.log, self.members, self.call, self._free_cpu_of
+        ).register(self)
+        self.accounts = account_writer.AccountWriter(
+            holder, self.log, self.account
+        )
+        self._wire()
+
+    @property
+    def is_isolated(self) -> bool:
+        """Whether the node has reached neither log nor peers for long."""
+        if self._isolated_since_ms is None:
+            return False
+        silent_ms = self.clock.now() - self._isolated_since_ms
+        return silent_ms > ISOLATED_AFTER_MS
+
+    def steps(self) -> list[typing.Coroutine]:
+        """Return the coroutines that run for as long as the node does."""
+        return [
+            self.log.follow(),
+            self.log.write(),
+            log_service.keep_snapshots(self.log, self._writes_snapshots),
+            self.beats.keep_beating(),
+            self.owner.keep_leases(),
+            self.entry.keep_expiring(),
+            self.coordinator.keep_working(),
+            self.accounts.keep_writing(),
+            self._keep_checking(),
+        ]
+
+    async def call(
+        self,
+        member: membership.Member,
+        method: str,
+        message: typing.Any,
+        timeout_ms: int = peers.CALL_TIMEOUT_MS,
+    ) -> typing.Any:
+        """Call a member; a call to this node itself takes no network."""
+        if member.node_id == self.members.own.node_id:
+            return await self.service.handler_by_method[method](message)
+        return await self._ports.call_peer(member, method, message, timeout_ms)
+
+    def take_vms(self, vms: typing.Sequence[membership.Vm]) -> None:
+        """Take the platform's list of VMs."""
+        self.members.update_list(vms)
+        self.owner.take_list(vms)
+        for vm in vms:
+            if vm.state == 'leaving':
+                self.entry.cache.drop_worker(vm.vm_id)
+
+    def fleet_shapes(self) -> set[resources.Resources]:
+        """Return the distinct capacities of all owned workers."""
+        shapes = set(self.owner.book.shapes())
+        for view in self.beats.view_by_id.values():
+            shapes.update(resources.Resources(*s) for s in view.shapes)
+        return shapes
+
+    def check_accounts(self) -> None:
+        """Raise ``InvariantError`` unless all roles' accounts add up."""
+        self.entry.check_accounts()
+        self.owner.check_accounts()
+
+    def _wire(self) -> None:
+        """Connect the roles to each other by plain functions."""
+        self.entry.want_slots = self.beats.demand
+        self.entry.give_back = self.beats.give_back
+        self.owner.task_ended = self.coordinator.record_end
+        self.owner.claimed_on = self.coordinator.index.claimed_on
+        self.owner.is_wanted = self.coordinator.is_wanted
+        self.owner.may_own = lambda: not self.is_isolated
+        handlers = self.service.handler_by_method
+        handlers['Beat'] = self.beats.on_beat
+        handlers['OfferSlots'] = self.beats.on_offer
+        handlers['RecallSlots'] = self.beats.on_recall
+        handlers['ReturnSlots'] = self.beats.on_return
+        reservations.register(self.service, self.owner)
+
+    @circuits.handler('table_changed', channel='*')
+    def _on_table_changed(self, table) -> None:
+        """Put a newer table in force in all roles."""
+        self.entry.take_table(table)
+        self.owner.grantor.table = table
+        logs.changed('table', version=table.version)
+
+    def _free_cpu_of(self, node_id: str) -> int:
+        view = self.beats.view_by_id.get(node_id)
+        if view is None:
+            return 0
+        return view.capacity[0] - view.used[0]
+
+    def _writes_snapshots(self) -> bool:
+        node_ids = [member.node_id for member in self.members.staying()]
+        best = membership.preferred('snapshot', node_ids)
+        return best == self.members.own.node_id
+
+    async def _keep_checking(self) -> typing.NoReturn:
+        """Assert the invariants again and again."""
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_MS / 1000)
+            self._watch_isolation()
+            self.check_accounts()
+
+    def _watch_isolation(self) -> None:
+        if self.log.is_reachable or self.beats.is_connected:
+            if self.is_isolated:
+                logs.changed('isolated', isolated=False)
+            self._isolated_since_ms = None
+        elif self._isolated_since_ms is None:
+            self._isolated_since_ms = self.clock.now()
+            logs.changed('isolated', isolated=True)
