Keys, jobs and background tasks get modules of their own

Cause: api.py held the keyed requests and the jobs, and six classes kept background tasks each in its own way, losing their exceptions.

Change: keyed.py, job_desk.py, committing.py; TaskSet reports what a background task raised, and a broken invariant now stops the node.

--- a/packages/carawaymast-core/carawaymast_core/table.py
+++ b/packages/carawaymast-core/carawaymast_core/table.py
@@ -24,6 +24,7 @@
     'parse_row',
     'render',
     'row_fields',
+    'row_for',
 ]
 
 MAX_RANK = 9
@@ -184,6 +185,22 @@
     return out.getvalue()
 
 
+def row_for(table: Table, kind: str, team: str) -> Row:
+    """Return the row of a kind if it belongs to ``team``."""
+    row = table.by_kind.get(kind)
+    if row is None:
+        raise errors.SchedulerError(
+            errors.ErrorKind.UNKNOWN_KIND,
+            f'kind is {kind!r}, the table has no such row',
+        )
+    if row.team != team:
+        raise errors.SchedulerError(
+            errors.ErrorKind.BAD_REQUEST,
+            f'team is {team!r}, kind {row.kind} is of {row.team}',
+        )
+    return row
+
+
 def encode_row(row: Row) -> dict[str, str]:
     """Return the form in which a row stands in the log."""
     return row_fields(row)
--- a/packages/carawaymast-node/carawaymast_node/api.py
+++ b/packages/carawaymast-node/carawaymast_node/api.py
@@ -4,7 +4,6 @@
 requests are answered later, by the entry role.
 """
 
-import asyncio
 import datetime
 import functools
 import typing
@@ -14,22 +13,20 @@
 import circuits
 from circuits.web import events as web_events
 
-from carawaymast_core import clock as clock_mod
 from carawaymast_core import errors
 from carawaymast_core import jobs
-from carawaymast_core import keys
 from carawaymast_core import table as table_mod
 from carawaymast_node import account_writer
+from carawaymast_node import background
 from carawaymast_node import guard as guard_mod
-from carawaymast_node import log_service
+from carawaymast_node import job_desk
+from carawaymast_node import keyed
 from carawaymast_node import messages
 from carawaymast_node import roles as roles_mod
 
 __all__ = ['Api']
 
-JOB_COMMIT_TIMEOUT_MS = 5_000
 KEY_HEADER = 'Idempotency-Key'
-NO_BODY: dict[str, typing.Any] = {}
 
 Answered = tuple[int, typing.Any]
 
@@ -51,8 +48,12 @@
         self._entry = roles.entry
         self._tables = roles.tables
         self._log = roles.log
+        self._keyed = keyed.KeyedRequests(roles.log, roles.entry)
+        self._desk = job_desk.JobDesk(
+            roles.log, roles.tables, roles.fleet_shapes
+        )
         self._reports = reports
-        self._background: set[asyncio.Task] = set()
+        self._background = background.TaskSet()
         self._request_id_by_sock: dict[typing.Any, str] = {}
         self.is_draining = False
 
@@ -112,11 +113,10 @@
         if key is None or body['idempotent']:
             self._entry.submit(request_id, body, reply)
             return
-        name = keys.entity(body['team'], key)
         self._later(
             response,
             request_id,
-            self._keyed(name, keys.digest(raw), request_id, body, reply),
+            self._keyed.submit(key, raw, request_id, body, reply),
         )
 
     def _check_ready(self) -> None:
@@ -134,90 +134,9 @@
         self._request_id_by_sock.pop(sock, None)
         self._send(response, status, body)
 
-    async def _keyed(
-        self, name, body_digest, request_id, body, reply
-    ) -> Answered | None:
-        """Claim the key in the log, run the request, keep its outcome."""
-        replica = self._log.replica
-        kept = keys.outcome(replica, name, body_digest)
-        if kept is not None:
-            return kept
-        now_ms = clock_mod.wall_ms()
-        writes = keys.claim(replica, name, body_digest, request_id, now_ms)
-        request = self._entry.admit(
-            request_id,
-            body,
-            functools.partial(self._reply_keyed, name, request_id, reply),
-        )
-        error = await self._claim_key(name, request_id, writes, body)
-        if error is not None:
-            self._entry.refuse(request, error)
-        else:
-            self._entry.enqueue(request)
-        return None
-
-    async def _claim_key(
-        self, name, request_id, writes, body
-    ) -> errors.SchedulerError | None:
-        """Return why a key could not be claimed, None if it was."""
-        try:
-            if await self._log.commit(writes, body['deadline_ms']):
-                return None
-        except log_service.CommitError as error:
-            if error.was_sent:
-                # The claim may still apply; this node then releases it.
-                self._spawn(self._release_key(name, request_id))
-            return errors.SchedulerError(
-                errors.ErrorKind.LOG_UNAVAILABLE, str(error)
-            )
-        return errors.SchedulerError(
-            errors.ErrorKind.KEY_IN_PROGRESS,
-            f'another request with key {name!r} came first',
-        )
-
-    def _reply_keyed(self, name, request_id, reply, status, body) -> None:
-        reply(status, body)
-        if body.get('ran') == 'no':
-            self._spawn(self._release_key(name, request_id))
-            return
-        if body.get('ran') == 'unknown':
-            return
-        kept = body
-        if len(messages.encode(body)) > keys.KEPT_RESULT_BYTES:
-            kept = dict(body, result=None, detail='the result was not kept')
-        self._spawn(self._settle_key(name, request_id, status, kept))
-
-    async def _settle_key(self, name, request_id, status, body) -> None:
-        writes = keys.settle(
-            self._log.replica,
-            name,
-            request_id,
-            status,
-            body,
-            clock_mod.wall_ms(),
-        )
-        await self._commit_quietly(writes)
-
-    async def _release_key(self, name, request_id) -> None:
-        for _ in range(60):
-            writes = keys.release(
-                self._log.replica, name, request_id, clock_mod.wall_ms()
-            )
-            if writes is not None and await self._commit_quietly(writes):
-                return
-            await asyncio.sleep(1)
-
-    async def _commit_quietly(self, writes: jobs.Writes | None) -> bool:
-        if writes is None:
-            return False
-        try:
-            return await self._log.commit(writes, JOB_COMMIT_TIMEOUT_MS)
-        except log_service.CommitError:
-            return False
-
     def _on_job(self, method, job_id: str, response, request_id) -> None:
         if method == 'GET':
-            self._send(response, 200, self._show_job(job_id))
+            self._send(response, 200, self._desk.show(job_id))
         elif method == 'DELETE':
             self._later(response, request_id, self._cancel_job(job_id))
         else:
@@ -226,109 +145,18 @@
             )
 
     async def _post_job(self, request) -> Answered:
-        raw = request.body.getvalue()
-        spec = messages.decode(raw, jobs.JobSpec)
-        self._check_job(spec)
-        job_id = uuid.uuid4().hex
-        now_ms = clock_mod.wall_ms()
-        writes = jobs.accept(job_id, spec, now_ms)
-        key = request.headers.get(KEY_HEADER)
-        if key is not None:
-            name = 'job-' + keys.entity(spec['team'], key)
-            body_digest = keys.digest(raw)
-            kept = keys.outcome(self._log.replica, name, body_digest)
-            if kept is not None:
-                return kept
-            claim = keys.claim(
-                self._log.replica, name, body_digest, job_id, now_ms
-            )
-            claim.puts[name].update(
-                state=keys.KeyState.DONE.value,
-                status=202,
-                body={'job_id': job_id},
-            )
-            writes.expects.update(claim.expects)
-            writes.puts.update(claim.puts)
-        if not await self._commit(writes):
-            raise errors.SchedulerError(
-                errors.ErrorKind.KEY_IN_PROGRESS,
-                'another job with the same key came first',
-            )
-        return 202, {'job_id': job_id}
-
-    def _check_job(self, spec: jobs.JobSpec) -> None:
         if self.is_draining:
             raise errors.SchedulerError(
                 errors.ErrorKind.SHUTTING_DOWN, 'the node is shutting down'
             )
-        row = self._tables.table.by_kind.get(spec['kind'])
-        if row is None:
-            raise errors.SchedulerError(
-                errors.ErrorKind.UNKNOWN_KIND,
-                f'kind is {spec["kind"]!r}, the table has no such row',
-            )
-        if row.team != spec['team']:
-            raise errors.SchedulerError(
-                errors.ErrorKind.BAD_REQUEST,
-                f'team is {spec["team"]!r}, kind {row.kind} is of {row.team}',
-            )
-        jobs.check_spec(spec)
-        shapes = self._roles.fleet_shapes()
-        if not shapes:
-            raise errors.SchedulerError(
-                errors.ErrorKind.NOT_READY, 'no worker is known yet'
-            )
-        for task in spec['tasks']:
-            size = jobs.size_of(task)
-            if not any(size.fits_in(shape) for shape in shapes):
-                raise errors.SchedulerError(
-                    errors.ErrorKind.IMPOSSIBLE_JOB,
-                    f'task {task["name"]!r} needs {tuple(size)}, '
-                    'more than any worker has',
-                )
-
-    def _show_job(self, job_id: str) -> typing.Any:
-        replica = self._log.replica
-        value = replica.get(jobs.job_entity(job_id)).value
-        if value is None:
-            raise errors.SchedulerError(
-                errors.ErrorKind.NOT_FOUND, f'no job {job_id!r}'
-            )
-        tasks = []
-        for task in value['spec']['tasks']:
-            entity = jobs.task_entity(job_id, task['name'])
-            known = replica.get(entity).value or {}
-            state = known.get('state', jobs.TaskState.PENDING.value)
-            tasks.append(
-                {
-                    'name': task['name'],
-                    'state': state,
-                    'attempt': known.get('attempt', 0),
-                    'worker': known.get('worker'),
-                }
-            )
-        return {
-            'job_id': job_id,
-            'kind': value['spec']['kind'],
-            'team': value['spec']['team'],
-            'gang': value['spec']['gang'],
-            'state': value['state'],
-            'tasks': tasks,
-        }
+        self._check_ready()
+        raw = request.body.getvalue()
+        spec = messages.decode(raw, jobs.JobSpec)
+        key = request.headers.get(KEY_HEADER)
+        return 202, {'job_id': await self._desk.accept(spec, raw, key)}
 
     async def _cancel_job(self, job_id: str) -> Answered:
-        self._show_job(job_id)
-        now_ms = clock_mod.wall_ms()
-        writes = jobs.cancel(self._log.replica, job_id, now_ms)
-        if writes is not None and not await self._commit(writes):
-            writes = None
-        if writes is None:
-            shown = self._show_job(job_id)
-            raise errors.SchedulerError(
-                errors.ErrorKind.CONFLICT,
-                f'job {job_id} is {shown["state"]}',
-            )
-        return 200, {'job_id': job_id, 'state': 'cancelled'}
+        return 200, await self._desk.cancel(job_id)
 
     def _get_table(self) -> Answered:
         table = self._tables.table
@@ -372,17 +200,9 @@
             'version': await self._tables.edit(version, rows, removed)
         }
 
-    async def _commit(self, writes: jobs.Writes) -> bool:
-        try:
-            return await self._log.commit(writes, JOB_COMMIT_TIMEOUT_MS)
-        except log_service.CommitError as error:
-            kind = errors.ErrorKind.LOG_UNAVAILABLE
-            if error.was_sent:
-                kind = errors.ErrorKind.OUTCOME_UNKNOWN
-            raise errors.SchedulerError(kind, str(error)) from None
-
     def _later(self, response, request_id: str, coroutine) -> None:
-        self._spawn(self._answer_later(response, request_id, coroutine))
+        answering = self._answer_later(response, request_id, coroutine)
+        self._background.spawn(answering)
 
     async def _answer_later(self, response, request_id, coroutine) -> None:
         try:
@@ -411,11 +231,6 @@
             response.close = True
         self.fire(web_events.response(response))
 
-    def _spawn(self, coroutine: typing.Coroutine) -> None:
-        task = asyncio.ensure_future(coroutine)
-        self._background.add(task)
-        task.add_done_callback(self._background.discard)
-
 
 def _if_match(request) -> int:
     text = request.headers.get('If-Match', '').strip('"')
--- a/packages/carawaymast-node/carawaymast_node/beats.py
+++ b/packages/carawaymast-node/carawaymast_node/beats.py
@@ -13,6 +13,7 @@
 from carawaymast_core import clock as clock_mod
 from carawaymast_core import membership
 from carawaymast_core import slots
+from carawaymast_node import background
 from carawaymast_node import endpoint as endpoint_mod
 from carawaymast_node import entry as entry_mod
 from carawaymast_node import log_service
@@ -63,7 +64,7 @@
         self._log = log
         self._last_demand_at_ms = 0
         self._demand_sent = 0
-        self._tasks: set[asyncio.Task] = set()
+        self._background = background.TaskSet()
         self._last_reply_at_ms = clock.now()
         self.view_by_id: dict[str, PeerView] = {}
         self.sent_total = 0
@@ -82,7 +83,7 @@
             self._forget_views()
             self._demand_sent = 0
             for member in self._targets():
-                self._spawn(self._beat(member))
+                self._background.spawn(self._beat(member))
             await asyncio.sleep(self._interval_ms() / 1000)
 
     def demand(self) -> None:
@@ -97,7 +98,7 @@
         self._demand_sent = waiting
         for member in self._targets():
             if self._slots_of(member.node_id):
-                self._spawn(self._beat(member))
+                self._background.spawn(self._beat(member))
 
     async def say_leaving(self) -> None:
         """Tell all members at once that this node is leaving."""
@@ -154,7 +155,7 @@
             node_id=self._members.own.node_id,
             slots=peers.held_slots([slot_id]),
         )
-        self._spawn(self._tell(member, 'ReturnSlots', message))
+        self._background.spawn(self._tell(member, 'ReturnSlots', message))
 
     async def _beat(self, member: membership.Member) -> None:
         beat = self._message(member)
@@ -268,11 +269,6 @@
         except peers.PeerError:
             self.failed_total += 1
 
-    def _spawn(self, coroutine: typing.Coroutine) -> None:
-        task = asyncio.ensure_future(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
 
 def beat_interval_ms(node_count: int) -> int:
     """Return the interval of beats, longer for many nodes.
--- a/packages/carawaymast-node/carawaymast_node/coordinator.py
+++ b/packages/carawaymast-node/carawaymast_node/coordinator.py
@@ -17,6 +17,7 @@
 from carawaymast_core import records
 from carawaymast_core import retry
 from carawaymast_core import workerbook
+from carawaymast_node import background
 from carawaymast_node import log_service
 from carawaymast_node import peer_pb2
 from carawaymast_node import peers
@@ -74,7 +75,7 @@
         self._backoff_by_id: dict[str, _Backoff] = {}
         self._active: set[str] = set()
         self._dirty: dict[str, None] = {}
-        self._background: set[asyncio.Task] = set()
+        self._background = background.TaskSet()
         self.index = jobindex.JobIndex()
         self.counters: JobCounters = {
             'claims': 0,
@@ -150,9 +151,7 @@
                 self._back_off(job_id, BACKOFF_LONGEST_MS)
                 continue
             self._active.add(job_id)
-            task = asyncio.ensure_future(self._advance(job_id))
-            self._background.add(task)
-            task.add_done_callback(self._background.discard)
+            self._background.spawn(self._advance(job_id))
 
     async def _advance(self, job_id: str) -> None:
         try:
--- a/packages/carawaymast-node/carawaymast_node/entry.py
+++ b/packages/carawaymast-node/carawaymast_node/entry.py
@@ -16,6 +16,7 @@
 from carawaymast_core import retry
 from carawaymast_core import slots
 from carawaymast_core import table as table_mod
+from carawaymast_node import background
 from carawaymast_node import endpoint as endpoint_mod
 from carawaymast_node import messages
 
@@ -77,7 +78,7 @@
         self._endpoints = endpoints
         self._table = table_mod.EMPTY
         self._request_by_id: dict[str, _Request] = {}
-        self._tasks: set[asyncio.Task] = set()
+        self._background = background.TaskSet()
         self._budget = retry.RetryBudget()
         self.account = account
         self.queue = fairqueue.FairQueue()
@@ -199,17 +200,7 @@
             raise errors.SchedulerError(
                 errors.ErrorKind.SHUTTING_DOWN, 'the node is shutting down'
             )
-        row = self._table.by_kind.get(body['kind'])
-        if row is None:
-            raise errors.SchedulerError(
-                errors.ErrorKind.UNKNOWN_KIND,
-                f'kind is {body["kind"]!r}, the table has no such row',
-            )
-        if row.team != body['team']:
-            raise errors.SchedulerError(
-                errors.ErrorKind.BAD_REQUEST,
-                f'team is {body["team"]!r}, kind {row.kind} is of {row.team}',
-            )
+        row = table_mod.row_for(self._table, body['kind'], body['team'])
         if not 0 < body['deadline_ms'] <= MAX_DEADLINE_MS:
             raise errors.SchedulerError(
                 errors.ErrorKind.BAD_REQUEST,
@@ -247,9 +238,7 @@
         if not request.tries:
             self._record_wait(request, now_ms)
         request.tries += 1
-        task = asyncio.ensure_future(self._run(request, use, now_ms))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._background.spawn(self._run(request, use, now_ms))
 
     async def _run(
         self, request: _Request, use: slots.SlotUse, started_at_ms: int
--- a/packages/carawaymast-node/carawaymast_node/grants.py
+++ b/packages/carawaymast-node/carawaymast_node/grants.py
@@ -13,6 +13,7 @@
 from carawaymast_core import shares
 from carawaymast_core import slots
 from carawaymast_core import table as table_mod
+from carawaymast_node import background
 from carawaymast_node import peer_pb2
 from carawaymast_node import peers
 
@@ -58,7 +59,7 @@
         self._address_of = address_of
         self._demand_by_entry: dict[str, _Demand] = {}
         self._is_scheduled = False
-        self._tasks: set[asyncio.Task] = set()
+        self._background = background.TaskSet()
         self.table = table_mod.EMPTY
         self.ledger = slots.SlotLedger()
         self.offers_total = 0
@@ -134,7 +135,7 @@
             if not granted:
                 continue
             demand.wanted -= len(granted)
-            self._spawn(self._offer(demand, granted, now_ms))
+            self._background.spawn(self._offer(demand, granted, now_ms))
 
     def _recall_excess(self, targets: dict[str, int]) -> None:
         missing = 0
@@ -148,7 +149,7 @@
                 continue
             missing -= excess
             demand.recalled += excess
-            self._spawn(self._recall(demand, excess))
+            self._background.spawn(self._recall(demand, excess))
 
     def _by_deficit(self, targets) -> list[tuple[str, _Demand]]:
         wanting = [
@@ -186,11 +187,6 @@
             return
         self.on_return(demand.member.node_id, reply.slots)
 
-    def _spawn(self, coroutine: typing.Coroutine) -> None:
-        task = asyncio.ensure_future(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     def _wanted_total(self) -> int:
         return sum(d.wanted for d in self._demand_by_entry.values())
 
--- /dev/null
+++ b/packages/carawaymast-node/carawaymast_node/job_desk.py
@@ -0,0 +1,134 @@
+"""Accepting, showing and cancelling jobs."""
+
+import typing
+import uuid
+
+from carawaymast_core import clock as clock_mod
+from carawaymast_core import errors
+from carawaymast_core import jobs
+from carawaymast_core import keys
+from carawaymast_core import resources
+from carawaymast_core import table as table_mod
+from carawaymast_node import committing
+from carawaymast_node import log_service
+from carawaymast_node import table_keeper
+
+__all__ = ['JobDesk']
+
+COMMIT_TIMEOUT_MS = 5_000
+
+
+class JobDesk:
+    """Takes jobs in once they are durable in the log."""
+
+    def __init__(
+        self,
+        log: log_service.LogService,
+        tables: table_keeper.TableKeeper,
+        fleet_shapes: typing.Callable[[], set[resources.Resources]],
+    ):
+        self._log = log
+        self._tables = tables
+        self._fleet_shapes = fleet_shapes
+
+    async def accept(
+        self, spec: jobs.JobSpec, raw: bytes, key: str | None
+    ) -> str:
+        """Accept a job and return its id once the log has it.
+
+        A job sent again with the same key is accepted once. Raises
+        ``SchedulerError``; ``OUTCOME_UNKNOWN`` means that the job may have
+        been accepted all the same.
+        """
+        table_mod.row_for(self._tables.table, spec['kind'], spec['team'])
+        jobs.check_spec(spec)
+        self._check_possible(spec)
+        job_id = uuid.uuid4().hex
+        now_ms = clock_mod.wall_ms()
+        writes = jobs.accept(job_id, spec, now_ms)
+        if key is not None:
+            known_id = self._add_key(writes, spec, raw, key, job_id, now_ms)
+            if known_id is not None:
+                return known_id
+        if not await committing.commit(self._log, writes, COMMIT_TIMEOUT_MS):
+            raise errors.SchedulerError(
+                errors.ErrorKind.KEY_IN_PROGRESS,
+                'another job with the same key came first',
+            )
+        return job_id
+
+    def show(self, job_id: str) -> dict[str, typing.Any]:
+        """Return a job and the state of its tasks."""
+        replica = self._log.replica
+        value = replica.get(jobs.job_entity(job_id)).value
+        if value is None:
+            raise errors.SchedulerError(
+                errors.ErrorKind.NOT_FOUND, f'no job {job_id!r}'
+            )
+        spec = value['spec']
+        return {
+            'job_id': job_id,
+            'kind': spec['kind'],
+            'team': spec['team'],
+            'gang': spec['gang'],
+            'state': value['state'],
+            'tasks': [
+                self._show_task(job_id, task['name']) for task in spec['tasks']
+            ],
+        }
+
+    async def cancel(self, job_id: str) -> dict[str, typing.Any]:
+        """Cancel an open job; ``CONFLICT`` if it has ended."""
+        self.show(job_id)
+        now_ms = clock_mod.wall_ms()
+        writes = jobs.cancel(self._log.replica, job_id, now_ms)
+        if writes is not None:
+            if await committing.commit(self._log, writes, COMMIT_TIMEOUT_MS):
+                return self.show(job_id)
+        raise errors.SchedulerError(
+            errors.ErrorKind.CONFLICT,
+            f'job {job_id} is {self.show(job_id)["state"]}',
+        )
+
+    def _add_key(self, writes, spec, raw, key, job_id, now_ms) -> str | None:
+        """Add the claim of a key; return the job that has the key."""
+        name = 'job-' + keys.entity(spec['team'], key)
+        digest = keys.digest(raw)
+        kept = keys.outcome(self._log.replica, name, digest)
+        if kept is not None:
+            return kept[1]['job_id']
+        claim = keys.claim(self._log.replica, name, digest, job_id, now_ms)
+        claim.puts[name].update(
+            state=keys.KeyState.DONE.value,
+            status=202,
+            body={'job_id': job_id},
+        )
+        writes.expects.update(claim.expects)
+        writes.puts.update(claim.puts)
+        return None
+
+    def _check_possible(self, spec: jobs.JobSpec) -> None:
+        """Refuse a task that no worker could ever hold."""
+        shapes = self._fleet_shapes()
+        if not shapes:
+            raise errors.SchedulerError(
+                errors.ErrorKind.NOT_READY, 'no worker is known yet'
+            )
+        for task in spec['tasks']:
+            size = jobs.size_of(task)
+            if not any(size.fits_in(shape) for shape in shapes):
+                raise errors.SchedulerError(
+                    errors.ErrorKind.IMPOSSIBLE_JOB,
+                    f'task {task["name"]!r} needs {tuple(size)}, '
+                    'more than any worker has',
+                )
+
+    def _show_task(self, job_id: str, name: str) -> dict[str, typing.Any]:
+        entity = jobs.task_entity(job_id, name)
+        known = self._log.replica.get(entity).value or {}
+        return {
+            'name': name,
+            'state': known.get('state', jobs.TaskState.PENDING.value),
+            'attempt': known.get('attempt', 0),
+            'worker': known.get('worker'),
+        }
--- /dev/null
+++ b/packages/carawaymast-node/carawaymast_node/keyed.py
@@ -0,0 +1,132 @@
+"""Requests with an idempotency key: at most one run, one kept outcome.
+
+The key is claimed in the log before the request may be dispatched. While the
+log is down the request waits up to its deadline and is then refused, "not
+run". The outcome is kept with the key, so that the same request sent again,
+to any node, gets the first one's answer.
+"""
+
+import asyncio
+import functools
+import typing
+
+from carawaymast_core import clock as clock_mod
+from carawaymast_core import errors
+from carawaymast_core import jobs
+from carawaymast_core import keys
+from carawaymast_node import background
+from carawaymast_node import entry as entry_mod
+from carawaymast_node import log_service
+from carawaymast_node import messages
+
+__all__ = ['KeyedRequests']
+
+COMMIT_TIMEOUT_MS = 5_000
+RELEASE_TRIES = 60
+RELEASE_PAUSE_MS = 1_000
+
+
+class KeyedRequests:
+    """Claims keys, runs their requests and keeps the outcomes."""
+
+    def __init__(
+        self, log: log_service.LogService, entry: entry_mod.EntryService
+    ):
+        self._log = log
+        self._entry = entry
+        self._background = background.TaskSet()
+
+    async def submit(
+        self,
+        key: str,
+        raw: bytes,
+        request_id: str,
+        body: messages.RequestBody,
+        reply: entry_mod.Reply,
+    ) -> None:
+        """Run a request unless its key is known; ``reply`` is called once.
+
+        ``raw`` is the body as it was sent, by which requests that share a
+        key are told apart. Raises ``SchedulerError`` before anything has
+        been dispatched.
+        """
+        replica = self._log.replica
+        name = keys.entity(body['team'], key)
+        digest = keys.digest(raw)
+        kept = keys.outcome(replica, name, digest)
+        if kept is not None:
+            reply(*kept)
+            return
+        now_ms = clock_mod.wall_ms()
+        writes = keys.claim(replica, name, digest, request_id, now_ms)
+        request = self._entry.admit(
+            request_id,
+            body,
+            functools.partial(self._reply, name, request_id, reply),
+        )
+        error = await self._claim(name, request_id, writes, body)
+        if error is not None:
+            self._entry.refuse(request, error)
+        else:
+            self._entry.enqueue(request)
+
+    async def _claim(
+        self, name, request_id, writes, body
+    ) -> errors.SchedulerError | None:
+        """Return why a key could not be claimed, None if it was."""
+        try:
+            if await self._log.commit(writes, body['deadline_ms']):
+                return None
+        except log_service.CommitError as error:
+            return errors.SchedulerError(
+                errors.ErrorKind.LOG_UNAVAILABLE, str(error)
+            )
+        return errors.SchedulerError(
+            errors.ErrorKind.KEY_IN_PROGRESS,
+            f'another request with key {name!r} came first',
+        )
+
+    def _reply(self, name, request_id, reply, status, body) -> None:
+        reply(status, body)
+        ran = body.get('ran', 'yes')
+        if ran == 'no':
+            # The claim may have applied, or may still apply.
+            self._background.spawn(self._release(name, request_id))
+        elif ran == 'yes':
+            settling = self._settle(name, request_id, status, _kept(body))
+            self._background.spawn(settling)
+
+    async def _settle(self, name, request_id, status, body) -> None:
+        writes = keys.settle(
+            self._log.replica,
+            name,
+            request_id,
+            status,
+            body,
+            clock_mod.wall_ms(),
+        )
+        await self._commit(writes)
+
+    async def _release(self, name, request_id) -> None:
+        for _ in range(RELEASE_TRIES):
+            writes = keys.release(
+                self._log.replica, name, request_id, clock_mod.wall_ms()
+            )
+            if await self._commit(writes):
+                return
+            await asyncio.sleep(RELEASE_PAUSE_MS / 1000)
+
+    async def _commit(self, writes: jobs.Writes | None) -> bool:
+        if writes is None:
+            return False
+        try:
+            return await self._log.commit(writes, COMMIT_TIMEOUT_MS)
+        except log_service.CommitError:
+            return False
+
+
+def _kept(body: typing.Any) -> typing.Any:
+    """Return what is kept of an answer; large results are left out."""
+    if len(messages.encode(body)) <= keys.KEPT_RESULT_BYTES:
+        return body
+    return dict(body, result=None, detail='the result was too large to keep')
--- a/packages/carawaymast-node/carawaymast_node/main.py
+++ b/packages/carawaymast-node/carawaymast_node/main.py
@@ -5,6 +5,7 @@
 import signal
 import sys
 
+from carawaymast_core import errors
 from carawaymast_node import dump
 from carawaymast_node import logs
 from carawaymast_node import loop as loop_mod
@@ -26,10 +27,21 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, node.request_stop)
         loop.add_signal_handler(signal.SIGUSR1, _write_dump, node)
+        loop.set_exception_handler(
+            lambda loop, context: _on_fault(node, context)
+        )
         logs.changed('started', node=settings.node_id)
         await node.serve()
 
 
+def _on_fault(node: node_mod.Node, context: dict) -> None:
+    """Log a fault that nothing handled; stop if it broke an invariant."""
+    error = context.get('exception')
+    logs.changed('fault', message=context['message'], error=repr(error))
+    if isinstance(error, errors.InvariantError):
+        node.fail(error)
+
+
 def _write_dump(node: node_mod.Node) -> None:
     print(json.dumps(dump.state(node)), file=sys.stderr, flush=True)
 
--- a/packages/carawaymast-node/carawaymast_node/node.py
+++ b/packages/carawaymast-node/carawaymast_node/node.py
@@ -49,6 +49,7 @@
         self._settings = settings
         self._stack = contextlib.AsyncExitStack()
         self._stop = asyncio.Event()
+        self._failure: BaseException | None = None
         self.clock = clock_mod.monotonic()
         self.started_at_ms = self.clock.now()
         self.is_draining = False
@@ -66,6 +67,11 @@
         """Begin a graceful shutdown."""
         self._stop.set()
 
+    def fail(self, error: BaseException) -> None:
+        """Stop at once: a node that broke an invariant must not go on."""
+        self._failure = error
+        self._stop.set()
+
     @property
     def is_ready(self) -> bool:
         """Whether the node serves requests."""
@@ -83,6 +89,8 @@
         async with asyncio.TaskGroup() as group:
             tasks = [group.create_task(step) for step in steps]
             await self._stop.wait()
+            if self._failure is not None:
+                raise self._failure
             await self._drain()
             for task in tasks:
                 task.cancel()
--- a/packages/carawaymast-node/carawaymast_node/owner.py
+++ b/packages/carawaymast-node/carawaymast_node/owner.py
@@ -16,6 +16,7 @@
 from carawaymast_core import resources
 from carawaymast_core import slots
 from carawaymast_core import workerbook
+from carawaymast_node import background
 from carawaymast_node import grants
 from carawaymast_node import messages
 from carawaymast_node import worker_port
@@ -74,7 +75,7 @@
         self._owned_by_id: dict[str, _Owned] = {}
         self._ended_by_ref: dict[jobs.TaskRef, str] = {}
         self._recording: set[jobs.TaskRef] = set()
-        self._tasks: set[asyncio.Task] = set()
+        self._background = background.TaskSet()
         self._gate = asyncio.Semaphore(PARALLEL_CALLS)
         self.may_own: typing.Callable[[], bool] = lambda: True
         self.task_ended: TaskEnded
@@ -237,9 +238,7 @@
 
     def _spawn(self, owned: _Owned, coroutine: typing.Coroutine) -> None:
         owned.is_busy = True
-        task = asyncio.ensure_future(self._gated(owned, coroutine))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._background.spawn(self._gated(owned, coroutine))
 
     async def _gated(self, owned, coroutine) -> None:
         try:
@@ -345,7 +344,7 @@
                 self._spawn_end(owned, ref, 'never')
         for task in self.book.running_on(worker_id):
             if not self.is_wanted(task.ref):
-                self._spawn_stop(worker_id, task.ref)
+                self._background.spawn(self.stop_task(worker_id, task.ref))
 
     def _vanished(self, owned: _Owned, task: workerbook.RunningTask) -> None:
         """Handle a task that the worker neither runs nor reports ended."""
@@ -354,12 +353,7 @@
             return
         # The start may still be on its way: have the worker refuse it.
         # Once it does, the worker reports the attempt as ended.
-        self._spawn_stop(owned.vm.vm_id, task.ref)
-
-    def _spawn_stop(self, worker_id: str, ref: jobs.TaskRef) -> None:
-        task = asyncio.ensure_future(self.stop_task(worker_id, ref))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._background.spawn(self.stop_task(owned.vm.vm_id, task.ref))
 
     def _spawn_end(self, owned, ref: jobs.TaskRef, outcome: str) -> None:
         if ref in self._recording:
@@ -367,9 +361,7 @@
         self._ended_by_ref[ref] = outcome
         self._recording.add(ref)
         self.book.end(ref)
-        task = asyncio.ensure_future(self._record_end(owned, ref, outcome))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._background.spawn(self._record_end(owned, ref, outcome))
 
     async def _record_end(self, owned, ref, outcome: str) -> None:
         """Record the end of an attempt in the log, then acknowledge it."""
--- a/packages/carawaymast-node/carawaymast_node/table_keeper.py
+++ b/packages/carawaymast-node/carawaymast_node/table_keeper.py
@@ -13,6 +13,7 @@
 from carawaymast_core import jobs
 from carawaymast_core import records
 from carawaymast_core import table as table_mod
+from carawaymast_node import committing
 from carawaymast_node import events
 from carawaymast_node import log_service
 
@@ -98,19 +99,10 @@
         for row in rows:
             puts[ROW_PREFIX + row.kind] = table_mod.encode_row(row)
         writes = jobs.Writes({TABLE_ENTITY: version}, puts)
-        if not await self._commit(writes):
+        if not await committing.commit(self._log, writes, EDIT_TIMEOUT_MS):
             raise _lost_race(version, self.table.version)
         return version + 1
 
-    async def _commit(self, writes: jobs.Writes) -> bool:
-        try:
-            return await self._log.commit(writes, EDIT_TIMEOUT_MS)
-        except log_service.CommitError as error:
-            kind = errors.ErrorKind.LOG_UNAVAILABLE
-            if error.was_sent:
-                kind = errors.ErrorKind.OUTCOME_UNKNOWN
-            raise errors.SchedulerError(kind, str(error)) from None
-
     def _take(self, table: table_mod.Table) -> None:
         if table.version <= self.table.version:
             return
