Whole nodes run under random failures on a virtual clock

Cause: failures could only be tried by hand on real processes.

Found by it and mended: a restarted worker began its epochs anew, so the owner's assertion failed (epochs now begin at the time of the boot); a gang that could never fit was accepted and would have held workers for ever (now refused, and a hold needs a fleet that could hold the whole gang).

--- /dev/null
+++ b/features/virtual.py
@@ -0,0 +1,347 @@
+"""Nodes on a virtual clock, over small fakes at their ports.
+
+``VirtualLoop`` is an asyncio loop whose time jumps to the next timer, so
+that minutes pass in an instant and each run is the same. ``Fleet`` runs the
+real roles of several nodes against in-memory stand-ins, with cuts, pauses,
+lost answers and outages.
+"""
+
+import asyncio
+import copy
+import random
+import selectors
+import typing
+
+import msgspec
+
+from carawaymast_core import clock as clock_mod
+from carawaymast_core import errors
+from carawaymast_core import membership
+from carawaymast_core import resources
+from carawaymast_core import table as table_mod
+from carawaymast_node import endpoint as endpoint_mod
+from carawaymast_node import job_desk
+from carawaymast_node import keyed
+from carawaymast_node import log_port
+from carawaymast_node import loop as loop_mod
+from carawaymast_node import messages
+from carawaymast_node import peers
+from carawaymast_node import roles as roles_mod
+from carawaymast_node import worker_port
+from standins import log as log_standin
+from standins import worker as worker_standin
+
+__all__ = ['Fleet', 'VirtualLoop']
+
+LEASE_MS = 6_000
+RETENTION_MS = 60_000
+CAPACITY = resources.Resources(8_000, 16_000, 2)
+SLOTS = 4
+LONGEST_DELAY_S = 0.003
+LOST_AFTER_S = 0.9
+
+
+class _JumpingSelector(selectors.SelectSelector):
+    """Waits by moving the clock instead of the process."""
+
+    now_s = 1_000.0
+
+    def select(self, timeout=None):
+        """Jump ahead by ``timeout``."""
+        if timeout is None:
+            raise RuntimeError('nothing is left to wait for')
+        self.now_s += max(0.0, timeout)
+        return []
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """A loop on virtual time that collects unhandled errors."""
+
+    def __init__(self) -> None:
+        self._jumping = _JumpingSelector()
+        super().__init__(self._jumping)
+        self.faults: list[BaseException] = []
+        self.set_exception_handler(self._collect)
+
+    def time(self) -> float:
+        """Return the virtual time in seconds."""
+        return self._jumping.now_s
+
+    def _collect(self, loop, context) -> None:
+        error = context.get('exception')
+        self.faults.append(error or RuntimeError(context['message']))
+
+
+class _Node:
+    """One node of the fleet and its running steps."""
+
+    def __init__(self, fleet: 'Fleet', node_id: str, number: int):
+        self.node_id = node_id
+        self.is_up = True
+        self.awake = asyncio.Event()
+        self.awake.set()
+        ports = roles_mod.Ports(
+            _LogFake(fleet, node_id),
+            fleet.worker_fake(node_id),
+            _EndpointFake(fleet, node_id),
+            fleet.peer_fake(node_id),
+        )
+        own = membership.Member(node_id, '127.0.0.1', number, 'westlands')
+        root = loop_mod.Root()
+        holder = f'{node_id}-{fleet.draw.getrandbits(32):x}'
+        self.roles = roles_mod.Roles(
+            own, holder, fleet.clock, ports, LEASE_MS, RETENTION_MS
+        ).register(root)
+        root.begin()
+        self.keyed = keyed.KeyedRequests(self.roles.log, self.roles.entry)
+        self.desk = job_desk.JobDesk(
+            self.roles.log, self.roles.tables, self.roles.shapes.counts
+        )
+        self.tasks = [
+            asyncio.ensure_future(step) for step in self.roles.steps()
+        ]
+        for task in self.tasks:
+            task.add_done_callback(fleet.note_end)
+
+
+class _LogFake:
+    """The log as one node reaches it."""
+
+    def __init__(self, fleet: 'Fleet', node_id: str):
+        self._fleet = fleet
+        self._node_id = node_id
+
+    async def append(self, batch) -> None:
+        """Append a batch over an unreliable network."""
+        if not await self._fleet.travel(self._node_id, 'log'):
+            raise log_port.LogDownError('cut off', False)
+        body = messages.encode({'records': batch})
+        status, _ = await self._fleet.log.append(msgspec.json.decode(body))
+        if not await self._fleet.travel('log', self._node_id):
+            raise log_port.LogDownError('answer lost', True)
+        if status != 200:
+            raise log_port.LogDownError(f'status {status}', True)
+
+    async def read(self, offset, wait_ms=log_port.READ_WAIT_MS):
+        """Read records over an unreliable network."""
+        if not await self._fleet.travel(self._node_id, 'log'):
+            raise log_port.LogDownError('cut off', False)
+        query = {'from': offset, 'wait_ms': wait_ms, 'max': 2_000}
+        status, body = await self._fleet.log.read(query)
+        if not await self._fleet.travel('log', self._node_id):
+            raise log_port.LogDownError('answer lost', False)
+        if status == log_port.STATUS_GONE:
+            raise log_port.LogTrimmedError(body['first'])
+        if status != 200:
+            raise log_port.LogDownError(f'status {status}', False)
+        return copy.deepcopy(body)
+
+
+class _EndpointFake:
+    """Runners as one node reaches them."""
+
+    def __init__(self, fleet: 'Fleet', node_id: str):
+        self._fleet = fleet
+        self._node_id = node_id
+
+    async def run(
+        self, endpoint, request_id, use, payload, overdue_ms, timeout_ms
+    ) -> endpoint_mod.Verdict:
+        """Run a request; a lost answer leaves the outcome unknown."""
+        fleet = self._fleet
+        worker_id = endpoint.worker_id
+        if not await fleet.travel(self._node_id, worker_id):
+            return endpoint_mod.Verdict('no', False, None, 'not connected')
+        answer = await fleet.worker_by_id[worker_id].run(
+            {
+                'request_id': request_id,
+                'epoch': use.epoch,
+                'slot': use.slot_id.number,
+                'payload': payload,
+            }
+        )
+        if not await fleet.travel(worker_id, self._node_id):
+            return endpoint_mod.Verdict('unknown', False, None, 'lost')
+        return endpoint_mod.verdict_of(answer, request_id)
+
+
+class Fleet:
+    """Several nodes, workers and the log on one virtual loop."""
+
+    def __init__(
+        self,
+        loop: VirtualLoop,
+        seed: int,
+        node_count: int = 3,
+        worker_count: int = 3,
+    ):
+        self.loop = loop
+        self.draw = random.Random(seed)
+        self.clock = clock_mod.Clock(lambda: int(loop.time() * 1000))
+        self.log = log_standin.Log(RETENTION_MS, loop.time)
+        self.worker_by_id = {
+            f'worker-{n}': self._make_worker() for n in range(worker_count)
+        }
+        self.past_workers: list[worker_standin.Worker] = []
+        self.node_by_id: dict[str, _Node] = {}
+        self.cuts: set[tuple[str, str]] = set()
+        self.is_log_down = False
+        self.loss = 0.0
+        self._node_count = node_count
+        self._started = 0
+
+    def run(self, coroutine: typing.Coroutine) -> typing.Any:
+        """Run a coroutine to its end and raise what went wrong meanwhile."""
+        result = self.loop.run_until_complete(coroutine)
+        if self.loop.faults:
+            raise ExceptionGroup('faults of the nodes', self.loop.faults)
+        return result
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass."""
+        self.run(asyncio.sleep(seconds))
+
+    def start(self, rows: typing.Mapping[str, table_mod.Row]) -> None:
+        """Start the nodes and put a table in force."""
+        for _ in range(self._node_count):
+            self.run(self.start_node())
+        self.advance(3)
+        first = next(iter(self.node_by_id.values()))
+        self.run(first.roles.tables.edit(0, rows.values()))
+        self.advance(2)
+
+    async def start_node(self) -> str:
+        """Start one more node; return its id."""
+        node_id = f'node-{self._started}'
+        self._started += 1
+        self.node_by_id[node_id] = _Node(self, node_id, self._started)
+        self.publish()
+        return node_id
+
+    def kill(self, node_id: str) -> None:
+        """End a node as by SIGKILL."""
+        node = self.node_by_id.pop(node_id)
+        node.is_up = False
+        node.awake.set()
+        for task in node.tasks:
+            task.cancel()
+        self.publish()
+
+    def restart_worker(self, worker_id: str) -> None:
+        """Replace a worker's process; what it ran is gone."""
+        old = self.worker_by_id[worker_id]
+        for task in old._task_by_ref.values():
+            task['handle'].cancel()
+        self.past_workers.append(old)
+        new = self._make_worker()
+        new._executions = old._executions
+        self.worker_by_id[worker_id] = new
+
+    def publish(self) -> None:
+        """Tell the nodes the list of VMs."""
+        vms = [
+            membership.Vm(
+                node_id, 'node', '127.0.0.1', 0, 0, 'westlands', 'r', 'live'
+            )
+            for node_id in self.node_by_id
+        ] + [
+            membership.Vm(
+                worker_id, 'worker', '127.0.0.1', 0, 0, 'far', 'r', 'live'
+            )
+            for worker_id in self.worker_by_id
+        ]
+        for node in self.node_by_id.values():
+            node.roles.take_vms(vms)
+
+    async def travel(self, source: str, target: str) -> bool:
+        """Carry a message; tell whether it arrived."""
+        await self._awake(source)
+        await asyncio.sleep(self.draw.uniform(0.0002, LONGEST_DELAY_S))
+        is_down = 'log' in (source, target) and self.is_log_down
+        is_lost = self.draw.random() < self.loss
+        if (source, target) in self.cuts or is_down or is_lost:
+            await asyncio.sleep(LOST_AFTER_S)
+            return False
+        await self._awake(target)
+        return not self._is_gone(source) and not self._is_gone(target)
+
+    def worker_fake(self, node_id: str) -> worker_port.WorkerPort:
+        """Return the port of the workers as one node reaches them."""
+
+        async def post(vm, operation: str, body, body_type=None):
+            if not await self.travel(node_id, vm.vm_id):
+                raise worker_port.WorkerDownError('cut off')
+            worker = self.worker_by_id[vm.vm_id]
+            answer = getattr(worker, operation)(body)
+            if not await self.travel(vm.vm_id, node_id):
+                raise worker_port.WorkerDownError('answer lost')
+            return copy.deepcopy(answer)
+
+        return worker_port.port_over(post)
+
+    def peer_fake(self, node_id: str) -> roles_mod.CallPeer:
+        """Return how one node calls the others."""
+
+        async def call(member, method, message, timeout_ms):
+            if not await self.travel(node_id, member.node_id):
+                raise peers.PeerError('cut off')
+            target = self.node_by_id[member.node_id]
+            reply = await target.roles.service.handler_by_method[method](
+                message
+            )
+            if not await self.travel(member.node_id, node_id):
+                raise peers.PeerError('answer lost')
+            return reply
+
+        return call
+
+    def note_end(self, task: asyncio.Task) -> None:
+        """Collect the error of a step that must not end."""
+        if not task.cancelled() and task.exception() is not None:
+            self.loop.faults.append(task.exception())
+
+    def evidence(self) -> tuple[dict[str, int], int, int]:
+        """Return executions by name, doubles and over-commitments."""
+        executions: dict[str, int] = {}
+        doubles = overcommits = 0
+        for worker in [*self.worker_by_id.values(), *self.past_workers]:
+            seen = worker.evidence({})
+            doubles += seen['counters']['doubles']
+            overcommits += seen['counters']['overcommits']
+        for worker in self.worker_by_id.values():
+            for name, count in worker.evidence({})['executions'].items():
+                executions[name] = executions.get(name, 0) + count
+        return executions, doubles, overcommits
+
+    def close(self) -> None:
+        """Cancel all that still runs."""
+        for node_id in list(self.node_by_id):
+            self.kill(node_id)
+        for task in asyncio.all_tasks(self.loop):
+            task.cancel()
+        self.loop.run_until_complete(asyncio.sleep(1))
+        self.loop.close()
+
+    def _make_worker(self) -> worker_standin.Worker:
+        return worker_standin.Worker(
+            CAPACITY, SLOTS, self.clock, self.clock.now()
+        )
+
+    async def _awake(self, name: str) -> None:
+        node = self.node_by_id.get(name)
+        if node is not None:
+            await node.awake.wait()
+
+    def _is_gone(self, name: str) -> bool:
+        return name.startswith('node') and name not in self.node_by_id
+
+
+def check_request(answer: tuple[int, typing.Any], executions) -> str:
+    """Return what is wrong with a request's answer, or ''."""
+    _, body = answer
+    count = executions.get(body['request_id'], 0)
+    if body.get('ran') == errors.Ran.NO and count:
+        return f'{body} said "not run" but ran'
+    if body.get('outcome') == 'done' and not count:
+        return f'{body} never ran'
+    return ''
--- a/packages/carawaymast-core/carawaymast_core/workerbook.py
+++ b/packages/carawaymast-core/carawaymast_core/workerbook.py
@@ -6,6 +6,7 @@
 tasks drain, and what it does not need stays open to others.
 """
 
+import collections
 import enum
 import typing
 
@@ -120,9 +121,11 @@
             total = total.plus(worker.used)
         return total
 
-    def shapes(self) -> set[resources.Resources]:
-        """Return the distinct capacities of the owned workers."""
-        return {worker.capacity for worker in self._worker_by_id.values()}
+    def count_by_shape(self) -> collections.Counter[resources.Resources]:
+        """Return the number of owned workers of each capacity."""
+        return collections.Counter(
+            worker.capacity for worker in self._worker_by_id.values()
+        )
 
     def add_worker(
         self,
--- a/packages/carawaymast-node/carawaymast_node/api.py
+++ b/packages/carawaymast-node/carawaymast_node/api.py
@@ -50,7 +50,7 @@
         self._log = roles.log
         self._keyed = keyed.KeyedRequests(roles.log, roles.entry)
         self._desk = job_desk.JobDesk(
-            roles.log, roles.tables, roles.fleet_shapes
+            roles.log, roles.tables, roles.shapes.counts
         )
         self._reports = reports
         self._background = background.TaskSet()
--- a/packages/carawaymast-node/carawaymast_node/beats.py
+++ b/packages/carawaymast-node/carawaymast_node/beats.py
@@ -12,6 +12,7 @@
 
 from carawaymast_core import clock as clock_mod
 from carawaymast_core import membership
+from carawaymast_core import resources
 from carawaymast_core import slots
 from carawaymast_node import background
 from carawaymast_node import endpoint as endpoint_mod
@@ -35,9 +36,9 @@
     table_version: int
     workers: int
     slots: int
-    capacity: tuple[int, int, int]
-    used: tuple[int, int, int]
-    shapes: tuple[tuple[int, int, int], ...]
+    capacity: resources.Resources
+    used: resources.Resources
+    count_by_shape: dict[resources.Resources, int]
     reaches_log: bool
     demand_by_kind: dict[str, int]
 
@@ -217,8 +218,11 @@
             capacity=peer_pb2.Resources(**book.capacity._asdict()),
             used=peer_pb2.Resources(**book.used._asdict()),
             shapes=[
-                peer_pb2.Resources(**shape._asdict())
-                for shape in book.shapes()
+                peer_pb2.Shape(
+                    capacity=peer_pb2.Resources(**shape._asdict()),
+                    count=count,
+                )
+                for shape, count in book.count_by_shape().items()
             ],
         )
 
@@ -286,11 +290,13 @@
         beat.owner.slots,
         _vector(beat.owner.capacity),
         _vector(beat.owner.used),
-        tuple(_vector(shape) for shape in beat.owner.shapes),
+        {_vector(s.capacity): s.count for s in beat.owner.shapes},
         beat.reaches_log,
         dict(beat.demand_by_kind),
     )
 
 
-def _vector(message: peer_pb2.Resources) -> tuple[int, int, int]:
-    return message.cpu_millis, message.memory_mb, message.accelerators
+def _vector(message: peer_pb2.Resources) -> resources.Resources:
+    return resources.Resources(
+        message.cpu_millis, message.memory_mb, message.accelerators
+    )
--- a/packages/carawaymast-node/carawaymast_node/coordinator.py
+++ b/packages/carawaymast-node/carawaymast_node/coordinator.py
@@ -11,6 +11,7 @@
 import circuits
 
 from carawaymast_core import clock as clock_mod
+from carawaymast_core import fleetshape
 from carawaymast_core import jobindex
 from carawaymast_core import jobs
 from carawaymast_core import membership
@@ -65,6 +66,7 @@
         members: membership.Membership,
         call: typing.Callable[..., typing.Awaitable[typing.Any]],
         free_cpu_of: typing.Callable[[str], int],
+        count_by_shape: typing.Callable[[], fleetshape.CountByShape],
     ):
         super().__init__()
         self._clock = clock
@@ -72,6 +74,7 @@
         self._members = members
         self._call = call
         self._free_cpu_of = free_cpu_of
+        self._count_by_shape = count_by_shape
         self._backoff_by_id: dict[str, _Backoff] = {}
         self._active: set[str] = set()
         self._dirty: dict[str, None] = {}
@@ -211,7 +214,10 @@
         long keeps what it has and holds what it lacks.
         """
         waited_ms = clock_mod.wall_ms() - value['accepted_at_ms']
-        may_hold = waited_ms >= HOLD_AFTER_MS
+        # A gang that the fleet cannot hold now must not hold workers.
+        may_hold = waited_ms >= HOLD_AFTER_MS and fleetshape.can_place(
+            map(jobs.size_of, due.values()), self._count_by_shape()
+        )
         owners = sorted(self._members.staying(), key=lambda m: m.node_id)
         places = await self._reserve(job_id, value, due, owners, may_hold)
         firm = {ref: p for ref, p in places.items() if not p.is_pending}
--- a/packages/carawaymast-node/carawaymast_node/endpoint.py
+++ b/packages/carawaymast-node/carawaymast_node/endpoint.py
@@ -13,7 +13,7 @@
 from carawaymast_core import slots
 from carawaymast_node import messages
 
-__all__ = ['Endpoint', 'EndpointClient', 'Verdict']
+__all__ = ['Endpoint', 'EndpointClient', 'Verdict', 'verdict_of']
 
 LOOKUP_TIMEOUT_MS = 1_000
 CONNECTIONS_PER_ENDPOINT = 16
@@ -157,7 +157,7 @@
             return None
         if found.get('state') == 'running':
             return None
-        return _verdict(found, request_id)
+        return verdict_of(found, request_id)
 
 
 def _parse(body: bytes, request_id: str) -> Verdict:
@@ -165,10 +165,11 @@
         answer = messages.decode_answer(body, messages.RunAnswer)
     except ValueError as error:
         return Verdict('unknown', False, None, f'bad answer: {error}')
-    return _verdict(answer, request_id)
+    return verdict_of(answer, request_id)
 
 
-def _verdict(answer: messages.RunAnswer, request_id: str) -> Verdict:
+def verdict_of(answer: messages.RunAnswer, request_id: str) -> Verdict:
+    """Return what an endpoint's answer says of a request."""
     if answer.get('request_id') != request_id:
         return Verdict('unknown', False, None, 'answer to another request')
     ran = answer.get('ran', 'unknown')
--- a/packages/carawaymast-node/carawaymast_node/job_desk.py
+++ b/packages/carawaymast-node/carawaymast_node/job_desk.py
@@ -5,9 +5,9 @@
 
 from carawaymast_core import clock as clock_mod
 from carawaymast_core import errors
+from carawaymast_core import fleetshape
 from carawaymast_core import jobs
 from carawaymast_core import keys
-from carawaymast_core import resources
 from carawaymast_core import table as table_mod
 from carawaymast_node import committing
 from carawaymast_node import log_service
@@ -25,11 +25,11 @@
         self,
         log: log_service.LogService,
         tables: table_keeper.TableKeeper,
-        fleet_shapes: typing.Callable[[], set[resources.Resources]],
+        count_by_shape: typing.Callable[[], fleetshape.CountByShape],
     ):
         self._log = log
         self._tables = tables
-        self._fleet_shapes = fleet_shapes
+        self._count_by_shape = count_by_shape
 
     async def accept(
         self, spec: jobs.JobSpec, raw: bytes, key: str | None
@@ -108,20 +108,27 @@
         return None
 
     def _check_possible(self, spec: jobs.JobSpec) -> None:
-        """Refuse a task that no worker could ever hold."""
-        shapes = self._fleet_shapes()
-        if not shapes:
+        """Refuse a job that could never run, even on an empty fleet."""
+        count_by_shape = self._count_by_shape()
+        if not count_by_shape:
             raise errors.SchedulerError(
                 errors.ErrorKind.NOT_READY, 'no worker is known yet'
             )
         for task in spec['tasks']:
             size = jobs.size_of(task)
-            if not any(size.fits_in(shape) for shape in shapes):
+            if not fleetshape.can_place([size], count_by_shape):
                 raise errors.SchedulerError(
                     errors.ErrorKind.IMPOSSIBLE_JOB,
                     f'task {task["name"]!r} needs {tuple(size)}, '
                     'more than any worker has',
                 )
+        sizes = [jobs.size_of(task) for task in spec['tasks']]
+        if spec['gang'] and not fleetshape.can_place(sizes, count_by_shape):
+            raise errors.SchedulerError(
+                errors.ErrorKind.IMPOSSIBLE_JOB,
+                f'a gang of {len(sizes)} tasks finds no room even on the '
+                'empty fleet',
+            )
 
     def _show_task(self, job_id: str, name: str) -> dict[str, typing.Any]:
         entity = jobs.task_entity(job_id, name)
--- a/packages/carawaymast-node/carawaymast_node/owner.py
+++ b/packages/carawaymast-node/carawaymast_node/owner.py
@@ -262,6 +262,9 @@
             wait_ms = min(answer['remaining_ms'], ACQUIRE_POLL_MS)
             owned.next_call_at_ms = self._clock.now() + wait_ms
             return
+        if owned.boot != answer['report']['boot']:
+            # Epochs are compared within one boot of the worker only.
+            owned.lease = lease_mod.HeldLease(self._clock)
         was_held = (
             self.book.has_worker(owned.vm.vm_id)
             and owned.lease.epoch == answer['epoch']
--- a/packages/carawaymast-node/carawaymast_node/roles.py
+++ b/packages/carawaymast-node/carawaymast_node/roles.py
@@ -5,12 +5,14 @@
 """
 
 import asyncio
+import collections
 import typing
 
 import circuits
 
 from carawaymast_core import account as account_mod
 from carawaymast_core import clock as clock_mod
+from carawaymast_core import fleetshape
 from carawaymast_core import membership
 from carawaymast_core import resources
 from carawaymast_node import account_writer
@@ -65,6 +67,7 @@
         self.service = peers.PeerService()
         self.members = membership.Membership(own)
         self.account = account_mod.Account()
+        self.shapes = fleetshape.FleetShapes()
         self.log = log_service.LogService(
             ports.log,
             own.node_id,
@@ -94,7 +97,12 @@
             self.log,
         )
         self.coordinator = coordinator_mod.Coordinator(
-            clock, self.log, self.members, self.call, self._free_cpu_of
+            clock,
+            self.log,
+            self.members,
+            self.call,
+            self._free_cpu_of,
+            self.shapes.counts,
         ).register(self)
         self.accounts = account_writer.AccountWriter(
             holder, self.log, self.account
@@ -143,12 +151,13 @@
             if vm.state == 'leaving':
                 self.entry.cache.drop_worker(vm.vm_id)
 
-    def fleet_shapes(self) -> set[resources.Resources]:
-        """Return the distinct capacities of all owned workers."""
-        shapes = set(self.owner.book.shapes())
+    def _observe_fleet(self) -> None:
+        """Note how many workers of each capacity the nodes own."""
+        total: collections.Counter[resources.Resources]
+        total = collections.Counter()
         for view in self.beats.view_by_id.values():
-            shapes.update(resources.Resources(*s) for s in view.shapes)
-        return shapes
+            total.update(view.count_by_shape)
+        self.shapes.observe(total, self.clock.now())
 
     def check_accounts(self) -> None:
         """Raise ``InvariantError`` unless all roles' accounts add up."""
@@ -193,6 +202,7 @@
         while True:
             await asyncio.sleep(CHECK_INTERVAL_MS / 1000)
             self._watch_isolation()
+            self._observe_fleet()
             self.check_accounts()
 
     def _watch_isolation(self) -> None:
--- a/packages/carawaymast-node/carawaymast_node/worker_port.py
+++ b/packages/carawaymast-node/carawaymast_node/worker_port.py
@@ -12,10 +12,18 @@
 from carawaymast_core import membership
 from carawaymast_node import messages
 
-__all__ = ['WorkerDownError', 'WorkerPort', 'http_port']
+__all__ = ['WorkerDownError', 'WorkerPort', 'http_port', 'port_over']
 
 CALL_TIMEOUT_MS = 900
 
+PATH_BY_OPERATION: typing.Final[dict[str, str]] = {
+    'acquire': '/v1/owner',
+    'release': '/v1/owner/release',
+    'start': '/v1/tasks/start',
+    'stop': '/v1/tasks/stop',
+    'acknowledge': '/v1/tasks/ack',
+}
+
 
 class WorkerDownError(Exception):
     """A call to a worker had no answer; it may have taken effect."""
@@ -31,27 +39,46 @@
     acknowledge: typing.Callable[..., typing.Awaitable[None]]
 
 
+Post = typing.Callable[..., typing.Awaitable[typing.Any]]
+
+
 def http_port(session: aiohttp.ClientSession) -> WorkerPort:
     """Return the port of workers that speak HTTP."""
     timeout = aiohttp.ClientTimeout(CALL_TIMEOUT_MS / 1000)
 
-    async def post(vm: membership.Vm, path: str, body: typing.Any) -> bytes:
-        url = f'http://{vm.host}:{vm.port}{path}'
+    async def post(
+        vm: membership.Vm,
+        operation: str,
+        body: typing.Any,
+        body_type: typing.Any = None,
+    ) -> typing.Any:
+        url = f'http://{vm.host}:{vm.port}{PATH_BY_OPERATION[operation]}'
         try:
             async with session.post(
                 url, data=messages.encode(body), timeout=timeout
             ) as response:
-                return await response.read()
+                answer = await response.read()
         except (aiohttp.ClientError, OSError, asyncio.TimeoutError) as error:
-            raise WorkerDownError(f'{vm.vm_id}{path}: {error!r}') from None
+            detail = f'{operation} at {vm.vm_id}: {error!r}'
+            raise WorkerDownError(detail) from None
+        return _checked(answer, body_type) if body_type else None
+
+    return port_over(post)
+
+
+def port_over(post: Post) -> WorkerPort:
+    """Return the port of workers that ``post`` reaches.
+
+    ``post`` takes the worker, one of ``PATH_BY_OPERATION``, the body and the
+    type of the answer.
+    """
 
     async def acquire(vm, holder: str, lease_ms: int):
         body = {'holder': holder, 'lease_ms': lease_ms}
-        answer = await post(vm, '/v1/owner', body)
-        return _checked(answer, messages.OwnerAnswer)
+        return await post(vm, 'acquire', body, messages.OwnerAnswer)
 
     async def release(vm, holder: str, epoch: int):
-        await post(vm, '/v1/owner/release', {'holder': holder, 'epoch': epoch})
+        await post(vm, 'release', {'holder': holder, 'epoch': epoch})
 
     async def start(vm, epoch: int, ref: str, kind: str, size, run_ms: int):
         body = {
@@ -61,14 +88,13 @@
             'size': size._asdict(),
             'run_ms': run_ms,
         }
-        answer = await post(vm, '/v1/tasks/start', body)
-        return _checked(answer, messages.StartAnswer)
+        return await post(vm, 'start', body, messages.StartAnswer)
 
     async def stop(vm, epoch: int, ref: str):
-        await post(vm, '/v1/tasks/stop', {'epoch': epoch, 'ref': ref})
+        await post(vm, 'stop', {'epoch': epoch, 'ref': ref})
 
     async def acknowledge(vm, epoch: int, refs: list[str]):
-        await post(vm, '/v1/tasks/ack', {'epoch': epoch, 'refs': refs})
+        await post(vm, 'acknowledge', {'epoch': epoch, 'refs': refs})
 
     return WorkerPort(acquire, release, start, stop, acknowledge)
 
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -30,10 +30,15 @@
         capacity: resources.Resources,
         slot_count: int,
         clock: clock_mod.Clock | None = None,
+        boot_ms: int = 0,
     ):
         self._clock = clock or clock_mod.monotonic()
         self._boot = uuid.uuid4().hex
-        self._register = lease_mod.LeaseRegister(self._clock)
+        # Epochs start at the time of the boot, so that none of an earlier
+        # boot is ever current again.
+        self._register = lease_mod.LeaseRegister(
+            self._clock, epoch=boot_ms or clock_mod.wall_ms()
+        )
         self._capacity = capacity
         self._slot_count = slot_count
         self._busy: dict[int, str] = {}
