A slot given up is not brought back by a late renewal

A beat's reply listed renewed slots as grants; if a recall overtook it, the entry node had released the slot, the owner leased it to another node, and the late reply put it back into the first one's cache.

Change: a reply names renewals apart from grants, and a renewal only extends what is still held. Each lease of a slot has a serial number, so that a late release cannot end a newer lease. Idempotent requests, which may run again, are told apart in the workers' evidence.

--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,7 @@
 	$(BIN)/flake8
 
 format: setup
+	$(BIN)/ruff format -q .
 	$(BIN)/ruff check -q --fix .
 	$(BIN)/ruff format -q .
 
--- /dev/null
+++ b/features/core_machines.py
@@ -0,0 +1,300 @@
+"""Random runs of single aggregates of the core, against simple models."""
+
+import random
+
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from carawaymast_core import clock as clock_mod
+from carawaymast_core import fairqueue
+from carawaymast_core import jobs
+from carawaymast_core import records
+from carawaymast_core import resources
+from carawaymast_core import shares
+from carawaymast_core import table as table_mod
+from carawaymast_core import workerbook
+
+__all__ = ['BookMachine', 'QueueMachine', 'ReplicaMachine', 'ShareMachine']
+
+KINDS = ('a', 'b', 'c', 'd')
+
+
+def row(kind, rank=0, weight=1.0, limit=1.0, reserve=0.0):
+    """Return a row for a test."""
+    return table_mod.Row(
+        kind,
+        'team',
+        rank,
+        weight,
+        table_mod.Amount(limit, True),
+        table_mod.Amount(reserve, True),
+        1_000,
+        1_000,
+        True,
+    )
+
+
+ROWS = st.fixed_dictionaries(
+    {
+        kind: st.builds(
+            row,
+            st.just(kind),
+            rank=st.integers(0, 3),
+            weight=st.floats(0.5, 4),
+            limit=st.floats(0.3, 1),
+            reserve=st.floats(0, 0.25),
+        )
+        for kind in KINDS
+    }
+)
+
+
+class QueueMachine(stateful.RuleBasedStateMachine):
+    """The fair queue against sets of what waits and what runs."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.queue = fairqueue.FairQueue()
+        self.waiting: dict[str, fairqueue.Queued] = {}
+        self.running: list[str] = []
+        self.now_ms = 0
+        self.sent = 0
+
+    @stateful.initialize(rows=ROWS)
+    def begin(self, rows):
+        self.rows = rows
+        self.queue.configure(table_mod.Table(1, rows))
+
+    @stateful.rule(kind=st.sampled_from(KINDS), wait=st.integers(1, 500))
+    def push(self, kind, wait):
+        self.sent += 1
+        queued = fairqueue.Queued(
+            str(self.sent), kind, self.now_ms, self.now_ms + wait
+        )
+        self.queue.push(queued)
+        self.waiting[queued.request_id] = queued
+
+    @stateful.rule(slots=st.integers(1, 20))
+    def pop(self, slots):
+        queued = self.queue.pop_next(slots)
+        if queued is None:
+            for one in self.waiting.values():
+                allowed = max(1, self.rows[one.kind].limit.of(slots))
+                assert self.running.count(one.kind) + 1 > allowed
+            return
+        assert self.waiting.pop(queued.request_id) == queued
+        earlier = [
+            one
+            for one in self.waiting.values()
+            if one.kind == queued.kind
+            and int(one.request_id) < int(queued.request_id)
+        ]
+        assert not earlier, 'a row is served in the order of arrival'
+        self.running.append(queued.kind)
+
+    @stateful.rule(which=st.integers(0, 99), ran=st.floats(0, 900))
+    def finish(self, which, ran):
+        if self.running:
+            kind = self.running.pop(which % len(self.running))
+            self.queue.finish(kind, ran)
+
+    @stateful.rule(which=st.integers(0, 99))
+    def cancel(self, which):
+        if self.waiting:
+            ids = sorted(self.waiting)
+            request_id = ids[which % len(ids)]
+            assert self.queue.remove(request_id)
+            del self.waiting[request_id]
+
+    @stateful.rule(ms=st.integers(0, 200))
+    def expire(self, ms):
+        self.now_ms += ms
+        due = {
+            request_id
+            for request_id, one in self.waiting.items()
+            if one.expires_at_ms <= self.now_ms
+        }
+        popped = {q.request_id for q in self.queue.pop_expired(self.now_ms)}
+        assert popped == due
+        for request_id in due:
+            del self.waiting[request_id]
+
+    @stateful.invariant()
+    def accounts_add_up(self):
+        self.queue.check_accounts()
+        assert len(self.queue) == len(self.waiting)
+        assert self.queue.running_total() == len(self.running)
+
+
+class ShareMachine(stateful.RuleBasedStateMachine):
+    """Divisions of slots for any table and any demand."""
+
+    @stateful.rule(
+        rows=ROWS,
+        total=st.integers(0, 200),
+        demand=st.dictionaries(
+            st.sampled_from(['n1', 'n2', 'n3']),
+            st.dictionaries(st.sampled_from(KINDS), st.integers(0, 300)),
+        ),
+    )
+    def divide(self, rows, total, demand):
+        targets = shares.divide_entries(total, rows, demand)
+        assert sum(targets.values()) <= total
+        by_kind = dict.fromkeys(KINDS, 0)
+        for demands in demand.values():
+            for kind, count in demands.items():
+                by_kind[kind] += count
+        divided = shares.divide_rows(total, rows, by_kind)
+        for kind, share in divided.items():
+            assert share <= min(by_kind[kind], rows[kind].limit.of(total)) + 1
+            kept = min(by_kind[kind], rows[kind].reserve.of(total))
+            assert share >= kept - 1e-6, 'a row keeps its reserve'
+        wanted = sum(
+            min(by_kind[kind], rows[kind].limit.of(total)) for kind in KINDS
+        )
+        assert sum(divided.values()) >= min(total, wanted) - 1e-3, 'idle'
+
+
+class ReplicaMachine(stateful.RuleBasedStateMachine):
+    """Readers that start anywhere agree with one that saw everything."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.log: list = []
+        self.first = 0
+        self.full = records.Replica()
+        self.late: list[records.Replica] = []
+        self.versions: dict[str, int] = {}
+
+    def _append(self, record):
+        self.log.append(record)
+        return self.full.apply(len(self.log) - 1, record)
+
+    @stateful.rule(
+        names=st.sets(st.sampled_from('uvwxyz'), min_size=1, max_size=3),
+        stale=st.integers(0, 2),
+        delete=st.booleans(),
+    )
+    def write(self, names, stale, delete):
+        expects = {n: max(0, self.full.get(n).version - stale) for n in names}
+        is_due = all(self.full.get(n).version == expects[n] for n in names)
+        value = None if delete else len(self.log)
+        applied, _ = self._append(
+            {'expects': expects, 'puts': dict.fromkeys(names, value)}
+        )
+        assert applied == is_due
+
+    @stateful.rule(which=st.integers(0, 99))
+    def send_again(self, which):
+        if self.log:
+            self._append(self.log[which % len(self.log)])
+
+    @stateful.rule(gap=st.integers(0, 3), seed=st.integers(0, 99))
+    def snapshot(self, gap, seed):
+        as_of = self.full.next_offset
+        state = self.full.copy()
+        with_small_parts = records.snapshot_parts(str(as_of), as_of, state)
+        for index in range(gap):
+            self._append({'expects': {'u': 99}, 'puts': {'u': index}})
+        random.Random(seed).shuffle(with_small_parts)
+        for part in with_small_parts:
+            self._append({'snapshot': part})
+
+    @stateful.rule(count=st.integers(0, 8))
+    def trim(self, count):
+        self.first = min(len(self.log), self.first + count)
+
+    @stateful.rule()
+    def start_reader(self):
+        self.late.append(records.Replica())
+
+    @stateful.invariant()
+    def readers_agree(self):
+        for reader in self.late:
+            if reader.next_offset < self.first:
+                reader.skip_to(self.first)
+            for offset in range(reader.next_offset, len(self.log)):
+                reader.apply(offset, self.log[offset])
+            if reader.is_complete:
+                assert reader.copy() == self.full.copy()
+
+
+class BookMachine(stateful.RuleBasedStateMachine):
+    """Reservations, holds and tasks on three workers."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock = clock_mod.ManualClock(1_000)
+        self.book = workerbook.WorkerBook(self.clock)
+        self.capacity = resources.Resources(8_000, 8_000, 1)
+        for number in range(3):
+            self.book.add_worker(f'w{number}', self.capacity, 'd', [])
+        self.size_by_ref: dict = {}
+        self.running: set = set()
+        self.refused: set = set()
+        self.sent = 0
+
+    @stateful.rule(
+        cpu=st.integers(1, 8_000),
+        memory=st.integers(1, 8_000),
+        age=st.integers(0, 50),
+        hold=st.booleans(),
+    )
+    def reserve(self, cpu, memory, age, hold):
+        self.sent += 1
+        ref = jobs.TaskRef(f'job{self.sent}', 't', 1)
+        size = resources.Resources(cpu, memory, 0)
+        claimant = workerbook.Claimant(age, ref.job_id)
+        self.size_by_ref[ref] = (size, claimant)
+        self.book.reserve(ref, 'a', size, claimant, hold)
+
+    @stateful.rule(which=st.integers(0, 999))
+    def renew(self, which):
+        ref = self._any(self.size_by_ref, which)
+        if ref is None:
+            return
+        size, claimant = self.size_by_ref[ref]
+        found = self.book.reserve(ref, 'a', size, claimant, True)
+        if ref in self.refused or ref in self.running:
+            assert found is None
+
+    @stateful.rule(which=st.integers(0, 999))
+    def start(self, which):
+        ref = self._any(self.size_by_ref, which)
+        if ref is None or ref in self.running:
+            return
+        worker_id = self.book.begin_start(ref)
+        if worker_id is None:
+            self.refused.add(ref)
+            return
+        assert ref not in self.refused, 'a refused attempt never starts'
+        self.running.add(ref)
+
+    @stateful.rule(which=st.integers(0, 999))
+    def end(self, which):
+        ref = self._any(self.running, which)
+        if ref is not None:
+            self.book.end(ref)
+            self.running.discard(ref)
+            self.book.refuse(ref)
+            self.refused.add(ref)
+
+    @stateful.rule(which=st.integers(0, 999))
+    def release(self, which):
+        ref = self._any(self.size_by_ref, which)
+        if ref is not None:
+            self.book.release(ref)
+
+    @stateful.rule(ms=st.integers(0, 4_000))
+    def wait(self, ms):
+        self.clock.advance(ms)
+        self.book.expire()
+
+    @stateful.invariant()
+    def accounts_add_up(self):
+        self.book.check_accounts()
+        assert self.book.running_total == len(self.running)
+
+    def _any(self, refs, which):
+        refs = sorted(refs)
+        return refs[which % len(refs)] if refs else None
--- /dev/null
+++ b/features/mutants.py
@@ -0,0 +1,94 @@
+"""Faults planted in the code on purpose, to show that the runs find them.
+
+Each mutant is a context manager that breaks one rule of the protocol while
+it is entered.
+"""
+
+import contextlib
+from unittest import mock
+
+from carawaymast_core import lease
+from carawaymast_core import records
+from carawaymast_core import slots
+from carawaymast_node import beats
+from carawaymast_node import log_service
+
+__all__ = ['MUTANT_BY_NAME']
+
+TOO_LONG_MS = 8_000
+
+
+def no_guard_interval():
+    """Let an owner believe in its lease for longer than the worker does."""
+    return mock.patch.object(lease, 'GUARD_MS', -TOO_LONG_MS)
+
+
+def slot_reused_without_report():
+    """Count a lapsed slot as free, whatever the endpoint says."""
+    return mock.patch.object(
+        slots.SlotLedger,
+        'prove_idle',
+        lambda self, worker_id, busy, taken_at_ms: original_prove(
+            self, worker_id, (), taken_at_ms + TOO_LONG_MS
+        ),
+    )
+
+
+def slot_lease_counted_from_receipt():
+    """Let an entry node count its slot leases for too long."""
+    original = beats.Beats._add
+
+    def add(self, owner_id, grants, basis_ms, lease_ms):
+        original(self, owner_id, grants, basis_ms, lease_ms + TOO_LONG_MS)
+
+    return mock.patch.object(beats.Beats, '_add', add)
+
+
+def claim_used_before_read_back():
+    """Take a claim as applied without reading it back."""
+
+    async def commit(self, writes, timeout_ms):
+        self._enqueue(
+            {
+                'id': f'{id(writes)}-{self._clock.now()}',
+                'node': self._node_id,
+                'expects': writes.expects,
+                'puts': writes.puts,
+            }
+        )
+        return True
+
+    return mock.patch.object(log_service.LogService, 'commit', commit)
+
+
+def snapshot_that_reverts():
+    """Load each snapshot, although the state is newer."""
+
+    def add_part(self, part):
+        self._is_complete = False
+        return original_add_part(self, part)
+
+    return mock.patch.object(records.Replica, '_add_part', add_part)
+
+
+def worker_without_epochs():
+    """Let workers run what any former owner or holder asks for."""
+    from features import fleet_machine
+
+    return mock.patch.object(
+        fleet_machine.FleetMachine, 'has_checking_workers', False
+    )
+
+
+original_prove = slots.SlotLedger.prove_idle
+original_add_part = records.Replica._add_part
+
+MUTANT_BY_NAME = {
+    'no mutant': contextlib.nullcontext,
+    'no guard interval': no_guard_interval,
+    'slot reused without a report': slot_reused_without_report,
+    'slot lease counted too long': slot_lease_counted_from_receipt,
+    'claim used before read-back': claim_used_before_read_back,
+    'snapshot that reverts': snapshot_that_reverts,
+    'worker without epochs': worker_without_epochs,
+}
--- /dev/null
+++ b/features/randomised.py
@@ -0,0 +1,68 @@
+"""Running a hypothesis machine: the same steps each time, or new ones.
+
+For a longer run with new seeds, by hand::
+
+    python -m features.randomised fleet 2000 40
+"""
+
+import random
+import sys
+import typing
+
+import hypothesis
+from hypothesis import stateful
+
+from features import core_machines
+from features import fleet_machine
+
+__all__ = ['MACHINE_BY_NAME', 'run']
+
+MACHINE_BY_NAME: dict[str, type[stateful.RuleBasedStateMachine]] = {
+    'queue': core_machines.QueueMachine,
+    'shares': core_machines.ShareMachine,
+    'replica': core_machines.ReplicaMachine,
+    'book': core_machines.BookMachine,
+    'fleet': fleet_machine.FleetMachine,
+    'trusting fleet': fleet_machine.TrustingFleetMachine,
+}
+
+
+def run(name: str, examples: int, steps: int, is_fixed: bool = True) -> int:
+    """Run a machine; return the number of steps that were taken."""
+    taken = 0
+    machine_type = MACHINE_BY_NAME[name]
+
+    class Counted(machine_type):
+        def check_invariants(self, settings, *rest, **options):
+            nonlocal taken
+            taken += 1
+            return super().check_invariants(settings, *rest, **options)
+
+    phases = [hypothesis.Phase.generate]
+    if not is_fixed:
+        phases.append(hypothesis.Phase.shrink)
+    settings = hypothesis.settings(
+        max_examples=examples,
+        stateful_step_count=steps,
+        derandomize=is_fixed,
+        deadline=None,
+        database=None,
+        phases=phases,
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+    Counted.__name__ = Counted.__qualname__ = machine_type.__name__
+    stateful.run_state_machine_as_test(Counted, settings=settings)
+    return taken
+
+
+def main(arguments: typing.Sequence[str]) -> None:
+    """Run a machine with new seeds for as long as asked."""
+    name, examples, steps = arguments
+    seed = random.getrandbits(32)
+    print(f'seed {seed}', flush=True)
+    hypothesis.seed(seed)
+    print(f'{run(name, int(examples), int(steps), False)} steps held')
+
+
+if __name__ == '__main__':
+    main(sys.argv[1:])
--- a/features/virtual.py
+++ b/features/virtual.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import collections
 import copy
 import random
 import selectors
@@ -144,9 +145,7 @@
         self._fleet = fleet
         self._node_id = node_id
 
-    async def run(
-        self, endpoint, request_id, use, payload, overdue_ms, timeout_ms
-    ) -> endpoint_mod.Verdict:
+    async def run(self, endpoint, use, dispatch) -> endpoint_mod.Verdict:
         """Run a request; a lost answer leaves the outcome unknown."""
         fleet = self._fleet
         worker_id = endpoint.worker_id
@@ -154,15 +153,16 @@
             return endpoint_mod.Verdict('no', False, None, 'not connected')
         answer = await fleet.worker_by_id[worker_id].run(
             {
-                'request_id': request_id,
+                'request_id': dispatch.request_id,
                 'epoch': use.epoch,
                 'slot': use.slot_id.number,
-                'payload': payload,
+                'idempotent': dispatch.is_idempotent,
+                'payload': dispatch.payload,
             }
         )
         if not await fleet.travel(worker_id, self._node_id):
             return endpoint_mod.Verdict('unknown', False, None, 'lost')
-        return endpoint_mod.verdict_of(answer, request_id)
+        return endpoint_mod.verdict_of(answer, dispatch.request_id)
 
 
 class Fleet:
@@ -174,7 +174,9 @@
         seed: int,
         node_count: int = 3,
         worker_count: int = 3,
+        is_trusting: bool = False,
     ):
+        self._is_trusting = is_trusting
         self.loop = loop
         self.draw = random.Random(seed)
         self.clock = clock_mod.Clock(lambda: int(loop.time() * 1000))
@@ -235,6 +237,7 @@
         self.past_workers.append(old)
         new = self._make_worker()
         new._executions = old._executions
+        new._repeatable = old._repeatable
         self.worker_by_id[worker_id] = new
 
     def publish(self) -> None:
@@ -300,18 +303,27 @@
         if not task.cancelled() and task.exception() is not None:
             self.loop.faults.append(task.exception())
 
-    def evidence(self) -> tuple[dict[str, int], int, int]:
-        """Return executions by name, doubles and over-commitments."""
-        executions: dict[str, int] = {}
-        doubles = overcommits = 0
+    def executions(self) -> dict[str, int]:
+        """Return how often each request or attempt was executed."""
+        total: collections.Counter[str] = collections.Counter()
+        for worker in self.worker_by_id.values():
+            total.update(worker.evidence({})['executions'])
+        return total
+
+    def offences(self) -> dict[str, int]:
+        """Return what the workers saw that must never happen."""
+        total: collections.Counter[str] = collections.Counter()
+        repeatable: set[str] = set()
         for worker in [*self.worker_by_id.values(), *self.past_workers]:
             seen = worker.evidence({})
-            doubles += seen['counters']['doubles']
-            overcommits += seen['counters']['overcommits']
-        for worker in self.worker_by_id.values():
-            for name, count in worker.evidence({})['executions'].items():
-                executions[name] = executions.get(name, 0) + count
-        return executions, doubles, overcommits
+            counters = seen['counters']
+            repeatable.update(seen['repeatable'])
+            for name in ('doubles', 'overlaps', 'overcommits'):
+                total[name] += counters[name]
+        for name, count in self.executions().items():
+            if name not in repeatable and count > 1:
+                total['doubles'] += 1
+        return {name: count for name, count in total.items() if count}
 
     def close(self) -> None:
         """Cancel all that still runs."""
@@ -324,7 +336,11 @@
 
     def _make_worker(self) -> worker_standin.Worker:
         return worker_standin.Worker(
-            CAPACITY, SLOTS, self.clock, self.clock.now()
+            CAPACITY,
+            SLOTS,
+            self.clock,
+            self.clock.now(),
+            self._is_trusting,
         )
 
     async def _awake(self, name: str) -> None:
--- a/packages/carawaymast-core/carawaymast_core/slots.py
+++ b/packages/carawaymast-core/carawaymast_core/slots.py
@@ -11,7 +11,14 @@
 
 from carawaymast_core import errors
 
-__all__ = ['SLOT_LEASE_MS', 'SlotCache', 'SlotId', 'SlotLedger', 'SlotState']
+__all__ = [
+    'ReleasedSlot',
+    'SLOT_LEASE_MS',
+    'SlotCache',
+    'SlotId',
+    'SlotLedger',
+    'SlotState',
+]
 
 SLOT_LEASE_MS = 3_000
 SLOT_GUARD_MS = 250
@@ -38,6 +45,7 @@
     def __init__(self) -> None:
         self.state = SlotState.UNPROVEN
         self.entry_id = ''
+        self.serial = 0
         self.expires_at_ms = 0
         self.unproven_since_ms = 0
 
@@ -47,6 +55,8 @@
 
     A slot whose lease lapsed without a release is ``UNPROVEN``: it is leased
     again only after a usage report, taken after the lapse, shows it idle.
+    Each lease has a serial number, so that a release which arrives late
+    cannot end a newer lease of the same slot.
     Invariant: a slot is leased to one entry node at most.
     """
 
@@ -55,6 +65,7 @@
         self._ids_by_worker: dict[str, list[SlotId]] = {}
         self._free: dict[SlotId, None] = {}
         self._ids_by_entry: dict[str, dict[SlotId, None]] = {}
+        self._serial = 0
 
     @property
     def total(self) -> int:
@@ -104,6 +115,7 @@
     def lease(self, entry_id: str, count: int, until_ms: int) -> list[SlotId]:
         """Lease up to ``count`` free slots until ``until_ms``."""
         taken = []
+        self._serial += 1
         while self._free and len(taken) < count:
             slot_id = next(iter(self._free))
             self._lease_one(slot_id, entry_id, until_ms)
@@ -120,12 +132,16 @@
         slot.expires_at_ms = max(slot.expires_at_ms, until_ms)
         return True
 
-    def release(self, entry_id: str, slot_id: SlotId) -> bool:
-        """Take back an idle slot from its holder."""
+    def serial_of(self, slot_id: SlotId) -> int:
+        """Return the serial number of the newest lease of a slot."""
+        return self._slot_by_id[slot_id].serial
+
+    def release(self, entry_id: str, slot_id: SlotId, serial: int) -> bool:
+        """Take back an idle slot if just this lease of it still runs."""
         slot = self._slot_by_id.get(slot_id)
         if slot is None or slot.state is not SlotState.LEASED:
             return False
-        if slot.entry_id != entry_id:
+        if slot.entry_id != entry_id or slot.serial != serial:
             return False
         self._unlink(slot_id)
         self._set_free(slot_id, slot)
@@ -202,6 +218,7 @@
         del self._free[slot_id]
         slot.state = SlotState.LEASED
         slot.entry_id = entry_id
+        slot.serial = self._serial
         slot.expires_at_ms = until_ms
         self._ids_by_entry.setdefault(entry_id, {})[slot_id] = None
 
@@ -223,14 +240,24 @@
 class _Held:
     """The cache's entry for one slot."""
 
-    def __init__(self, owner_id: str, epoch: int, expires_at_ms: int):
+    def __init__(
+        self, owner_id: str, epoch: int, serial: int, expires_at_ms: int
+    ):
         self.owner_id = owner_id
         self.epoch = epoch
+        self.serial = serial
         self.expires_at_ms = expires_at_ms
         self.request_id = ''
         self.is_recalled = False
 
 
+class ReleasedSlot(typing.NamedTuple):
+    """A slot that an entry node gives back, and which lease of it."""
+
+    slot_id: SlotId
+    serial: int
+
+
 class SlotUse(typing.NamedTuple):
     """The right to run one request in a slot."""
 
@@ -259,19 +286,33 @@
         return len(self._idle)
 
     def add(
-        self, slot_id: SlotId, owner_id: str, epoch: int, expires_at_ms: int
+        self,
+        slot_id: SlotId,
+        owner_id: str,
+        epoch: int,
+        serial: int,
+        expires_at_ms: int,
     ) -> None:
-        """Take in a granted slot, or extend it if it is held already."""
+        """Take in a slot that was just leased to this node."""
         held = self._held_by_id.get(slot_id)
-        if held is not None and held.epoch == epoch:
-            held.expires_at_ms = max(held.expires_at_ms, expires_at_ms)
-            held.owner_id = owner_id
-            return
         if held is not None and held.request_id:
+            # The answer of the last use is still on its way.
+            held.owner_id = owner_id
+            held.epoch = epoch
+            held.serial = serial
+            held.expires_at_ms = expires_at_ms
+            held.is_recalled = False
             return
-        self._held_by_id[slot_id] = _Held(owner_id, epoch, expires_at_ms)
+        held = _Held(owner_id, epoch, serial, expires_at_ms)
+        self._held_by_id[slot_id] = held
         self._idle[slot_id] = None
 
+    def renew(self, slot_id: SlotId, expires_at_ms: int) -> None:
+        """Extend a lease, unless the slot was given up meanwhile."""
+        held = self._held_by_id.get(slot_id)
+        if held is not None:
+            held.expires_at_ms = max(held.expires_at_ms, expires_at_ms)
+
     def has_idle(self, now_ms: int) -> bool:
         """Tell whether an idle slot can be taken, dropping lapsed ones."""
         while self._idle:
@@ -297,8 +338,10 @@
         held.request_id = request_id
         return SlotUse(slot_id, held.epoch)
 
-    def put_back(self, slot_id: SlotId, request_id: str, now_ms: int) -> bool:
-        """End the use of a slot; tell whether it is to be released.
+    def put_back(
+        self, slot_id: SlotId, request_id: str, now_ms: int
+    ) -> ReleasedSlot | None:
+        """End the use of a slot; return it if it is to be given back.
 
         A slot that was recalled, or whose lease ran out meanwhile, leaves
         the cache.
@@ -311,12 +354,12 @@
         held.request_id = ''
         if held.expires_at_ms <= now_ms:
             del self._held_by_id[slot_id]
-            return False
+            return None
         if held.is_recalled:
             del self._held_by_id[slot_id]
-            return True
+            return ReleasedSlot(slot_id, held.serial)
         self._idle[slot_id] = None
-        return False
+        return None
 
     def quarantine(self, slot_id: SlotId, request_id: str) -> None:
         """Give up a slot whose use may go on at the endpoint.
@@ -330,7 +373,7 @@
             f'slot {slot_id} does not run {request_id}',
         )
 
-    def recall(self, owner_id: str, count: int) -> list[SlotId]:
+    def recall(self, owner_id: str, count: int) -> list[ReleasedSlot]:
         """Give back up to ``count`` slots of an owner.
 
         Idle slots are returned at once; for the rest, busy slots are marked
@@ -341,11 +384,12 @@
             for slot_id, held in self._held_by_id.items()
             if held.owner_id == owner_id and not held.is_recalled
         ]
-        released = [slot_id for slot_id in of_owner if slot_id in self._idle]
-        released = released[:count]
-        for slot_id in released:
+        idle = [slot_id for slot_id in of_owner if slot_id in self._idle]
+        released = []
+        for slot_id in idle[:count]:
             del self._idle[slot_id]
-            del self._held_by_id[slot_id]
+            held = self._held_by_id.pop(slot_id)
+            released.append(ReleasedSlot(slot_id, held.serial))
         left = count - len(released)
         busy = [slot_id for slot_id in of_owner if slot_id in self._held_by_id]
         for slot_id in busy[:left]:
--- a/packages/carawaymast-node/carawaymast_node/beats.py
+++ b/packages/carawaymast-node/carawaymast_node/beats.py
@@ -116,10 +116,11 @@
         )
         self._members.hear(member, self._clock.now(), beat.is_leaving)
         self.view_by_id[member.node_id] = _view(beat)
-        grants = self._owner.grantor.on_beat(member, beat)
+        renewed, grants = self._owner.grantor.on_beat(member, beat)
         reply = peer_pb2.BeatReply(
             table_version=self._tables.table.version,
             grants=grants,
+            renewed=peers.held_slots(renewed),
             lease_ms=slots.SLOT_LEASE_MS,
         )
         if beat.table_version < self._tables.table.version:
@@ -138,7 +139,7 @@
     ) -> peer_pb2.RecallSlotsReply:
         """Give idle slots back and mark busy ones."""
         released = self._entry.cache.recall(recall.owner_id, recall.count)
-        return peer_pb2.RecallSlotsReply(slots=peers.held_slots(released))
+        return peer_pb2.RecallSlotsReply(slots=peers.released_slots(released))
 
     async def on_return(
         self, message: peer_pb2.ReturnSlotsRequest
@@ -147,14 +148,14 @@
         self._owner.grantor.on_return(message.node_id, message.slots)
         return peer_pb2.Empty()
 
-    def give_back(self, slot_id: slots.SlotId, owner_id: str) -> None:
+    def give_back(self, released: slots.ReleasedSlot, owner_id: str) -> None:
         """Return a recalled slot whose request has ended."""
         member = self._members.member(owner_id)
         if member is None:
             return
         message = peer_pb2.ReturnSlotsRequest(
             node_id=self._members.own.node_id,
-            slots=peers.held_slots([slot_id]),
+            slots=peers.released_slots([released]),
         )
         self._background.spawn(self._tell(member, 'ReturnSlots', message))
 
@@ -172,6 +173,7 @@
             self._last_reply_at_ms = self._clock.now()
         if reply.table_json:
             self._tables.adopt(reply.table_json)
+        self._renew(reply.renewed, beat.sent_at_ms + reply.lease_ms)
         self._add(
             member.node_id, reply.grants, beat.sent_at_ms, reply.lease_ms
         )
@@ -248,6 +250,12 @@
             self._slots_of(member.node_id) for member in live
         )
 
+    def _renew(self, renewed, expires_at_ms: int) -> None:
+        for one in renewed:
+            for number in peers.slot_numbers(one.mask):
+                slot_id = slots.SlotId(one.worker_id, number)
+                self._entry.cache.renew(slot_id, expires_at_ms)
+
     def _add(self, owner_id, grants, basis_ms: int, lease_ms: int) -> None:
         expires_at_ms = basis_ms + lease_ms
         if expires_at_ms <= self._clock.now():
@@ -261,6 +269,7 @@
                     slots.SlotId(grant.worker_id, number),
                     owner_id,
                     grant.epoch,
+                    grant.serial,
                     expires_at_ms,
                 )
         if grants:
--- a/packages/carawaymast-node/carawaymast_node/endpoint.py
+++ b/packages/carawaymast-node/carawaymast_node/endpoint.py
@@ -13,7 +13,7 @@
 from carawaymast_core import slots
 from carawaymast_node import messages
 
-__all__ = ['Endpoint', 'EndpointClient', 'Verdict', 'verdict_of']
+__all__ = ['Dispatch', 'Endpoint', 'EndpointClient', 'Verdict', 'verdict_of']
 
 LOOKUP_TIMEOUT_MS = 1_000
 CONNECTIONS_PER_ENDPOINT = 16
@@ -44,6 +44,20 @@
         return f'http://{self.host}:{self.port}{path}'
 
 
+class Dispatch(typing.NamedTuple):
+    """One try of a request, as it is sent to an endpoint.
+
+    ``overdue_ms`` is when the endpoint is asked on a new connection;
+    after ``timeout_ms`` the outcome is unknown.
+    """
+
+    request_id: str
+    payload: typing.Any
+    is_idempotent: bool
+    overdue_ms: int
+    timeout_ms: int
+
+
 class EndpointClient:
     """Calls to runners, used as a context manager."""
 
@@ -65,33 +79,29 @@
     async def run(
         self,
         endpoint: Endpoint,
-        request_id: str,
         use: slots.SlotUse,
-        payload: typing.Any,
-        overdue_ms: int,
-        timeout_ms: int,
+        dispatch: Dispatch,
     ) -> Verdict:
-        """Run a request in a slot and return what became of it.
-
-        After ``overdue_ms`` without an answer the endpoint is asked on a new
-        connection; after ``timeout_ms`` the outcome is unknown.
-        """
+        """Run a request in a slot and return what became of it."""
+        request_id = dispatch.request_id
         body = messages.encode(
             {
                 'request_id': request_id,
                 'epoch': use.epoch,
                 'slot': use.slot_id.number,
-                'payload': payload,
+                'idempotent': dispatch.is_idempotent,
+                'payload': dispatch.payload,
             }
         )
         call = asyncio.ensure_future(self._post_run(endpoint, body))
         try:
-            done, _ = await asyncio.wait({call}, timeout=overdue_ms / 1000)
+            done, _ = await asyncio.wait(
+                {call}, timeout=dispatch.overdue_ms / 1000
+            )
             if done:
                 return self._answer(call, request_id)
-            return await self._watch(
-                endpoint, request_id, call, timeout_ms - overdue_ms
-            )
+            left_ms = dispatch.timeout_ms - dispatch.overdue_ms
+            return await self._watch(endpoint, request_id, call, left_ms)
         finally:
             call.cancel()
 
--- a/packages/carawaymast-node/carawaymast_node/entry.py
+++ b/packages/carawaymast-node/carawaymast_node/entry.py
@@ -91,8 +91,8 @@
         self.fleet_slots = 0
         self.node_count = 1
         self.want_slots: typing.Callable[[], None] = lambda: None
-        self.give_back: typing.Callable[[slots.SlotId, str], None]
-        self.give_back = lambda slot_id, owner_id: None
+        self.give_back: typing.Callable[[slots.ReleasedSlot, str], None]
+        self.give_back = lambda released, owner_id: None
 
     @property
     def in_flight(self) -> int:
@@ -261,15 +261,15 @@
     ) -> endpoint_mod.Verdict:
         endpoint = self.endpoint_by_worker[use.slot_id.worker_id]
         left_ms = max(1, request.deadline_at_ms - started_at_ms)
+        dispatch = endpoint_mod.Dispatch(
+            request.request_id,
+            request.body['payload'],
+            request.body['idempotent'],
+            min(left_ms, self._overdue_ms(request.body['kind'])),
+            left_ms,
+        )
         try:
-            return await self._endpoints.run(
-                endpoint,
-                request.request_id,
-                use,
-                request.body['payload'],
-                min(left_ms, self._overdue_ms(request.body['kind'])),
-                left_ms,
-            )
+            return await self._endpoints.run(endpoint, use, dispatch)
         except Exception as error:
             # The caller must be told something even after a fault of ours.
             return endpoint_mod.Verdict('unknown', False, None, repr(error))
@@ -288,8 +288,9 @@
             self.cache.drop_worker(slot_id.worker_id)
             return
         owner_id = self.cache.owner_of(slot_id)
-        if self.cache.put_back(slot_id, request.request_id, now_ms):
-            self.give_back(slot_id, owner_id)
+        released = self.cache.put_back(slot_id, request.request_id, now_ms)
+        if released is not None:
+            self.give_back(released, owner_id)
 
     def _may_retry(self, request, verdict, now_ms) -> bool:
         if request.is_abandoned or request.tries >= MAX_TRIES:
--- a/packages/carawaymast-node/carawaymast_node/grants.py
+++ b/packages/carawaymast-node/carawaymast_node/grants.py
@@ -67,27 +67,31 @@
 
     def on_beat(
         self, member: membership.Member, beat: peer_pb2.BeatRequest
-    ) -> list[peer_pb2.SlotGrant]:
-        """Renew what an entry node holds and grant it what is free."""
+    ) -> tuple[list[slots.SlotId], list[peer_pb2.SlotGrant]]:
+        """Renew what an entry node holds and grant it what is free.
+
+        Returns the renewed slots and the new grants.
+        """
         now_ms = self._clock.now()
         demand = _Demand(member, beat, now_ms)
         self._demand_by_entry[member.node_id] = demand
         renewed = self._renew(member.node_id, beat.held, now_ms)
         if not beat.wanted:
-            return self._grants(renewed)
+            return renewed, []
         if self._wanted_total() > self.ledger.free_total:
             self.schedule_rebalance()
-            return self._grants(renewed)
+            return renewed, []
         granted = self._lease(member.node_id, self._batch(demand), now_ms)
         demand.wanted = 0
-        return self._grants(renewed + granted)
+        return renewed, self._grants(granted)
 
-    def on_return(self, entry_id: str, held: typing.Iterable) -> None:
+    def on_return(
+        self, entry_id: str, released: typing.Iterable[peer_pb2.ReleasedSlot]
+    ) -> None:
         """Take back slots that an entry node gives up."""
-        for one in held:
-            for number in peers.slot_numbers(one.mask):
-                slot_id = slots.SlotId(one.worker_id, number)
-                self.ledger.release(entry_id, slot_id)
+        for one in released:
+            slot_id = slots.SlotId(one.worker_id, one.number)
+            self.ledger.release(entry_id, slot_id, one.serial)
         if self._wanted_total():
             self.schedule_rebalance()
 
@@ -217,13 +221,18 @@
         for slot_id in leased:
             left_ms = self._lease_left_ms(slot_id.worker_id)
             if left_ms < slots.SLOT_LEASE_MS:
-                self.ledger.release(entry_id, slot_id)
+                serial = self.ledger.serial_of(slot_id)
+                self.ledger.release(entry_id, slot_id, serial)
             else:
                 good.append(slot_id)
         return good
 
     def _grants(self, slot_ids) -> list[peer_pb2.SlotGrant]:
+        """Return the message form of slots that were leased together."""
         grants = []
+        if not slot_ids:
+            return grants
+        serial = self.ledger.serial_of(slot_ids[0])
         for worker_id, mask in peers.masks(slot_ids).items():
             host, port = self._address_of(worker_id)
             grants.append(
@@ -233,6 +242,7 @@
                     epoch=self._epoch_of(worker_id),
                     host=host,
                     port=port,
+                    serial=serial,
                 )
             )
         return grants
--- a/packages/carawaymast-node/carawaymast_node/peers.py
+++ b/packages/carawaymast-node/carawaymast_node/peers.py
@@ -13,6 +13,7 @@
 from grpclib import server
 
 from carawaymast_core import membership
+from carawaymast_core import slots
 from carawaymast_node import peer_grpc
 from carawaymast_node import peer_pb2
 
@@ -139,6 +140,20 @@
     ]
 
 
+def released_slots(
+    released: typing.Iterable[slots.ReleasedSlot],
+) -> list[peer_pb2.ReleasedSlot]:
+    """Return slots that are given back in the form in which they travel."""
+    return [
+        peer_pb2.ReleasedSlot(
+            worker_id=one.slot_id.worker_id,
+            number=one.slot_id.number,
+            serial=one.serial,
+        )
+        for one in released
+    ]
+
+
 def slot_numbers(mask: int) -> list[int]:
     """Return the slot numbers that a bit mask holds."""
     return [n for n in range(mask.bit_length()) if mask >> n & 1]
