Directed failures on a virtual clock, and planted faults

Cause: the random runs need company that brings each failure about by name.

Change: 23 scenarios for kills, pauses, cuts, outages, gangs, racing edits and trimming, each with callers and workers compared. Found by them and mended: a worker that its preferred owner could not reach had no owner (nodes now say in their beats which workers they cannot reach); a younger gang whose reservation was evicted was refused for ever (eviction is a release now); a start could use a reservation on another worker than the claim named; gang ages were counted on the wall clock, which tests could not move.

--- a/features/core_machines.py
+++ b/features/core_machines.py
@@ -8,13 +8,20 @@
 from carawaymast_core import clock as clock_mod
 from carawaymast_core import fairqueue
 from carawaymast_core import jobs
+from carawaymast_core import lease
 from carawaymast_core import records
 from carawaymast_core import resources
 from carawaymast_core import shares
 from carawaymast_core import table as table_mod
 from carawaymast_core import workerbook
 
-__all__ = ['BookMachine', 'QueueMachine', 'ReplicaMachine', 'ShareMachine']
+__all__ = [
+    'BookMachine',
+    'LeaseMachine',
+    'QueueMachine',
+    'ReplicaMachine',
+    'ShareMachine',
+]
 
 KINDS = ('a', 'b', 'c', 'd')
 
@@ -219,6 +226,74 @@
                 assert reader.copy() == self.full.copy()
 
 
+class LeaseMachine(stateful.RuleBasedStateMachine):
+    """Two would-be owners of one worker, with clocks that drift.
+
+    Requests and answers take any time or are lost. A node that believes it
+    holds the lease is the holder in the worker's register.
+    """
+
+    LEASE_MS = 6_000
+    SLOW = 0.98
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_ms = 1_000
+        self.register = lease.LeaseRegister(
+            clock_mod.Clock(lambda: self.now_ms)
+        )
+        rates = {'even': 1.0, 'slow': self.SLOW}
+        self.held = {
+            name: lease.HeldLease(
+                clock_mod.Clock(lambda rate=rate: int(self.now_ms * rate))
+            )
+            for name, rate in rates.items()
+        }
+        self.rates = rates
+        self.requests: list = []
+        self.answers: list = []
+
+    @stateful.rule(name=st.sampled_from(['even', 'slow']))
+    def ask(self, name):
+        self.requests.append((name, int(self.now_ms * self.rates[name])))
+
+    @stateful.rule(which=st.integers(0, 99), keep=st.booleans())
+    def deliver_request(self, which, keep):
+        if not self.requests:
+            return
+        name, sent_at_ms = self.requests.pop(which % len(self.requests))
+        grant = self.register.acquire(name, self.LEASE_MS)
+        if grant.is_granted and keep:
+            self.answers.append((name, sent_at_ms, grant.epoch))
+
+    @stateful.rule(which=st.integers(0, 99))
+    def deliver_answer(self, which):
+        if not self.answers:
+            return
+        name, sent_at_ms, epoch = self.answers.pop(which % len(self.answers))
+        if epoch >= self.held[name].epoch:
+            self.held[name].record_grant(sent_at_ms, self.LEASE_MS, epoch)
+
+    @stateful.rule(
+        name=st.sampled_from(['even', 'slow']),
+        ms=st.sampled_from([1, 100, 1_000, 5_700, 6_100]),
+    )
+    def renew_and_wait(self, name, ms):
+        self.ask(name)
+        self.deliver_request(len(self.requests) - 1, True)
+        if self.answers:
+            self.deliver_answer(len(self.answers) - 1)
+        self.now_ms += ms
+
+    @stateful.invariant()
+    def holders_are_registered(self):
+        for name, held in self.held.items():
+            if held.is_held():
+                assert self.register.is_current(held.epoch), name
+        believers = [n for n, held in self.held.items() if held.is_held()]
+        assert len(believers) <= 1, believers
+
+
 class BookMachine(stateful.RuleBasedStateMachine):
     """Reservations, holds and tasks on three workers."""
 
@@ -263,8 +338,12 @@
         ref = self._any(self.size_by_ref, which)
         if ref is None or ref in self.running:
             return
-        worker_id = self.book.begin_start(ref)
-        if worker_id is None:
+        is_elsewhere = which % 7 == 0
+        found = self.book.reserve(
+            ref, 'a', *self.size_by_ref[ref], may_hold=True
+        )
+        worker_id = 'w0' if is_elsewhere or not found else found.worker_id
+        if not self.book.begin_start(ref, worker_id):
             self.refused.add(ref)
             return
         assert ref not in self.refused, 'a refused attempt never starts'
--- /dev/null
+++ b/features/fleet.feature
@@ -0,0 +1,145 @@
+Feature: Nodes take over, hand over and stay apart, on a virtual clock
+
+  Background:
+    Given 3 nodes and 3 workers on a virtual clock
+
+  Scenario: A killed owner's workers find a new owner
+    Given a load of 60 requests a second for 20 s
+    When the owner of worker-0 is killed after 5 s
+    Then worker-0 has a new owner within 8 s
+    And the callers of live nodes have one answer each
+    And the workers saw no offence
+
+  Scenario: A woken owner does nothing with its old lease
+    Given a load of 60 requests a second for 25 s
+    And a job of 4 tasks of 2000 ms
+    When the owner of worker-0 is paused after 1 s for 12 s
+    Then worker-0 has a new owner within 8 s
+    And the job ends within 40 s
+    And the callers of live nodes have one answer each
+    And the workers saw no offence
+
+  Scenario: A woken entry node starts nothing in slots that it lost
+    Given a load of 60 requests a second for 25 s
+    When a node that owns no worker-0 is paused after 5 s for 12 s
+    Then the callers of live nodes have one answer each
+    And the workers saw no offence
+
+  Scenario: Takeover needs no log
+    Given the log is down
+    And a load of 60 requests a second for 20 s
+    When the owner of worker-0 is killed after 5 s
+    Then worker-0 has a new owner within 8 s
+    And the callers of live nodes have one answer each
+    And the workers saw no offence
+
+  Scenario: Running tasks keep their leases through an outage of the log
+    Given a job of 4 tasks of 20000 ms
+    When the log is down from 3 s to 45 s
+    Then the job ends within 70 s
+    And each task of the job ran once
+    And the workers saw no offence
+
+  Scenario: A job survives the replacement of every node
+    Given a job of 4 tasks of 6000 ms
+    When every node is replaced, one every 5 s
+    Then the job ends within 60 s
+    And the workers saw no offence
+
+  Scenario: A restarted worker's tasks run again, once each
+    Given a job of 4 tasks of 5000 ms
+    When worker-0 restarts after 2 s
+    Then the job ends within 60 s
+    And the workers saw no offence
+
+  Scenario: Of two would-be owners that cannot see each other one owns
+    Given a load of 60 requests a second for 30 s
+    When all nodes are cut off from each other from 2 s to 20 s
+    Then the callers of live nodes have one answer each
+    And the workers saw no offence
+
+  Scenario: An acquire whose answer is lost
+    Given a load of 60 requests a second for 20 s
+    When the answers of worker-0 to its owner are lost from 3 s to 12 s
+    Then worker-0 has a new owner within 20 s
+    And the callers of live nodes have one answer each
+    And the workers saw no offence
+
+  Scenario: A keyed request waits out a short outage of the log
+    Given the log is down
+    When a keyed request with a deadline of 8 s is sent
+    And the log is up after 4 s
+    Then the keyed request is done
+
+  Scenario: A keyed request is refused, not run, in a long outage of the log
+    Given the log is down
+    When a keyed request with a deadline of 5 s is sent
+    Then the keyed request is refused, not run, after 5 s
+
+  Scenario: A key sent again to another node gets the first outcome
+    When a keyed request with a deadline of 8 s is sent
+    And the same keyed request is sent to another node after 2 s
+    Then both keyed requests got the same answer and one ran
+
+  Scenario: Requests without a key go on at full rate while the log is down
+    Given the log is down
+    And a load of 60 requests a second for 10 s
+    Then all requests are done
+
+  Scenario: Twenty gangs that contend from all nodes all run, whole
+    Given 20 gangs of 3 tasks with 6000 of 8000 processors
+    Then all gangs end within 120 s
+    And no gang ran in part
+    And the workers saw no offence
+
+  Scenario: Small work cannot starve a large gang
+    Given a stream of small jobs on all workers for 30 s
+    When a gang of 3 tasks with 8000 of 8000 processors comes after 5 s
+    Then the gang has started within 12 s
+
+  Scenario: Racing edits of the table
+    When every node edits the table from the same version at once
+    Then exactly one edit is accepted and the others are told they lost
+    And the edit is in force on every node within 1 s
+
+  Scenario: A table reaches a node that is cut off from the log
+    When node-0 is cut off from the log
+    And node-1 edits the table
+    Then the edit is in force on every node within 1 s
+
+  Scenario: A table never reverts on a node that slept through edits
+    When node-0 is paused while node-1 edits the table twice
+    Then the version of the table never went down anywhere
+    And the edit is in force on every node within 6 s
+
+  Scenario: A node that starts after trimming has the whole state
+    Given a job of 4 tasks of 1000 ms
+    When the log lives through 3 retentions
+    And a node starts
+    Then the new node has the table and the job
+
+  Scenario: A node that reaches neither log nor peers refuses new work
+    When node-0 is cut off from everything but the workers
+    Then node-0 refuses new work after 15 s and before the workers change hands
+
+  Scenario Outline: A planted fault shows in a directed failure
+    Given 3 nodes and 3 trusting workers on a virtual clock
+    And the planted fault "<fault>"
+    And a load of 250 requests a second for 25 s
+    When <failure>
+    Then the workers saw an offence
+
+    Examples:
+      | fault                       | failure                                                 |
+      | slot lease counted too long | a node is cut off from its peers after 5 s              |
+
+  Scenario Outline: The same failure without the fault
+    Given 3 nodes and 3 trusting workers on a virtual clock
+    And a load of 250 requests a second for 25 s
+    When <failure>
+    Then the workers saw no offence
+
+    Examples:
+      | failure                                                 |
+      | the owner of worker-0 is cut off from it after 5 s      |
+      | a node is cut off from its peers after 5 s              |
--- a/features/mutants.py
+++ b/features/mutants.py
@@ -10,7 +10,6 @@
 from carawaymast_core import lease
 from carawaymast_core import records
 from carawaymast_core import slots
-from carawaymast_node import beats
 from carawaymast_node import log_service
 
 __all__ = ['MUTANT_BY_NAME']
@@ -36,12 +35,13 @@
 
 def slot_lease_counted_from_receipt():
     """Let an entry node count its slot leases for too long."""
-    original = beats.Beats._add
+    original = slots.SlotCache.add
 
-    def add(self, owner_id, grants, basis_ms, lease_ms):
-        original(self, owner_id, grants, basis_ms, lease_ms + TOO_LONG_MS)
+    def add(self, slot_id, owner_id, epoch, serial, expires_at_ms):
+        too_late_ms = expires_at_ms + TOO_LONG_MS
+        original(self, slot_id, owner_id, epoch, serial, too_late_ms)
 
-    return mock.patch.object(beats.Beats, '_add', add)
+    return mock.patch.object(slots.SlotCache, 'add', add)
 
 
 def claim_used_before_read_back():
--- /dev/null
+++ b/features/randomised.feature
@@ -0,0 +1,35 @@
+Feature: Long random runs with the invariants asserted inside the program
+
+  Scenario Outline: Random steps on one aggregate
+    When the <machine> machine takes at least <steps> random steps
+    Then every assertion held
+
+    Examples:
+      | machine | steps |
+      | queue   | 10000 |
+      | replica | 10000 |
+      | book    | 10000 |
+      | lease   | 10000 |
+      | shares  | 4000  |
+
+  Scenario Outline: Random failures of whole nodes
+    When the <machine> machine takes at least <steps> random steps
+    Then every assertion held
+
+    Examples:
+      | machine        | steps |
+      | fleet          | 1500  |
+      | trusting fleet | 1500  |
+
+  Scenario Outline: A planted fault is found
+    Given the planted fault "<fault>"
+    When the <machine> machine takes up to <examples> random examples
+    Then the run failed
+
+    Examples:
+      | fault                       | machine        | examples |
+      | claim used before read-back | fleet          | 40       |
+      | snapshot that reverts       | fleet          | 60       |
+      | slot reused without a report| trusting fleet | 150      |
+      | no guard interval           | lease          | 60       |
+      | worker without epochs       | fleet          | 150      |
--- a/features/randomised.py
+++ b/features/randomised.py
@@ -22,6 +22,7 @@
     'shares': core_machines.ShareMachine,
     'replica': core_machines.ReplicaMachine,
     'book': core_machines.BookMachine,
+    'lease': core_machines.LeaseMachine,
     'fleet': fleet_machine.FleetMachine,
     'trusting fleet': fleet_machine.TrustingFleetMachine,
 }
--- a/features/virtual.py
+++ b/features/virtual.py
@@ -94,9 +94,14 @@
             own, holder, fleet.clock, ports, LEASE_MS, RETENTION_MS
         ).register(root)
         root.begin()
-        self.keyed = keyed.KeyedRequests(self.roles.log, self.roles.entry)
+        self.keyed = keyed.KeyedRequests(
+            fleet.clock, self.roles.log, self.roles.entry
+        )
         self.desk = job_desk.JobDesk(
-            self.roles.log, self.roles.tables, self.roles.shapes.counts
+            fleet.clock,
+            self.roles.log,
+            self.roles.tables,
+            self.roles.shapes.counts,
         )
         self.tasks = [
             asyncio.ensure_future(step) for step in self.roles.steps()
--- a/packages/carawaymast-core/carawaymast_core/clock.py
+++ b/packages/carawaymast-core/carawaymast_core/clock.py
@@ -13,21 +13,31 @@
 
 
 class Clock:
-    """A monotonic clock that reads whole milliseconds.
+    """A clock that reads whole milliseconds, monotonic and by the calendar.
 
-    The origin is arbitrary, so that only differences carry meaning::
+    The origin of ``now`` is arbitrary, so that only differences carry
+    meaning; ``wall`` is for records that outlive the process::
 
         started = clock.now()
         elapsed_ms = clock.now() - started
     """
 
-    def __init__(self, read: typing.Callable[[], int]):
+    def __init__(
+        self,
+        read: typing.Callable[[], int],
+        read_wall: typing.Callable[[], int] | None = None,
+    ):
         self._read = read
+        self._read_wall = read_wall or read
 
     def now(self) -> int:
         """Return the present reading in milliseconds."""
         return self._read()
 
+    def wall(self) -> int:
+        """Return the milliseconds since 1970."""
+        return self._read_wall()
+
 
 class ManualClock(Clock):
     """A clock that moves only when it is told to."""
@@ -47,8 +57,8 @@
 
 
 def monotonic() -> Clock:
-    """Return a clock that reads the monotonic clock of the system."""
-    return Clock(lambda: time.monotonic_ns() // NANOSECONDS_PER_MS)
+    """Return a clock that reads the clocks of the system."""
+    return Clock(lambda: time.monotonic_ns() // NANOSECONDS_PER_MS, wall_ms)
 
 
 def wall_ms() -> int:
--- a/packages/carawaymast-core/carawaymast_core/workerbook.py
+++ b/packages/carawaymast-core/carawaymast_core/workerbook.py
@@ -213,19 +213,18 @@
             self._drop_reservation(reservation)
         return [reservation.ref for reservation in expired]
 
-    def begin_start(self, ref: jobs.TaskRef) -> str | None:
+    def begin_start(self, ref: jobs.TaskRef, worker_id: str) -> bool:
         """Turn a firm reservation into a starting task.
 
-        Returns the worker, or None if the start is refused; a refused
-        attempt never starts.
+        Tells whether the start may go on; a refused attempt never starts.
         """
-        reservation = self._reservation(ref)
+        reservation = self._reservation(ref, worker_id)
         if reservation is None or reservation.is_pending:
             self.refuse(ref)
-            return None
+            return False
         if reservation.expires_at_ms <= self._clock.now():
             self.refuse(ref)
-            return None
+            return False
         self._drop_reservation(reservation)
         task = RunningTask(
             ref,
@@ -234,10 +233,9 @@
             AttemptStatus.STARTING,
             self._clock.now(),
         )
-        worker = self._worker_by_id[reservation.worker_id]
-        self._add_running(reservation.worker_id, worker, task)
-        self._reindex(reservation.worker_id)
-        return reservation.worker_id
+        self._add_running(worker_id, self._worker_by_id[worker_id], task)
+        self._reindex(worker_id)
+        return True
 
     def confirm_start(self, ref: jobs.TaskRef) -> None:
         """Note that the worker runs the attempt."""
@@ -283,7 +281,7 @@
         task = worker.running_by_ref.get(ref)
         if task is not None:
             return task.status
-        if self._reservation(ref) is not None:
+        if self._reservation(ref, worker_id) is not None:
             return AttemptStatus.RESERVED
         self.refuse(ref)
         return AttemptStatus.NEVER
@@ -311,9 +309,12 @@
             f'{worker.capacity}',
         )
 
-    def _reservation(self, ref: jobs.TaskRef) -> Reservation | None:
+    def _reservation(
+        self, ref: jobs.TaskRef, on_worker: str | None = None
+    ) -> Reservation | None:
+        """Return the reservation of an attempt, on one worker if given."""
         worker_id = self._worker_id_by_ref.get(ref)
-        if worker_id is None:
+        if worker_id is None or on_worker not in (None, worker_id):
             return None
         return self._worker_by_id[worker_id].reserved_by_ref.get(ref)
 
@@ -372,7 +373,7 @@
         worker = self._worker_by_id[best]
         for other in list(worker.reserved_by_ref.values()):
             if claimant < other.claimant and not size.fits_in(worker.free()):
-                self.refuse(other.ref)
+                self._drop_reservation(other)
         is_pending = not size.fits_in(worker.free())
         return self._keep(ref, best, kind, size, claimant, is_pending)
 
--- a/packages/carawaymast-node/carawaymast_node/api.py
+++ b/packages/carawaymast-node/carawaymast_node/api.py
@@ -48,9 +48,9 @@
         self._entry = roles.entry
         self._tables = roles.tables
         self._log = roles.log
-        self._keyed = keyed.KeyedRequests(roles.log, roles.entry)
+        self._keyed = keyed.KeyedRequests(roles.clock, roles.log, roles.entry)
         self._desk = job_desk.JobDesk(
-            roles.log, roles.tables, roles.shapes.counts
+            roles.clock, roles.log, roles.tables, roles.shapes.counts
         )
         self._reports = reports
         self._background = background.TaskSet()
--- a/packages/carawaymast-node/carawaymast_node/beats.py
+++ b/packages/carawaymast-node/carawaymast_node/beats.py
@@ -41,6 +41,7 @@
     count_by_shape: dict[resources.Resources, int]
     reaches_log: bool
     demand_by_kind: dict[str, int]
+    unreachable: frozenset[str]
 
 
 class Beats:
@@ -77,6 +78,11 @@
         silent_ms = self._clock.now() - self._last_reply_at_ms
         return not self._members.peers() or silent_ms < BEAT_INTERVAL_MS * 6
 
+    def reaches(self, node_id: str, worker_id: str) -> bool:
+        """Tell whether a node has not said that it cannot reach a worker."""
+        view = self.view_by_id.get(node_id)
+        return view is None or worker_id not in view.unreachable
+
     async def keep_beating(self) -> typing.NoReturn:
         """Send beats to all members, for as long as the node runs."""
         while True:
@@ -197,6 +203,7 @@
             wanted=self._wanted(member.node_id),
             owner=self._summary(),
             reaches_log=self._log.is_reachable,
+            unreachable=self._owner.unreachable_ids,
         )
 
     def _wanted(self, owner_id: str) -> int:
@@ -302,6 +309,7 @@
         {_vector(s.capacity): s.count for s in beat.owner.shapes},
         beat.reaches_log,
         dict(beat.demand_by_kind),
+        frozenset(beat.unreachable),
     )
 
 
--- a/packages/carawaymast-node/carawaymast_node/coordinator.py
+++ b/packages/carawaymast-node/carawaymast_node/coordinator.py
@@ -120,7 +120,7 @@
         """Record the end of an attempt; tell whether the log has it."""
         if not self._log.is_caught_up:
             return False
-        now_ms = clock_mod.wall_ms()
+        now_ms = self._clock.wall()
         writes = jobs.end_attempt(self._log.replica, ref, outcome, now_ms)
         if writes is None:
             return True
@@ -166,7 +166,7 @@
 
     async def _advance_once(self, job_id: str) -> None:
         replica = self._log.replica
-        writes = jobs.finish(replica, job_id, clock_mod.wall_ms())
+        writes = jobs.finish(replica, job_id, self._clock.wall())
         if writes is not None:
             if await self._log.commit(writes, COMMIT_TIMEOUT_MS):
                 self.counters['jobs_done'] += 1
@@ -213,7 +213,7 @@
         Owners are asked in the order of their ids. A gang that has waited
         long keeps what it has and holds what it lacks.
         """
-        waited_ms = clock_mod.wall_ms() - value['accepted_at_ms']
+        waited_ms = self._clock.wall() - value['accepted_at_ms']
         # A gang that the fleet cannot hold now must not hold workers.
         may_hold = waited_ms >= HOLD_AFTER_MS and fleetshape.can_place(
             map(jobs.size_of, due.values()), self._count_by_shape()
--- a/packages/carawaymast-node/carawaymast_node/job_desk.py
+++ b/packages/carawaymast-node/carawaymast_node/job_desk.py
@@ -23,10 +23,12 @@
 
     def __init__(
         self,
+        clock: clock_mod.Clock,
         log: log_service.LogService,
         tables: table_keeper.TableKeeper,
         count_by_shape: typing.Callable[[], fleetshape.CountByShape],
     ):
+        self._clock = clock
         self._log = log
         self._tables = tables
         self._count_by_shape = count_by_shape
@@ -44,7 +46,7 @@
         jobs.check_spec(spec)
         self._check_possible(spec)
         job_id = uuid.uuid4().hex
-        now_ms = clock_mod.wall_ms()
+        now_ms = self._clock.wall()
         writes = jobs.accept(job_id, spec, now_ms)
         if key is not None:
             known_id = self._add_key(writes, spec, raw, key, job_id, now_ms)
@@ -80,7 +82,7 @@
     async def cancel(self, job_id: str) -> dict[str, typing.Any]:
         """Cancel an open job; ``CONFLICT`` if it has ended."""
         self.show(job_id)
-        now_ms = clock_mod.wall_ms()
+        now_ms = self._clock.wall()
         writes = jobs.cancel(self._log.replica, job_id, now_ms)
         if writes is not None:
             if await committing.commit(self._log, writes, COMMIT_TIMEOUT_MS):
--- a/packages/carawaymast-node/carawaymast_node/keyed.py
+++ b/packages/carawaymast-node/carawaymast_node/keyed.py
@@ -30,8 +30,12 @@
     """Claims keys, runs their requests and keeps the outcomes."""
 
     def __init__(
-        self, log: log_service.LogService, entry: entry_mod.EntryService
+        self,
+        clock: clock_mod.Clock,
+        log: log_service.LogService,
+        entry: entry_mod.EntryService,
     ):
+        self._clock = clock
         self._log = log
         self._entry = entry
         self._background = background.TaskSet()
@@ -57,7 +61,7 @@
         if kept is not None:
             reply(*kept)
             return
-        now_ms = clock_mod.wall_ms()
+        now_ms = self._clock.wall()
         writes = keys.claim(replica, name, digest, request_id, now_ms)
         request = self._entry.admit(
             request_id,
@@ -103,14 +107,14 @@
             request_id,
             status,
             body,
-            clock_mod.wall_ms(),
+            self._clock.wall(),
         )
         await self._commit(writes)
 
     async def _release(self, name, request_id) -> None:
         for _ in range(RELEASE_TRIES):
             writes = keys.release(
-                self._log.replica, name, request_id, clock_mod.wall_ms()
+                self._log.replica, name, request_id, self._clock.wall()
             )
             if await self._commit(writes):
                 return
--- a/packages/carawaymast-node/carawaymast_node/owner.py
+++ b/packages/carawaymast-node/carawaymast_node/owner.py
@@ -25,6 +25,8 @@
 
 RENEWALS_PER_LEASE = 6
 ACQUIRE_POLL_MS = 500
+UNREACHABLE_AFTER_CALLS = 3
+UNREACHABLE_POLL_MS = 2_000
 PARALLEL_CALLS = 32
 
 
@@ -36,6 +38,7 @@
         self.lease = lease_mod.HeldLease(clock)
         self.boot = ''
         self.next_call_at_ms = 0
+        self.failed_calls = 0
         self.is_draining = False
         self.is_busy = False
 
@@ -78,6 +81,8 @@
         self._background = background.TaskSet()
         self._gate = asyncio.Semaphore(PARALLEL_CALLS)
         self.may_own: typing.Callable[[], bool] = lambda: True
+        self.reaches: typing.Callable[[str, str], bool]
+        self.reaches = lambda node_id, worker_id: True
         self.task_ended: TaskEnded
         self.claimed_on: typing.Callable[
             [str], typing.Iterable[jobs.TaskRef]
@@ -112,6 +117,15 @@
             if owned.lease.is_held()
         ]
 
+    @property
+    def unreachable_ids(self) -> list[str]:
+        """The workers that this node tried in vain to reach."""
+        return [
+            worker_id
+            for worker_id, owned in self._owned_by_id.items()
+            if owned.failed_calls >= UNREACHABLE_AFTER_CALLS
+        ]
+
     def owns(self, worker_id: str) -> bool:
         """Tell whether this node holds the lease on a worker now."""
         owned = self._owned_by_id.get(worker_id)
@@ -163,8 +177,7 @@
         known = self.status(worker_id, ref)
         if known is not workerbook.AttemptStatus.RESERVED:
             return known.value
-        worker_id = self.book.begin_start(ref)
-        if worker_id is None:
+        if not self.book.begin_start(ref, worker_id):
             return workerbook.AttemptStatus.NEVER.value
         owned = self._owned_by_id[worker_id]
         task = next(t for t in self.book.running_on(worker_id) if t.ref == ref)
@@ -214,8 +227,11 @@
         if owned.lease.is_held():
             self._step_held(owned, staying)
             return
-        owned.next_call_at_ms = self._clock.now() + ACQUIRE_POLL_MS
-        if self._should_own(owned, staying) and self.may_own():
+        is_unreachable = owned.failed_calls >= UNREACHABLE_AFTER_CALLS
+        wait_ms = UNREACHABLE_POLL_MS if is_unreachable else ACQUIRE_POLL_MS
+        owned.next_call_at_ms = self._clock.now() + wait_ms
+        is_due = is_unreachable or self._should_own(owned, staying)
+        if is_due and self.may_own():
             self._spawn(owned, self._acquire(owned))
 
     def _step_held(self, owned: _Owned, staying) -> None:
@@ -231,8 +247,14 @@
         self._spawn(owned, self._acquire(owned))
 
     def _should_own(self, owned: _Owned, staying) -> bool:
+        worker_id = owned.vm.vm_id
+        reaching = [
+            member
+            for member in staying
+            if self.reaches(member.node_id, worker_id)
+        ]
         best = membership.preferred_owner(
-            owned.vm.vm_id, owned.vm.domain, staying
+            worker_id, owned.vm.domain, reaching or staying
         )
         return best in (None, self._members.own.node_id)
 
@@ -255,7 +277,9 @@
             )
         except worker_port.WorkerDownError:
             self.counters['worker_errors'] += 1
+            owned.failed_calls += 1
             return
+        owned.failed_calls = 0
         if not answer['granted']:
             self.counters['refused'] += 1
             self._lose(owned)
--- a/packages/carawaymast-node/carawaymast_node/roles.py
+++ b/packages/carawaymast-node/carawaymast_node/roles.py
@@ -172,6 +172,7 @@
         self.owner.claimed_on = self.coordinator.index.claimed_on
         self.owner.is_wanted = self.coordinator.is_wanted
         self.owner.may_own = lambda: not self.is_isolated
+        self.owner.reaches = self.beats.reaches
         handlers = self.service.handler_by_method
         handlers['Beat'] = self.beats.on_beat
         handlers['OfferSlots'] = self.beats.on_offer
