Idle slots go back to their owners, and demand goes where slots are free

Idle slots sat in caches of nodes that did not need them: targets came from demand up to 500 ms old, and a node asked owners that had nothing free.

Change: beats carry free slots, a node asks owners with free ones first and all of them only when the demand has doubled or 100 ms have passed; idle slots go back after 500, 20 or 0 ms as slots are plenty, some or none free; an owner offers at once, and lends what the targets leave over.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each prints its figures and its baseline from one run."""
--- /dev/null
+++ b/bench/path.py
@@ -0,0 +1,163 @@
+"""Requests a second and CPU per request through one node.
+
+The baseline is a bare ``circuits.web`` handler that answers at once, under
+the same load in the same run::
+
+    python -m bench.path
+"""
+
+import asyncio
+import os
+import signal
+import statistics
+import subprocess
+import sys
+import time
+import typing
+
+import aiohttp
+import msgspec
+import tabulate
+
+from standins import deployment
+
+__all__ = ['main']
+
+ROUNDS = 3
+LENGTH_S = 5.0
+CALLERS = 32
+STEADY_RATE = 1_000
+STEADY_S = 8.0
+BODY = msgspec.json.encode(
+    {
+        'kind': 'glyph-preview',
+        'team': 'ficha',
+        'deadline_ms': 4_000,
+        'idempotent': True,
+        'payload': {'run_ms': 0, 'echo': 'x'},
+    }
+)
+CLOCK_TICKS = os.sysconf('SC_CLK_TCK')
+
+
+class Figures(typing.NamedTuple):
+    """What one load on one process showed."""
+
+    rate: float
+    cpu_us: float
+    failed: int
+
+
+def cpu_s(pid: int) -> float:
+    """Return the processor time of a process so far."""
+    with open(f'/proc/{pid}/stat') as stat:
+        fields = stat.read().rpartition(')')[2].split()
+    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
+
+
+def rss_mb(pid: int) -> float:
+    """Return the resident memory of a process."""
+    with open(f'/proc/{pid}/statm') as statm:
+        pages = int(statm.read().split()[1])
+    return pages * os.sysconf('SC_PAGE_SIZE') / 1_000_000
+
+
+async def closed_loop(url: str, seconds: float) -> tuple[int, int]:
+    """Keep all callers busy; return how many calls were done and failed."""
+    done = failed = 0
+    give_up_at = time.monotonic() + seconds
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+
+        async def caller() -> None:
+            nonlocal done, failed
+            while time.monotonic() < give_up_at:
+                async with session.post(url, data=BODY) as response:
+                    await response.read()
+                    if response.status == 200:
+                        done += 1
+                    else:
+                        failed += 1
+
+        await asyncio.gather(*(caller() for _ in range(CALLERS)))
+    return done, failed
+
+
+def measure(url: str, pid: int) -> Figures:
+    """Return the figures of one round."""
+    before, started = cpu_s(pid), time.monotonic()
+    done, failed = asyncio.run(closed_loop(url, LENGTH_S))
+    elapsed = time.monotonic() - started
+    cpu_us = (cpu_s(pid) - before) / max(1, done) * 1_000_000
+    return Figures(done / elapsed, cpu_us, failed)
+
+
+async def steady(url: str) -> None:
+    """Send at a steady rate, whatever the answers do."""
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+
+        async def one() -> None:
+            async with session.post(url, data=BODY) as response:
+                await response.read()
+
+        started = time.monotonic()
+        async with asyncio.TaskGroup() as group:
+            for number in range(int(STEADY_RATE * STEADY_S)):
+                due = started + number / STEADY_RATE
+                left = due - time.monotonic()
+                if left > 0:
+                    await asyncio.sleep(left)
+                group.create_task(one())
+
+
+def main() -> None:
+    """Measure node and baseline in turn and print both."""
+    port = deployment.free_port()
+    bare = subprocess.Popen(
+        [sys.executable, '-m', 'bench.bare', str(port)],
+        cwd=deployment.ROOT,
+        stderr=subprocess.DEVNULL,
+    )
+    try:
+        with deployment.Deployment(1, 4) as running:
+            _compare(running, f'http://127.0.0.1:{port}/', bare.pid)
+    finally:
+        bare.send_signal(signal.SIGTERM)
+        bare.wait()
+
+
+def _compare(running, bare_url: str, bare_pid: int) -> None:
+    node_url = running.url_by_name['node-0']
+    node_pid = running.process_by_name['node-0'].pid
+    targets = {
+        'bare handler': (bare_url, bare_pid),
+        'node': (f'{node_url}/v1/requests', node_pid),
+    }
+    rounds: dict[str, list[Figures]] = {name: [] for name in targets}
+    for _ in range(ROUNDS):
+        for name, (url, pid) in targets.items():
+            rounds[name].append(measure(url, pid))
+    rows = [
+        [
+            name,
+            statistics.median(f.rate for f in figures),
+            statistics.median(f.cpu_us for f in figures),
+            sum(f.failed for f in figures),
+        ]
+        for name, figures in rounds.items()
+    ]
+    headers = ['process', 'requests/s', 'CPU us/request', 'failed']
+    print(tabulate.tabulate(rows, headers, floatfmt='.0f'))
+    print(f'ratio of rates {rows[1][1] / rows[0][1]:.2f} (target 0.50)')
+    print(f'node memory {rss_mb(node_pid):.0f} MB (target under 128)')
+    asyncio.run(steady(f'{node_url}/v1/requests'))
+    metrics = deployment.call('GET', f'{node_url}/v1/metrics')[1]
+    print(
+        f'decision at {STEADY_RATE}/s: {metrics["decision_us"]} us '
+        '(target p99 under 1000)'
+    )
+
+
+if __name__ == '__main__':
+    main()
--- a/features/fleet_machine.py
+++ b/features/fleet_machine.py
@@ -16,7 +16,7 @@
 from carawaymast_core import errors
 from carawaymast_core import jobs
 from carawaymast_core import table as table_mod
-from features import virtual
+from standins import virtual
 
 __all__ = ['FleetMachine', 'TrustingFleetMachine']
 
--- a/features/mutants.py
+++ b/features/mutants.py
@@ -37,9 +37,9 @@
     """Let an entry node count its slot leases for too long."""
     original = slots.SlotCache.add
 
-    def add(self, slot_id, owner_id, epoch, serial, expires_at_ms):
+    def add(self, slot_id, owner_id, epoch, serial, expires_at_ms, now_ms):
         too_late_ms = expires_at_ms + TOO_LONG_MS
-        original(self, slot_id, owner_id, epoch, serial, too_late_ms)
+        original(self, slot_id, owner_id, epoch, serial, too_late_ms, now_ms)
 
     return mock.patch.object(slots.SlotCache, 'add', add)
 
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -12,7 +12,7 @@
 from carawaymast_core import jobs
 from carawaymast_core import membership
 from carawaymast_core import table as table_mod
-from features import virtual
+from standins import virtual
 
 TABLE = pathlib.Path(__file__).parent.parent.parent / 'standins' / 'table.csv'
 SEED = int(os.environ.get('CARAWAYMAST_TEST_SEED', '7'))
--- a/packages/carawaymast-core/carawaymast_core/slots.py
+++ b/packages/carawaymast-core/carawaymast_core/slots.py
@@ -273,7 +273,8 @@
 
     def __init__(self) -> None:
         self._held_by_id: dict[SlotId, _Held] = {}
-        self._idle: dict[SlotId, None] = {}
+        # Slots in the order of becoming idle, with the time of it.
+        self._idle: dict[SlotId, int] = {}
 
     @property
     def total(self) -> int:
@@ -292,6 +293,7 @@
         epoch: int,
         serial: int,
         expires_at_ms: int,
+        now_ms: int,
     ) -> None:
         """Take in a slot that was just leased to this node."""
         held = self._held_by_id.get(slot_id)
@@ -305,7 +307,8 @@
             return
         held = _Held(owner_id, epoch, serial, expires_at_ms)
         self._held_by_id[slot_id] = held
-        self._idle[slot_id] = None
+        self._idle.pop(slot_id, None)
+        self._idle[slot_id] = now_ms
 
     def renew(self, slot_id: SlotId, expires_at_ms: int) -> None:
         """Extend a lease, unless the slot was given up meanwhile."""
@@ -358,7 +361,7 @@
         if held.is_recalled:
             del self._held_by_id[slot_id]
             return ReleasedSlot(slot_id, held.serial)
-        self._idle[slot_id] = None
+        self._idle[slot_id] = now_ms
         return None
 
     def quarantine(self, slot_id: SlotId, request_id: str) -> None:
@@ -396,6 +399,21 @@
             self._held_by_id[slot_id].is_recalled = True
         return released
 
+    def pop_idle_since(self, until_ms: int) -> list[tuple[str, ReleasedSlot]]:
+        """Give back the slots that became idle by ``until_ms``.
+
+        Returns each with the owner that leased it.
+        """
+        released = []
+        for slot_id, since_ms in list(self._idle.items()):
+            if since_ms > until_ms:
+                break
+            del self._idle[slot_id]
+            held = self._held_by_id.pop(slot_id)
+            one = ReleasedSlot(slot_id, held.serial)
+            released.append((held.owner_id, one))
+        return released
+
     def drop_worker(self, worker_id: str) -> None:
         """Stop using the idle slots of one worker."""
         for slot_id in list(self._idle):
--- a/packages/carawaymast-node/carawaymast_node/beats.py
+++ b/packages/carawaymast-node/carawaymast_node/beats.py
@@ -26,7 +26,10 @@
 __all__ = ['Beats', 'PeerView']
 
 BEAT_INTERVAL_MS = 500
-DEMAND_PAUSE_MS = 20
+DEMAND_REPEAT_MS = 100
+KEEP_IDLE_PLENTY_MS = 500
+KEEP_IDLE_SOME_MS = 20
+PLENTY_SHARE = 0.2
 BEAT_TIMEOUT_MS = 800
 
 
@@ -65,6 +68,8 @@
         self._tables = tables
         self._log = log
         self._last_demand_at_ms = 0
+        self._asking = 0
+        self._free_by_id: dict[str, int] = {}
         self._demand_sent = 0
         self._background = background.TaskSet()
         self._last_reply_at_ms = clock.now()
@@ -94,18 +99,80 @@
             await asyncio.sleep(self._interval_ms() / 1000)
 
     def demand(self) -> None:
-        """Ask the owners for slots at once, unless just asked."""
-        now_ms = self._clock.now()
-        waiting = len(self._entry.queue)
-        if waiting <= 2 * self._demand_sent:
-            return
-        if now_ms - self._last_demand_at_ms < DEMAND_PAUSE_MS:
+        """Ask owners for slots at once, unless that was done just now.
+
+        Owners that are known to have free slots are asked first. If there
+        are none, all owners are told the demand; they remember it and offer
+        slots as they come back.
+        """
+        waiting = self._short()
+        if waiting <= 0 or self._asking:
             return
+        asked = self._free_first(waiting)
+        if not asked:
+            if not self._is_news(waiting):
+                return
+            asked = {
+                member.node_id: self._part(member.node_id, waiting)
+                for member in self._targets()
+            }
+        for node_id, wanted in asked.items():
+            member = self._members.member(node_id)
+            if wanted and member is not None:
+                self._asking += 1
+                self._background.spawn(self._ask(member, wanted))
+
+    async def _ask(self, member: membership.Member, wanted: int) -> None:
+        try:
+            granted = await self._beat(member, wanted)
+        finally:
+            self._asking -= 1
+        if granted < wanted:
+            # Others wait there too; what is free goes by their shares.
+            self._free_by_id[member.node_id] = 0
+        self.demand()
+
+    def _free_first(self, waiting: int) -> dict[str, int]:
+        """Return how many slots to ask of owners that have free ones."""
+        asked = {}
+        by_free = sorted(self._free_by_id.items(), key=lambda item: -item[1])
+        for node_id, free in by_free:
+            if waiting <= 0 or free <= 0:
+                break
+            asked[node_id] = min(waiting, free)
+            waiting -= asked[node_id]
+        return asked
+
+    def _is_news(self, waiting: int) -> bool:
+        """Tell whether the demand differs from what all owners know."""
+        now_ms = self._clock.now()
+        is_old = now_ms - self._last_demand_at_ms >= DEMAND_REPEAT_MS
+        if not is_old and waiting <= 2 * self._demand_sent:
+            return False
         self._last_demand_at_ms = now_ms
         self._demand_sent = waiting
-        for member in self._targets():
-            if self._slots_of(member.node_id):
-                self._background.spawn(self._beat(member))
+        return True
+
+    def release_idle(self) -> None:
+        """Give back slots that were idle for longer than is useful now."""
+        keep_ms = self._keep_idle_ms()
+        until_ms = self._clock.now() - keep_ms
+        released_by_owner: dict[str, list[slots.ReleasedSlot]] = {}
+        for owner_id, one in self._entry.cache.pop_idle_since(until_ms):
+            released_by_owner.setdefault(owner_id, []).append(one)
+        for owner_id, released in released_by_owner.items():
+            self._return(released, owner_id)
+
+    def _keep_idle_ms(self) -> int:
+        """Return how long an idle slot is kept.
+
+        Slots are kept long while many are free, since a kept slot saves a
+        message, and not at all while others may wait for one.
+        """
+        free = sum(self._free_by_id.values())
+        if free > self._entry.fleet_slots * PLENTY_SHARE:
+            return KEEP_IDLE_PLENTY_MS
+        return KEEP_IDLE_SOME_MS if free else 0
 
     async def say_leaving(self) -> None:
         """Tell all members at once that this node is leaving."""
@@ -122,12 +189,14 @@
         )
         self._members.hear(member, self._clock.now(), beat.is_leaving)
         self.view_by_id[member.node_id] = _view(beat)
+        self._free_by_id[member.node_id] = beat.owner.free_slots
         renewed, grants = self._owner.grantor.on_beat(member, beat)
         reply = peer_pb2.BeatReply(
             table_version=self._tables.table.version,
             grants=grants,
             renewed=peers.held_slots(renewed),
             lease_ms=slots.SLOT_LEASE_MS,
+            free_slots=self._owner.grantor.ledger.free_total,
         )
         if beat.table_version < self._tables.table.version:
             reply.table_json = self._tables.travelling()
@@ -156,17 +225,27 @@
 
     def give_back(self, released: slots.ReleasedSlot, owner_id: str) -> None:
         """Return a recalled slot whose request has ended."""
+        self._return([released], owner_id)
+
+    def _return(
+        self, released: list[slots.ReleasedSlot], owner_id: str
+    ) -> None:
         member = self._members.member(owner_id)
         if member is None:
             return
         message = peer_pb2.ReturnSlotsRequest(
             node_id=self._members.own.node_id,
-            slots=peers.released_slots([released]),
+            slots=peers.released_slots(released),
         )
         self._background.spawn(self._tell(member, 'ReturnSlots', message))
 
-    async def _beat(self, member: membership.Member) -> None:
-        beat = self._message(member)
+    async def _beat(
+        self, member: membership.Member, wanted: int | None = None
+    ) -> int:
+        """Send a beat; return how many slots it brought."""
+        if wanted is None:
+            wanted = self._part(member.node_id, self._short())
+        beat = self._message(member, wanted)
         self.sent_total += 1
         try:
             reply = await self._call(
@@ -174,17 +253,21 @@
             )
         except peers.PeerError:
             self.failed_total += 1
-            return
+            return 0
         if member.node_id != self._members.own.node_id:
             self._last_reply_at_ms = self._clock.now()
+        self._free_by_id[member.node_id] = reply.free_slots
         if reply.table_json:
             self._tables.adopt(reply.table_json)
         self._renew(reply.renewed, beat.sent_at_ms + reply.lease_ms)
         self._add(
             member.node_id, reply.grants, beat.sent_at_ms, reply.lease_ms
         )
+        return sum(grant.mask.bit_count() for grant in reply.grants)
 
-    def _message(self, member: membership.Member) -> peer_pb2.BeatRequest:
+    def _message(
+        self, member: membership.Member, wanted: int
+    ) -> peer_pb2.BeatRequest:
         own = self._members.own
         entry = self._entry
         held = entry.cache.held_of(member.node_id)
@@ -200,23 +283,26 @@
             sent_at_ms=self._clock.now(),
             demand_by_kind=entry.queue.demand_by_kind(),
             held=peers.held_slots(held),
-            wanted=self._wanted(member.node_id),
+            wanted=wanted,
             owner=self._summary(),
             reaches_log=self._log.is_reachable,
             unreachable=self._owner.unreachable_ids,
         )
 
-    def _wanted(self, owner_id: str) -> int:
-        """Return this owner's part of the slots that could be used.
+    def _short(self) -> int:
+        """Return how many more slots could be used at once."""
+        return len(self._entry.queue) - self._entry.cache.idle_total
+
+    def _part(self, owner_id: str, waiting: int) -> int:
+        """Return one owner's part of the slots that could be used.
 
         The part is proportional to the owner's slots; fractions are drawn,
         so that a single wanted slot is asked of one owner on average.
         """
-        short = len(self._entry.queue) - self._entry.cache.idle_total
         fleet = self._entry.fleet_slots
-        if short <= 0 or not fleet:
+        if waiting <= 0 or not fleet:
             return 0
-        exact = short * self._slots_of(owner_id) / fleet
+        exact = waiting * self._slots_of(owner_id) / fleet
         return int(exact + random.random())
 
     def _summary(self) -> peer_pb2.OwnerSummary:
@@ -224,6 +310,7 @@
         return peer_pb2.OwnerSummary(
             workers=len(book),
             slots=self._owner.grantor.ledger.total,
+            free_slots=self._owner.grantor.ledger.free_total,
             capacity=peer_pb2.Resources(**book.capacity._asdict()),
             used=peer_pb2.Resources(**book.used._asdict()),
             shapes=[
@@ -251,6 +338,7 @@
         for node_id in list(self.view_by_id):
             if not self._members.is_live(node_id):
                 del self.view_by_id[node_id]
+                self._free_by_id.pop(node_id, None)
         live = self._members.live()
         self._entry.node_count = len(live)
         self._entry.fleet_slots = sum(
@@ -278,6 +366,7 @@
                     grant.epoch,
                     grant.serial,
                     expires_at_ms,
+                    self._clock.now(),
                 )
         if grants:
             self._demand_sent = 0
--- a/packages/carawaymast-node/carawaymast_node/entry.py
+++ b/packages/carawaymast-node/carawaymast_node/entry.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import time
 import typing
 
 from hdrh import histogram
@@ -29,6 +30,7 @@
 HISTOGRAM_MAX_MS = 3_600_000
 HISTOGRAM_DIGITS = 2
 EXPIRY_POLL_MS = 20
+NANOSECONDS_PER_US = 1_000
 
 Reply = typing.Callable[[int, typing.Any], None]
 
@@ -91,6 +93,7 @@
         self.fleet_slots = 0
         self.node_count = 1
         self.want_slots: typing.Callable[[], None] = lambda: None
+        self.spare_slots: typing.Callable[[], None] = lambda: None
         self.give_back: typing.Callable[[slots.ReleasedSlot, str], None]
         self.give_back = lambda released, owner_id: None
 
@@ -111,8 +114,11 @@
 
         After admission ``reply`` is called once, with status and body.
         """
+        started_ns = time.perf_counter_ns()
         request = self.admit(request_id, body, reply)
         self.enqueue(request)
+        took_us = (time.perf_counter_ns() - started_ns) // NANOSECONDS_PER_US
+        self.decision_us.record_value(max(1, took_us))
 
     def admit(
         self, request_id: str, body: messages.RequestBody, reply: Reply
@@ -161,6 +167,8 @@
             self._start(request, use, now_ms)
         if len(self.queue):
             self.want_slots()
+        elif self.cache.idle_total:
+            self.spare_slots()
 
     def expire(self) -> None:
         """Refuse the requests that waited too long, "not run"."""
--- a/packages/carawaymast-node/carawaymast_node/grants.py
+++ b/packages/carawaymast-node/carawaymast_node/grants.py
@@ -20,7 +20,6 @@
 __all__ = ['Grantor']
 
 DEMAND_LIFE_MS = 2_000
-REBALANCE_PAUSE_MS = 10
 
 Call = typing.Callable[..., typing.Awaitable[typing.Any]]
 
@@ -78,11 +77,14 @@
         renewed = self._renew(member.node_id, beat.held, now_ms)
         if not beat.wanted:
             return renewed, []
-        if self._wanted_total() > self.ledger.free_total:
+        others_want = self._wanted_total() - demand.wanted
+        if others_want:
             self.schedule_rebalance()
             return renewed, []
-        granted = self._lease(member.node_id, self._batch(demand), now_ms)
-        demand.wanted = 0
+        granted = self._lease(member.node_id, demand.wanted, now_ms)
+        demand.wanted -= len(granted)
+        if demand.wanted:
+            self.schedule_rebalance()
         return renewed, self._grants(granted)
 
     def on_return(
@@ -109,12 +111,12 @@
         self.ledger.check_accounts()
 
     def schedule_rebalance(self) -> None:
-        """Divide the slots anew after a short pause for more news."""
+        """Divide the slots anew in the next turn of the loop."""
         if self._is_scheduled:
             return
         self._is_scheduled = True
         loop = asyncio.get_running_loop()
-        loop.call_later(REBALANCE_PAUSE_MS / 1000, self._rebalance)
+        loop.call_soon(self._rebalance)
 
     def _rebalance(self) -> None:
         self._is_scheduled = False
@@ -129,17 +131,21 @@
         self._recall_excess(targets)
 
     def _offer_free(self, targets: dict[str, int]) -> None:
-        now_ms = self._clock.now()
+        """Offer free slots up to the targets, then to whoever wants them."""
         for entry_id, demand in self._by_deficit(targets):
             deficit = targets[entry_id] - self.ledger.held_count(entry_id)
-            count = min(deficit, demand.wanted, self.ledger.free_total)
-            if count <= 0:
-                continue
-            granted = self._lease(entry_id, count, demand.received_at_ms)
-            if not granted:
-                continue
+            self._offer_some(entry_id, demand, deficit)
+        for entry_id, demand in self._by_deficit(targets):
+            self._offer_some(entry_id, demand, demand.wanted)
+
+    def _offer_some(self, entry_id: str, demand: _Demand, most: int) -> None:
+        count = min(most, demand.wanted, self.ledger.free_total)
+        if count <= 0:
+            return
+        granted = self._lease(entry_id, count, demand.received_at_ms)
+        if granted:
             demand.wanted -= len(granted)
-            self._background.spawn(self._offer(demand, granted, now_ms))
+            self._background.spawn(self._offer(demand, granted))
 
     def _recall_excess(self, targets: dict[str, int]) -> None:
         missing = 0
@@ -166,7 +172,7 @@
         )
         return wanting
 
-    async def _offer(self, demand: _Demand, granted, now_ms: int) -> None:
+    async def _offer(self, demand: _Demand, granted) -> None:
         self.offers_total += 1
         message = peer_pb2.OfferSlotsRequest(
             owner_id=self._node_id,
@@ -194,12 +200,6 @@
     def _wanted_total(self) -> int:
         return sum(d.wanted for d in self._demand_by_entry.values())
 
-    def _batch(self, demand: _Demand) -> int:
-        """Return how many slots to grant while there are enough for all."""
-        spare = self.ledger.free_total - self._wanted_total()
-        entries = max(1, len(self._demand_by_entry))
-        return demand.wanted + spare // (2 * entries)
-
     def _renew(self, entry_id, held, now_ms) -> list[slots.SlotId]:
         renewed = []
         for one in held:
--- a/packages/carawaymast-node/carawaymast_node/roles.py
+++ b/packages/carawaymast-node/carawaymast_node/roles.py
@@ -167,6 +167,7 @@
     def _wire(self) -> None:
         """Connect the roles to each other by plain functions."""
         self.entry.want_slots = self.beats.demand
+        self.entry.spare_slots = self.beats.release_idle
         self.entry.give_back = self.beats.give_back
         self.owner.task_ended = self.coordinator.record_end
         self.owner.claimed_on = self.coordinator.index.claimed_on
--- a/features/virtual.py
+++ b/standins/virtual.py
@@ -183,7 +183,9 @@
         node_count: int = 3,
         worker_count: int = 3,
         is_trusting: bool = False,
+        slots: int = SLOTS,
     ):
+        self._slots = slots
         self._is_trusting = is_trusting
         self.loop = loop
         self.draw = random.Random(seed)
@@ -200,6 +202,8 @@
         self.cuts: set[tuple[str, str]] = set()
         self.is_log_down = False
         self.loss = 0.0
+        self.peer_messages = 0
+        self.peer_bytes = 0
         self._node_count = node_count
         self._started = 0
 
@@ -300,9 +304,12 @@
             if not await self.travel(node_id, member.node_id):
                 raise peers.PeerError('cut off')
             target = self.node_by_id[member.node_id]
+            self.peer_messages += 2
+            self.peer_bytes += message.ByteSize()
             reply = await target.roles.service.handler_by_method[method](
                 message
             )
+            self.peer_bytes += reply.ByteSize()
             if not await self.travel(member.node_id, node_id):
                 raise peers.PeerError('answer lost')
             return reply
@@ -352,7 +359,7 @@
     def _make_worker(self) -> worker_standin.Worker:
         return worker_standin.Worker(
             CAPACITY,
-            SLOTS,
+            self._slots,
             self.clock,
             self.clock.now(),
             self._is_trusting,
