A reserve is lent only to work that ends soon

Change: a row borrows a more urgent row's unused reserve only if it usually ends within a tenth of that row's longest wait. Slots kept back stay idle at their node.

--- /dev/null
+++ b/bench/floods.py
@@ -0,0 +1,214 @@
+"""What a flood of one kind of work leaves to the others.
+
+The real roles of four nodes on a virtual clock serve a calm load of six
+kinds; then one kind, or two, floods in at 3 and 10 times the capacity. The
+calm run with the same seed is the baseline::
+
+    python -m bench.floods [SEED]
+"""
+
+import asyncio
+import random
+import sys
+import typing
+
+import tabulate
+
+from carawaymast_core import errors
+from carawaymast_core import table as table_mod
+from standins import deployment
+from standins import load
+from standins import virtual
+
+__all__ = ['main']
+
+NODES = 4
+WORKERS = 6
+SLOTS_PER_WORKER = 8
+SLOTS = WORKERS * SLOTS_PER_WORKER
+LENGTH_S = 8.0
+FLOOD_FROM_S = 1.0
+RUN_MS_BY_KIND = {
+    'placement-check': 15,
+    'glyph-preview': 20,
+    'tool-path-check': 50,
+    'renewal': 100,
+    'roster': 200,
+    'engraving-set': 400,
+}
+CALM_SHARE = 0.08
+DEADLINE_MS = 30_000
+
+
+class Flood(typing.NamedTuple):
+    """Which kinds flood in, at how many times the capacity."""
+
+    kinds: tuple[str, ...]
+    times: float
+
+
+class Row(typing.NamedTuple):
+    """What one kind saw in one run."""
+
+    sent: int
+    started: int
+    refused: int
+    p50_ms: float
+    p99_ms: float
+    longest_ms: float
+    slot_share: float
+
+
+def streams(rows, flood: Flood | None) -> list[load.Stream]:
+    """Return the calm streams and those of the flood."""
+    found = []
+    for kind, run_ms in RUN_MS_BY_KIND.items():
+        rate = CALM_SHARE * SLOTS / (run_ms / 1000)
+        team = rows[kind].team
+        calm = load.Stream(kind, team, rate, run_ms, False, DEADLINE_MS)
+        found.append(calm)
+        if flood is not None and kind in flood.kinds:
+            times = flood.times / len(flood.kinds)
+            extra = rate / CALM_SHARE * times
+            found.append(calm._replace(rate=extra, from_s=FLOOD_FROM_S))
+    return found
+
+
+def run(flood: Flood | None, seed: int) -> dict[str, Row]:
+    """Return what each kind saw."""
+    loop = virtual.VirtualLoop()
+    asyncio.set_event_loop(loop)
+    fleet = virtual.Fleet(loop, seed, NODES, WORKERS, slots=SLOTS_PER_WORKER)
+    text = (deployment.ROOT / 'standins' / 'table.csv').read_text()
+    rows = table_mod.parse(text)
+    fleet.start(rows)
+    fleet.advance(2)
+    arrivals = load.draw_arrivals(streams(rows, flood), LENGTH_S, seed)
+    busy_by_kind: dict[str, float] = dict.fromkeys(RUN_MS_BY_KIND, 0.0)
+    fleet.run(_play(fleet, arrivals, busy_by_kind, seed))
+    result = {
+        kind: _row(fleet, arrivals, kind, busy_by_kind)
+        for kind in RUN_MS_BY_KIND
+    }
+    fleet.close()
+    return result
+
+
+async def _play(fleet, arrivals, busy_by_kind, seed) -> None:
+    nodes = list(fleet.node_by_id.values())
+    source = random.Random(seed)
+    started = fleet.loop.time()
+    sampler = asyncio.ensure_future(_sample(nodes, busy_by_kind))
+    for arrival in arrivals:
+        left = started + arrival.at_s - fleet.loop.time()
+        if left > 0:
+            await asyncio.sleep(left)
+        stream = arrival.stream
+        run_ms = max(1, int(source.uniform(0.5, 1.5) * stream.run_ms))
+        body = {
+            'kind': stream.kind,
+            'team': stream.team,
+            'deadline_ms': stream.deadline_ms,
+            'idempotent': stream.is_idempotent,
+            'payload': {'run_ms': run_ms, 'echo': 1},
+        }
+        node = nodes[arrival.number % NODES]
+        try:
+            node.roles.entry.submit(
+                f'r{arrival.number}', body, lambda status, body: None
+            )
+        except errors.SchedulerError:
+            continue
+    sampler.cancel()
+    while any(node.roles.entry.in_flight for node in nodes):
+        await asyncio.sleep(1)
+
+
+async def _sample(nodes, busy_by_kind) -> None:
+    """Add up which kinds use the slots while the flood lasts."""
+    await asyncio.sleep(FLOOD_FROM_S + 1)
+    samples = 0
+    while True:
+        samples += 1
+        for kind in busy_by_kind:
+            running = sum(
+                node.roles.entry.queue.running(kind) for node in nodes
+            )
+            share = running / SLOTS
+            busy_by_kind[kind] += (share - busy_by_kind[kind]) / samples
+        await asyncio.sleep(0.01)
+
+
+def _row(fleet, arrivals, kind: str, busy_by_kind) -> Row:
+    tallies = [
+        node.roles.account.tally_by_kind[kind]
+        for node in fleet.node_by_id.values()
+        if kind in node.roles.account.tally_by_kind
+    ]
+    waits = None
+    for node in fleet.node_by_id.values():
+        histogram = node.roles.entry.wait_ms_by_kind.get(kind)
+        if histogram is None:
+            continue
+        if waits is None:
+            waits = histogram
+        else:
+            waits.add(histogram)
+    return Row(
+        sum(arrival.stream.kind == kind for arrival in arrivals),
+        sum(tally['done'] for tally in tallies),
+        sum(tally['refused'] for tally in tallies),
+        waits.get_value_at_percentile(50) if waits else 0,
+        waits.get_value_at_percentile(99) if waits else 0,
+        waits.get_max_value() if waits else 0,
+        busy_by_kind[kind],
+    )
+
+
+FLOODS = (
+    Flood(('engraving-set',), 3),
+    Flood(('engraving-set',), 10),
+    Flood(('placement-check',), 3),
+    Flood(('placement-check',), 10),
+    Flood(('placement-check', 'engraving-set'), 10),
+)
+
+
+def main(seed: int) -> None:
+    """Print one table for each flood, with the calm run beside it."""
+    calm = run(None, seed)
+    for flood in FLOODS:
+        flooded = run(flood, seed)
+        print(f'\n{" and ".join(flood.kinds)} at {flood.times} x capacity')
+        rows = [
+            [
+                kind,
+                calm[kind].p99_ms,
+                row.p99_ms,
+                row.p99_ms / max(1, calm[kind].p99_ms),
+                row.longest_ms,
+                row.sent,
+                row.started,
+                row.refused,
+                f'{calm[kind].slot_share:.1%}',
+                f'{row.slot_share:.1%}',
+            ]
+            for kind, row in flooded.items()
+        ]
+        headers = [
+            'kind',
+            'calm p99 ms',
+            'p99 ms',
+            'ratio',
+            'longest ms',
+            'sent',
+            'done',
+            'refused',
+            'calm slots',
+            'slots',
+        ]
+        print(tabulate.tabulate(rows, headers, floatfmt='.1f'), flush=True)
+
+
+if __name__ == '__main__':
+    main(int(sys.argv[1]) if len(sys.argv) > 1 else 5)
--- a/packages/carawaymast-core/carawaymast_core/fairqueue.py
+++ b/packages/carawaymast-core/carawaymast_core/fairqueue.py
@@ -4,6 +4,10 @@
 goes first. Otherwise the more urgent rank goes first. Within a rank, rows
 share by weight (start-time fair queueing). Costs are slot milliseconds, so a
 row of long requests gets no more than one of short ones.
+
+A reserve that its row does not use is lent, but a more urgent row's only to
+work that ends soon against that row's longest wait. Slots kept back for this
+reason are called protected.
 """
 
 import collections
@@ -18,6 +22,8 @@
 INITIAL_COST_MS = 50.0
 COST_SMOOTHING = 0.1
 CREDIT_BOUND_MS = 5_000.0
+# Work may borrow a reserve if it ends within this part of the longest wait.
+LEND_SHARE = 0.1
 
 
 class Queued(typing.NamedTuple):
@@ -65,6 +71,8 @@
         self._queued_by_id: dict[str, Queued] = {}
         self._expiries: list[tuple[int, str]] = []
         self._tag_by_rank: dict[int, float] = collections.defaultdict(float)
+        self._reserved: list[_Line] = []
+        self._running_total = 0
 
     def __len__(self) -> int:
         return len(self._queued_by_id)
@@ -77,6 +85,11 @@
                 self._line_by_kind[kind] = _Line(row)
             else:
                 line.row = row
+        self._reserved = [
+            line
+            for line in self._line_by_kind.values()
+            if line.row.reserve.value > 0
+        ]
 
     def push(self, queued: Queued) -> None:
         """Add a request at the end of its row."""
@@ -103,6 +116,7 @@
             return None
         queued = self._pop_from(line)
         line.running += 1
+        self._running_total += 1
         self._charge(line)
         return queued
 
@@ -115,6 +129,7 @@
         line = self._line_by_kind[kind]
         errors.check(line.running > 0, f'nothing of kind {kind} is running')
         line.running -= 1
+        self._running_total -= 1
         if ran_ms is not None:
             line.cost_ms += COST_SMOOTHING * (ran_ms - line.cost_ms)
 
@@ -150,6 +165,10 @@
         """Return how many requests of ``kind`` wait."""
         return self._line_by_kind[kind].waiting
 
+    def running(self, kind: str) -> int:
+        """Return how many requests of ``kind`` run."""
+        return self._line_by_kind[kind].running
+
     def cost_ms(self, kind: str) -> float:
         """Return how long a request of ``kind`` usually holds its slot."""
         return self._line_by_kind[kind].cost_ms
@@ -164,7 +183,18 @@
 
     def running_total(self) -> int:
         """Return how many requests run."""
-        return sum(line.running for line in self._line_by_kind.values())
+        return self._running_total
+
+    def protected_slots(self, total_slots: int) -> int:
+        """Return how many idle slots none of the waiting work may take."""
+        idle = total_slots - self._running_total
+        if idle <= 0 or not self._backlogged:
+            return 0
+        usable = max(
+            idle - self._protected_from(line, total_slots)
+            for line in self._backlogged.values()
+        )
+        return idle - max(0, usable)
 
     def predicted_wait_ms(self, kind: str, total_slots: int) -> float:
         """Return how long a request that joins ``kind`` now would wait.
@@ -209,20 +239,40 @@
         return ahead_ms
 
     def _pick(self, total_slots: int) -> _Line | None:
-        best = None
-        best_key = None
-        for line in self._backlogged.values():
-            if not line.may_start(total_slots):
+        startable = [
+            line
+            for line in self._backlogged.values()
+            if line.may_start(total_slots)
+        ]
+        while startable:
+            best = min(startable, key=self._order)
+            idle = total_slots - self._running_total
+            if idle > self._protected_from(best, total_slots):
+                return best
+            startable.remove(best)
+        return None
+
+    def _order(self, line: _Line) -> tuple[bool, int, float]:
+        """Return the key by which the next row is chosen."""
+        tag = max(line.finish_tag, self._tag_by_rank[line.row.rank])
+        return (line.credit_ms <= 0, line.row.rank, tag)
+
+    def _protected_from(self, line: _Line, total_slots: int) -> int:
+        """Return how many idle slots are kept back from a row.
+
+        A row always gets its own reserve.
+        """
+        if line.running + 1 <= line.row.reserve.of(total_slots):
+            return 0
+        kept = 0.0
+        for other in self._reserved:
+            if other.row.rank >= line.row.rank:
                 continue
-            key = (
-                line.credit_ms <= 0,
-                line.row.rank,
-                max(line.finish_tag, self._tag_by_rank[line.row.rank]),
-            )
-            if best_key is None or key < best_key:
-                best = line
-                best_key = key
-        return best
+            if line.cost_ms <= LEND_SHARE * other.row.longest_wait_ms:
+                continue
+            unused = other.row.reserve.of(total_slots) - other.running
+            kept += max(0.0, unused)
+        return round(kept)
 
     def _pop_from(self, line: _Line) -> Queued:
         while True:
--- a/packages/carawaymast-node/carawaymast_node/beats.py
+++ b/packages/carawaymast-node/carawaymast_node/beats.py
@@ -291,7 +291,9 @@
 
     def _short(self) -> int:
         """Return how many more slots could be used at once."""
-        return len(self._entry.queue) - self._entry.cache.idle_total
+        cache = self._entry.cache
+        protected = self._entry.queue.protected_slots(cache.total)
+        return len(self._entry.queue) - cache.idle_total + protected
 
     def _part(self, owner_id: str, waiting: int) -> int:
         """Return one owner's part of the slots that could be used.
--- a/packages/carawaymast-node/carawaymast_node/entry.py
+++ b/packages/carawaymast-node/carawaymast_node/entry.py
@@ -166,6 +166,7 @@
             use = self.cache.take(queued.request_id)
             self._start(request, use, now_ms)
         if len(self.queue):
+            # Idle slots that are left are protected: they stay here.
             self.want_slots()
         elif self.cache.idle_total:
             self.spare_slots()
