The core protocol as small z3 models, and a token for each start

Cause: the protocol had been tried, not proved. Writing the model showed a gap: a start that was delayed past a takeover could use a reservation that another coordinator, with an old view of the log, had made since.

--- a/features/core_machines.py
+++ b/features/core_machines.py
@@ -358,7 +358,8 @@
             ref, 'a', *self.size_by_ref[ref], may_hold=True
         )
         worker_id = 'w0' if is_elsewhere or not found else found.worker_id
-        if not self.book.begin_start(ref, worker_id):
+        token = found.token + (which % 5 == 0) if found else 0
+        if not self.book.begin_start(ref, worker_id, token):
             self.refused.add(ref)
             return
         assert ref not in self.refused, 'a refused attempt never starts'
--- /dev/null
+++ b/features/model.feature
@@ -0,0 +1,26 @@
+Feature: The core protocol checked in a small model
+
+  Scenario Outline: The rules hold to a depth, and by induction beyond it
+    Given the <model> model
+    Then no violation is found within <depth> steps
+    And safety and lemma are inductive
+
+    Examples:
+      | model     | depth |
+      | ownership | 12    |
+      | claims    | 9     |
+
+  Scenario Outline: A rule left out is found
+    Given the <model> model with <rule> as <value>
+    Then a violation is found within <depth> steps
+    And safety and lemma are not inductive
+
+    Examples:
+      | model     | rule                   | value | depth |
+      | ownership | guard                  | 0     | 16    |
+      | ownership | checks_epoch           | False | 16    |
+      | ownership | checks_reservation     | False | 16    |
+      | ownership | never_needs_lease      | False | 16    |
+      | claims    | waits_for_read_back    | False | 9     |
+      | claims    | checks_versions        | False | 9     |
+      | claims    | snapshot_never_reverts | False | 9     |
--- /dev/null
+++ b/features/steps/model_steps.py
@@ -0,0 +1,49 @@
+"""Steps that check the small models of the protocol."""
+
+import ast
+
+from behave import given
+from behave import then
+
+from spec import checking
+from spec import claims
+from spec import ownership
+
+MODULE_BY_NAME = {'ownership': ownership, 'claims': claims}
+
+
+@given('the {name} model')
+def take_model(context, name):
+    name, _, change = name.partition(' model with ')
+    module = MODULE_BY_NAME[name]
+    rules = module.Rules()
+    if change:
+        rule, _, value = change.partition(' as ')
+        rules = rules._replace(**{rule: ast.literal_eval(value)})
+    context.model = module.model(rules)
+
+
+@given('the {name} model with {rule} as {value}')
+def take_changed_model(context, name, rule, value):
+    take_model(context, f'{name} model with {rule} as {value}')
+
+
+@then('no violation is found within {depth:d} steps')
+def no_violation(context, depth):
+    found = checking.find_violation(context.model, depth)
+    assert found is None, f'after {found} steps'
+
+
+@then('a violation is found within {depth:d} steps')
+def some_violation(context, depth):
+    assert checking.find_violation(context.model, depth) is not None
+
+
+@then('safety and lemma are inductive')
+def inductive(context):
+    assert checking.is_inductive(context.model)
+
+
+@then('safety and lemma are not inductive')
+def not_inductive(context):
+    assert not checking.is_inductive(context.model)
--- a/packages/carawaymast-core/carawaymast_core/workerbook.py
+++ b/packages/carawaymast-core/carawaymast_core/workerbook.py
@@ -8,6 +8,7 @@
 
 import collections
 import enum
+import itertools
 import typing
 
 from carawaymast_core import clock as clock_mod
@@ -42,7 +43,9 @@
 class Reservation(typing.NamedTuple):
     """Room on a worker kept for one attempt.
 
-    ``is_pending`` marks a hold whose room has not drained yet.
+    ``is_pending`` marks a hold whose room has not drained yet. ``token``
+    tells the reservation from any other of the same attempt, so that a start
+    that was delayed cannot use one made since for somebody else.
     """
 
     ref: jobs.TaskRef
@@ -52,6 +55,7 @@
     claimant: Claimant
     expires_at_ms: int
     is_pending: bool
+    token: int
 
 
 class RunningTask(typing.NamedTuple):
@@ -93,6 +97,7 @@
         self._worker_id_by_ref: dict[jobs.TaskRef, str] = {}
         self._refused: dict[jobs.TaskRef, None] = {}
         self._index = placement.PlacementIndex()
+        self._tokens = itertools.count(1)
 
     def __len__(self) -> int:
         return len(self._worker_by_id)
@@ -213,7 +218,9 @@
             self._drop_reservation(reservation)
         return [reservation.ref for reservation in expired]
 
-    def begin_start(self, ref: jobs.TaskRef, worker_id: str) -> bool:
+    def begin_start(
+        self, ref: jobs.TaskRef, worker_id: str, token: int
+    ) -> bool:
         """Turn a firm reservation into a starting task.
 
         Tells whether the start may go on; a refused attempt never starts.
@@ -222,6 +229,9 @@
         if reservation is None or reservation.is_pending:
             self.refuse(ref)
             return False
+        if reservation.token != token:
+            self.refuse(ref)
+            return False
         if reservation.expires_at_ms <= self._clock.now():
             self.refuse(ref)
             return False
@@ -329,6 +339,7 @@
             claimant,
             self._clock.now() + RESERVATION_MS,
             is_pending,
+            next(self._tokens),
         )
         worker = self._worker_by_id[worker_id]
         worker.reserved_by_ref[ref] = reservation
--- a/packages/carawaymast-node/carawaymast_node/coordinator.py
+++ b/packages/carawaymast-node/carawaymast_node/coordinator.py
@@ -269,7 +269,7 @@
             return {}
         return {
             jobs.parse_ref(place.ref): _Place(
-                member, place.worker_id, place.is_pending
+                member, place.worker_id, place.is_pending, place.token
             )
             for place in reply.places
         }
@@ -288,17 +288,18 @@
         by_member = _by_member(places)
         await asyncio.gather(
             *(
-                self._start(member, refs, due, worker_by_ref)
+                self._start(member, refs, due, places)
                 for member, refs in by_member.items()
             )
         )
 
-    async def _start(self, member, refs, due, worker_by_ref) -> None:
+    async def _start(self, member, refs, due, places) -> None:
         request = peer_pb2.StartTasksRequest(
             starts=[
                 peer_pb2.TaskStart(
                     ref=str(ref),
-                    worker_id=worker_by_ref[ref],
+                    worker_id=places[ref].worker_id,
+                    token=places[ref].token,
                     run_ms=due[ref]['run_ms'],
                 )
                 for ref in refs
@@ -348,6 +349,7 @@
     member: membership.Member
     worker_id: str
     is_pending: bool
+    token: int
 
 
 def _by_member(places) -> dict[membership.Member, list[jobs.TaskRef]]:
--- a/packages/carawaymast-node/carawaymast_node/owner.py
+++ b/packages/carawaymast-node/carawaymast_node/owner.py
@@ -168,7 +168,7 @@
         await asyncio.gather(*(self._release(owned) for owned in held))
 
     async def start_task(
-        self, worker_id: str, ref: jobs.TaskRef, run_ms: int
+        self, worker_id: str, ref: jobs.TaskRef, token: int, run_ms: int
     ) -> str:
         """Start a reserved attempt; return its status afterwards.
 
@@ -177,7 +177,7 @@
         known = self.status(worker_id, ref)
         if known is not workerbook.AttemptStatus.RESERVED:
             return known.value
-        if not self.book.begin_start(ref, worker_id):
+        if not self.book.begin_start(ref, worker_id, token):
             return workerbook.AttemptStatus.NEVER.value
         owned = self._owned_by_id[worker_id]
         task = next(t for t in self.book.running_on(worker_id) if t.ref == ref)
--- a/packages/carawaymast-node/carawaymast_node/reservations.py
+++ b/packages/carawaymast-node/carawaymast_node/reservations.py
@@ -41,7 +41,9 @@
             if not owner.owns(one.worker_id):
                 continue
             ref = jobs.parse_ref(one.ref)
-            status = await owner.start_task(one.worker_id, ref, one.run_ms)
+            status = await owner.start_task(
+                one.worker_id, ref, one.token, one.run_ms
+            )
             statuses.append(peer_pb2.TaskStatus(ref=one.ref, status=status))
         return peer_pb2.TaskStatuses(statuses=statuses)
 
@@ -73,4 +75,5 @@
         ref=wish.ref,
         worker_id=reservation.worker_id,
         is_pending=reservation.is_pending,
+        token=reservation.token,
     )
--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""The core protocol as small models for z3."""
--- /dev/null
+++ b/spec/checking.py
@@ -0,0 +1,80 @@
+"""Bounded checking and induction over a model given as z3 formulas."""
+
+import typing
+
+import z3
+
+__all__ = ['Model', 'find_violation', 'is_inductive']
+
+State = typing.Mapping[str, z3.ExprRef]
+Formula = typing.Callable[..., z3.BoolRef]
+
+
+class Model(typing.NamedTuple):
+    """States, first states, steps, what must hold, and why it does.
+
+    ``lemma`` strengthens ``safety`` so that the two are inductive.
+    """
+
+    variables: dict[str, z3.SortRef]
+    first: Formula
+    steps: typing.Sequence[Formula]
+    safety: Formula
+    lemma: Formula
+
+
+def state(model: Model, number: int) -> dict[str, z3.ExprRef]:
+    """Return the variables of the state with a number."""
+    return {
+        name: z3.Const(f'{name}@{number}', sort)
+        for name, sort in model.variables.items()
+    }
+
+
+def step(model: Model, before: State, after: State) -> z3.BoolRef:
+    """Return that one of the steps leads from one state to another."""
+    return z3.Or([one(before, after) for one in model.steps])
+
+
+def find_violation(model: Model, depth: int) -> int | None:
+    """Return after how many steps safety can break, None if not by then."""
+    solver = z3.Solver()
+    now = state(model, 0)
+    solver.add(model.first(now))
+    for number in range(depth + 1):
+        solver.push()
+        solver.add(z3.Not(model.safety(now)))
+        if solver.check() == z3.sat:
+            return number
+        solver.pop()
+        after = state(model, number + 1)
+        solver.add(step(model, now, after))
+        now = after
+    return None
+
+
+def is_inductive(model: Model) -> bool:
+    """Tell whether safety and lemma hold first and after every step."""
+    now, after = state(model, 0), state(model, 1)
+    base = z3.Solver()
+    base.add(model.first(now), z3.Not(_whole(model, now)))
+    if base.check() != z3.unsat:
+        return False
+    for one in model.steps:
+        solver = z3.Solver()
+        solver.add(_whole(model, now), one(now, after))
+        solver.add(z3.Not(_whole(model, after)))
+        if solver.check() != z3.unsat:
+            return False
+    return True
+
+
+def _whole(model: Model, now: State) -> z3.BoolRef:
+    return z3.And(model.safety(now), model.lemma(now))
+
+
+def keep(before: State, after: State, *changed: str) -> z3.BoolRef:
+    """Return that all variables but ``changed`` stay as they are."""
+    return z3.And(
+        [after[name] == before[name] for name in before if name not in changed]
+    )
