Limits and preemption for tasks

Cause: the limit of a row bound requests only, and urgent tasks waited for room on a full fleet.

Change: each owner keeps a kind's tasks within its share of the owner's workers; a gang that needs more than its row's limit is refused at once; urgent tasks stop less urgent ones, least lost work first, and hold the room. The gang scenarios now use a table in which renewals may take the whole fleet, since theirs exceeded the 80% that is now enforced.

Checkpoint and throttle are not there yet, only stop.

--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -97,6 +97,17 @@
     When a gang of 3 tasks with 8000 of 8000 processors comes after 5 s
     Then the gang has started within 12 s
 
+  Scenario: Urgent work starts on a full fleet
+    Given 30 rosters of 1500 processors that run for 60 s
+    When an urgent task of 3000 processors comes
+    Then the urgent task starts within 1.8 s
+    And every roster runs again in the end
+    And the workers saw no offence
+
+  Scenario: A kind takes no more of the fleet than its limit
+    Given 30 rosters of 1500 processors that run for 60 s
+    Then rosters use at most 60% of the processors
+
   Scenario: Racing edits of the table
     When every node edits the table from the same version at once
     Then exactly one edit is accepted and the others are told they lost
--- a/features/path.feature
+++ b/features/path.feature
@@ -43,6 +43,8 @@
       | plain | 1     | 1000   | 65000  | 0            | 422    | impossible-job |
       | plain | 1     | 1000   | 10     | 3            | 422    | impossible-job |
       | gang  | 7     | 16000  | 10     | 0            | 422    | impossible-job |
+      | gang  | 5     | 16000  | 10     | 0            | 422    | impossible-job |
+      | gang  | 6     | 12900  | 10     | 0            | 422    | impossible-job |
       | plain | 1     | -5     | 10     | 0            | 400    | bad-request    |
       | plain | 1     | 0      | 10     | 0            | 400    | bad-request    |
       | plain | 0     | 10     | 10     | 0            | 400    | bad-request    |
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -34,7 +34,11 @@
         self.fleet = virtual.Fleet(
             self.loop, seed, nodes, workers, is_trusting
         )
-        self.fleet.start(table_mod.parse(TABLE.read_text()))
+        rows = table_mod.parse(TABLE.read_text())
+        # Gangs of renewals may take the whole fleet here.
+        whole = table_mod.Amount(1.0, True)
+        rows['renewal'] = rows['renewal']._replace(limit=whole)
+        self.fleet.start(rows)
         self.answers: dict[str, list] = {}
         self.node_by_request: dict[str, virtual._Node] = {}
         self.job_ids: list[str] = []
@@ -193,6 +197,60 @@
         world.accept(node, job_spec(tasks, cpu, 500, gang=True))
 
 
+@given('{count:d} rosters of {cpu:d} processors that run for {seconds:d} s')
+def send_rosters(context, count, cpu, seconds):
+    world = context.world
+    for _ in range(count):
+        spec = dict(job_spec(1, cpu, seconds * 1000), kind='roster')
+        world.accept(world.nodes[0], spec)
+    world.fleet.advance(5)
+
+
+@when('an urgent task of {cpu:d} processors comes')
+def send_urgent(context, cpu):
+    world = context.world
+    # Renewals fill what the limit of the rosters leaves.
+    for _ in range(12):
+        world.accept(world.nodes[0], job_spec(1, 1_000, 60_000))
+    world.fleet.advance(5)
+    context.rosters = world.job_ids[:30]
+    spec = dict(job_spec(1, cpu, 1_000), kind='placement-check')
+    world.accept(world.nodes[0], spec)
+
+
+@then('the urgent task starts within {seconds:f} s')
+def urgent_starts(context, seconds):
+    world = context.world
+    job_id = world.job_ids[-1]
+    world.wait_until(
+        lambda: str(jobs.TaskRef(job_id, 't0', 1)) in world.fleet.executions(),
+        seconds,
+    )
+    preempted = sum(
+        node.roles.owner.counters['preempted'] for node in world.nodes
+    )
+    assert preempted, 'the fleet was not full'
+
+
+@then('every roster runs again in the end')
+def rosters_run(context):
+    world = context.world
+    world.wait_until(lambda: all(map(world.has_ended, context.rosters)), 400)
+
+
+@then('rosters use at most {percent:d}% of the processors')
+def within_limit(context, percent):
+    world = context.world
+    used = sum(
+        node.roles.owner.book.used_by('roster').cpu_millis
+        for node in world.nodes
+    )
+    total = sum(
+        node.roles.owner.book.capacity.cpu_millis for node in world.nodes
+    )
+    assert 0 < used <= total * percent / 100, (used, total)
+
+
 @given('a stream of small jobs on all workers for {seconds:d} s')
 def stream_jobs(context, seconds):
     world = context.world
--- a/packages/carawaymast-core/carawaymast_core/fleetshape.py
+++ b/packages/carawaymast-core/carawaymast_core/fleetshape.py
@@ -10,7 +10,7 @@
 
 from carawaymast_core import resources
 
-__all__ = ['CountByShape', 'FleetShapes', 'can_place']
+__all__ = ['CountByShape', 'FleetShapes', 'can_place', 'share_of']
 
 MEMORY_MS = 60_000
 
@@ -39,6 +39,26 @@
     return True
 
 
+def share_of(
+    sizes: typing.Iterable[resources.Resources], count_by_shape: CountByShape
+) -> float:
+    """Return the largest share of a resource that the sizes need in all."""
+    needed = resources.ZERO
+    for size in sizes:
+        needed = needed.plus(size)
+    total = resources.ZERO
+    for shape, count in count_by_shape.items():
+        total = total.plus(resources.Resources(*(count * n for n in shape)))
+    return max(
+        (
+            want / have
+            for want, have in zip(needed, total, strict=True)
+            if have
+        ),
+        default=0.0,
+    )
+
+
 class FleetShapes:
     """The most workers of each capacity seen within the memory."""
 
--- /dev/null
+++ b/packages/carawaymast-core/carawaymast_core/preemption.py
@@ -0,0 +1,58 @@
+"""Which running tasks give way to urgent work on a full fleet.
+
+``choose`` looks for the one worker on which the least work is lost. Only
+tasks of a lower rank whose row may be preempted are victims; those that
+started last go first, since they lose least.
+"""
+
+import typing
+
+from carawaymast_core import resources
+from carawaymast_core import table as table_mod
+from carawaymast_core import workerbook
+
+__all__ = ['Victims', 'choose']
+
+
+class Victims(typing.NamedTuple):
+    """The tasks to stop on one worker, and the work lost by it in ms."""
+
+    worker_id: str
+    tasks: tuple[workerbook.RunningTask, ...]
+    lost_ms: int
+
+
+def choose(
+    rooms: typing.Iterable[workerbook.Room],
+    size: resources.Resources,
+    rank: int,
+    by_kind: typing.Mapping[str, table_mod.Row],
+    now_ms: int,
+) -> Victims | None:
+    """Return the victims that make room for ``size``, None if none do."""
+    best = None
+    for room in rooms:
+        victims = _on_worker(room, size, rank, by_kind, now_ms)
+        if victims is None:
+            continue
+        if best is None or victims.lost_ms < best.lost_ms:
+            best = victims
+    return best
+
+
+def _on_worker(room, size, rank, by_kind, now_ms) -> Victims | None:
+    free = room.free
+    chosen = []
+    lost_ms = 0
+    for task in sorted(room.tasks, key=lambda t: -t.started_at_ms):
+        if size.fits_in(free):
+            break
+        row = by_kind.get(task.kind)
+        if row is None or not row.preemptible or row.rank <= rank:
+            continue
+        chosen.append(task)
+        free = free.plus(task.size)
+        lost_ms += now_ms - task.started_at_ms
+    if not chosen or not size.fits_in(free):
+        return None
+    return Victims(room.worker_id, tuple(chosen), lost_ms)
--- a/packages/carawaymast-core/carawaymast_core/workerbook.py
+++ b/packages/carawaymast-core/carawaymast_core/workerbook.py
@@ -17,7 +17,14 @@
 from carawaymast_core import placement
 from carawaymast_core import resources
 
-__all__ = ['AttemptStatus', 'Claimant', 'Reservation', 'WorkerBook']
+__all__ = [
+    'AttemptStatus',
+    'Claimant',
+    'Reservation',
+    'Room',
+    'RunningTask',
+    'WorkerBook',
+]
 
 RESERVATION_MS = 3_000
 REFUSED_KEPT = 50_000
@@ -68,6 +75,14 @@
     started_at_ms: int
 
 
+class Room(typing.NamedTuple):
+    """What is free on a worker, and the tasks that run there."""
+
+    worker_id: str
+    free: resources.Resources
+    tasks: tuple[RunningTask, ...]
+
+
 class _Worker:
     """What the book knows about one worker."""
 
@@ -98,6 +113,7 @@
         self._refused: dict[jobs.TaskRef, None] = {}
         self._index = placement.PlacementIndex()
         self._tokens = itertools.count(1)
+        self._used_by_kind: dict[str, resources.Resources] = {}
 
     def __len__(self) -> int:
         return len(self._worker_by_id)
@@ -126,6 +142,16 @@
             total = total.plus(worker.used)
         return total
 
+    def used_by(self, kind: str) -> resources.Resources:
+        """Return what a kind runs and has reserved on all owned workers."""
+        return self._used_by_kind.get(kind, resources.ZERO)
+
+    def rooms(self) -> typing.Iterator[Room]:
+        """Return the free room and the running tasks of each worker."""
+        for worker_id, worker in self._worker_by_id.items():
+            tasks = tuple(worker.running_by_ref.values())
+            yield Room(worker_id, worker.free(), tasks)
+
     def count_by_shape(self) -> collections.Counter[resources.Resources]:
         """Return the number of owned workers of each capacity."""
         return collections.Counter(
@@ -152,8 +178,12 @@
         if worker is None:
             return
         self._index.remove(worker_id)
-        for ref in (*worker.running_by_ref, *worker.reserved_by_ref):
-            self._worker_id_by_ref.pop(ref, None)
+        for task in worker.running_by_ref.values():
+            self._count_kind(task.kind, resources.ZERO.minus(task.size))
+            self._worker_id_by_ref.pop(task.ref, None)
+        for kept in worker.reserved_by_ref.values():
+            self._count_kind(kept.kind, resources.ZERO.minus(kept.size))
+            self._worker_id_by_ref.pop(kept.ref, None)
 
     def has_worker(self, worker_id: str) -> bool:
         """Tell whether the worker is in the book."""
@@ -199,6 +229,17 @@
             return None
         return self._hold(ref, kind, size, claimant, is_allowed)
 
+    def hold_on(
+        self,
+        ref: jobs.TaskRef,
+        worker_id: str,
+        kind: str,
+        size: resources.Resources,
+        claimant: Claimant,
+    ) -> Reservation:
+        """Hold room on one worker that is about to be freed."""
+        return self._keep(ref, worker_id, kind, size, claimant, True)
+
     def release(self, ref: jobs.TaskRef) -> None:
         """Give up a reservation if there is one."""
         reservation = self._reservation(ref)
@@ -218,6 +259,10 @@
             self._drop_reservation(reservation)
         return [reservation.ref for reservation in expired]
 
+    def is_reserved(self, ref: jobs.TaskRef) -> bool:
+        """Tell whether there is a reservation for an attempt."""
+        return self._reservation(ref) is not None
+
     def begin_start(
         self, ref: jobs.TaskRef, worker_id: str, token: int
     ) -> bool:
@@ -267,6 +312,7 @@
         task = worker.running_by_ref.pop(ref, None)
         if task is not None:
             worker.used = worker.used.minus(task.size)
+            self._count_kind(task.kind, resources.ZERO.minus(task.size))
         self._reindex(worker_id)
 
     def refuse(self, ref: jobs.TaskRef) -> None:
@@ -300,6 +346,18 @@
         """Raise ``InvariantError`` unless every worker's sums hold."""
         for worker_id, worker in self._worker_by_id.items():
             self._check_worker(worker_id, worker)
+        self._check_kinds()
+
+    def _check_kinds(self) -> None:
+        total = resources.ZERO
+        for used in self._used_by_kind.values():
+            total = total.plus(used)
+        counted = resources.ZERO
+        for worker in self._worker_by_id.values():
+            counted = counted.plus(worker.used).plus(worker.reserved)
+        errors.check(
+            total == counted, f'kinds use {total}, workers have {counted}'
+        )
 
     def _check_worker(self, worker_id: str, worker: _Worker) -> None:
         used = resources.ZERO
@@ -344,6 +402,7 @@
         worker = self._worker_by_id[worker_id]
         worker.reserved_by_ref[ref] = reservation
         worker.reserved = worker.reserved.plus(size)
+        self._count_kind(kind, size)
         self._worker_id_by_ref[ref] = worker_id
         self._reindex(worker_id)
         return reservation
@@ -399,6 +458,7 @@
     def _add_running(self, worker_id, worker, task) -> None:
         worker.running_by_ref[task.ref] = task
         worker.used = worker.used.plus(task.size)
+        self._count_kind(task.kind, task.size)
         self._worker_id_by_ref[task.ref] = worker_id
         errors.check(
             worker.used.fits_in(worker.capacity),
@@ -409,8 +469,13 @@
         worker = self._worker_by_id[reservation.worker_id]
         del worker.reserved_by_ref[reservation.ref]
         worker.reserved = worker.reserved.minus(reservation.size)
+        freed = resources.ZERO.minus(reservation.size)
+        self._count_kind(reservation.kind, freed)
         del self._worker_id_by_ref[reservation.ref]
         self._reindex(reservation.worker_id)
 
+    def _count_kind(self, kind: str, size: resources.Resources) -> None:
+        self._used_by_kind[kind] = self.used_by(kind).plus(size)
+
     def _reindex(self, worker_id: str) -> None:
         self._index.set_free(worker_id, self._worker_by_id[worker_id].free())
--- a/packages/carawaymast-node/carawaymast_node/coordinator.py
+++ b/packages/carawaymast-node/carawaymast_node/coordinator.py
@@ -67,6 +67,7 @@
         call: typing.Callable[..., typing.Awaitable[typing.Any]],
         free_cpu_of: typing.Callable[[str], int],
         count_by_shape: typing.Callable[[], fleetshape.CountByShape],
+        is_urgent: typing.Callable[[str], bool],
     ):
         super().__init__()
         self._clock = clock
@@ -75,6 +76,7 @@
         self._call = call
         self._free_cpu_of = free_cpu_of
         self._count_by_shape = count_by_shape
+        self._is_urgent = is_urgent
         self._backoff_by_id: dict[str, _Backoff] = {}
         self._active: set[str] = set()
         self._dirty: dict[str, None] = {}
@@ -200,13 +202,28 @@
         some = dict(list(due.items())[:BATCH_TASKS])
         owners = self._owners_by_room()
         places = await self._reserve(job_id, value, some, owners, False)
-        if not places:
+        if not places and self._is_urgent(value['spec']['kind']):
+            places = await self._ask_with_preemption(
+                job_id, value, some, owners
+            )
+        firm = {ref: p for ref, p in places.items() if not p.is_pending}
+        if not firm:
             self.counters['no_room'] += 1
             self._miss(job_id)
             return
-        await self._claim_and_start(value, some, places)
+        await self._claim_and_start(value, some, firm)
         self._backoff_by_id.pop(job_id, None)
 
+    async def _ask_with_preemption(self, job_id, value, due, owners):
+        """Have room made by the first owner that can."""
+        for member in owners:
+            places = await self._ask(
+                member, job_id, value, due, False, may_preempt=True
+            )
+            if places:
+                return places
+        return {}
+
     async def _advance_gang(self, job_id, value, due) -> None:
         """Reserve all tasks, then claim and start them, or release all.
 
@@ -249,7 +266,9 @@
                 )
         return places
 
-    async def _ask(self, member, job_id, value, left, may_hold):
+    async def _ask(
+        self, member, job_id, value, left, may_hold, may_preempt=False
+    ):
         request = peer_pb2.ReserveTasksRequest(
             wishes=[
                 peer_pb2.TaskWish(
@@ -262,6 +281,7 @@
             accepted_at_ms=value['accepted_at_ms'],
             job_id=job_id,
             may_hold=may_hold,
+            may_preempt=may_preempt,
         )
         try:
             reply = await self._call(member, 'ReserveTasks', request)
--- a/packages/carawaymast-node/carawaymast_node/job_desk.py
+++ b/packages/carawaymast-node/carawaymast_node/job_desk.py
@@ -42,9 +42,9 @@
         ``SchedulerError``; ``OUTCOME_UNKNOWN`` means that the job may have
         been accepted all the same.
         """
-        table_mod.row_for(self._tables.table, spec['kind'], spec['team'])
+        row = table_mod.row_for(self._tables.table, spec['kind'], spec['team'])
         jobs.check_spec(spec)
-        self._check_possible(spec)
+        self._check_possible(spec, row)
         job_id = uuid.uuid4().hex
         now_ms = self._clock.wall()
         writes = jobs.accept(job_id, spec, now_ms)
@@ -109,7 +109,7 @@
         writes.puts.update(claim.puts)
         return None
 
-    def _check_possible(self, spec: jobs.JobSpec) -> None:
+    def _check_possible(self, spec: jobs.JobSpec, row: table_mod.Row) -> None:
         """Refuse a job that could never run, even on an empty fleet."""
         count_by_shape = self._count_by_shape()
         if not count_by_shape:
@@ -124,8 +124,17 @@
                     f'task {task["name"]!r} needs {tuple(size)}, '
                     'more than any worker has',
                 )
+        if not spec['gang']:
+            return
         sizes = [jobs.size_of(task) for task in spec['tasks']]
-        if spec['gang'] and not fleetshape.can_place(sizes, count_by_shape):
+        share = fleetshape.share_of(sizes, count_by_shape)
+        if row.limit.is_share and share > row.limit.value:
+            raise errors.SchedulerError(
+                errors.ErrorKind.IMPOSSIBLE_JOB,
+                f'the gang needs {share:.0%} of the fleet, the limit of '
+                f'{row.kind} is {row.limit}',
+            )
+        if not fleetshape.can_place(sizes, count_by_shape):
             raise errors.SchedulerError(
                 errors.ErrorKind.IMPOSSIBLE_JOB,
                 f'a gang of {len(sizes)} tasks finds no room even on the '
--- a/packages/carawaymast-node/carawaymast_node/owner.py
+++ b/packages/carawaymast-node/carawaymast_node/owner.py
@@ -13,6 +13,7 @@
 from carawaymast_core import jobs
 from carawaymast_core import lease as lease_mod
 from carawaymast_core import membership
+from carawaymast_core import preemption
 from carawaymast_core import resources
 from carawaymast_core import slots
 from carawaymast_core import workerbook
@@ -28,6 +29,7 @@
 UNREACHABLE_AFTER_CALLS = 3
 UNREACHABLE_POLL_MS = 2_000
 PARALLEL_CALLS = 32
+URGENT_RANK = 0
 
 
 class _Owned:
@@ -55,6 +57,7 @@
     handed_over: int
     worker_errors: int
     tasks_ended: int
+    preempted: int
 
 
 TaskEnded = typing.Callable[[jobs.TaskRef, str], typing.Awaitable[bool]]
@@ -108,6 +111,7 @@
             'handed_over': 0,
             'worker_errors': 0,
             'tasks_ended': 0,
+            'preempted': 0,
         }
 
     @property
@@ -210,13 +214,22 @@
             return workerbook.AttemptStatus.ENDED
         return self.book.status(ref, worker_id)
 
-    async def stop_task(self, worker_id: str, ref: jobs.TaskRef) -> None:
-        """Ask a worker to stop an attempt or refuse it from then on."""
+    async def stop_task(
+        self, worker_id: str, ref: jobs.TaskRef, outcome: str = 'failed'
+    ) -> None:
+        """Ask a worker to stop an attempt or refuse it from then on.
+
+        ``outcome`` is what the worker then reports of it.
+        """
         owned = self._owned_by_id.get(worker_id)
         if owned is None or not owned.lease.is_held():
             return
         try:
-            await self._port.stop(owned.vm, owned.lease.epoch, str(ref))
+            await self._port.stop(
+                owned.vm, owned.lease.epoch, str(ref), outcome
+            )
+            # The next renewal brings the report that it has ended.
+            owned.next_call_at_ms = self._clock.now()
         except worker_port.WorkerDownError:
             self.counters['worker_errors'] += 1
 
@@ -435,6 +448,48 @@
             return 0
         return owned.lease.remaining_ms()
 
+    def is_within_limit(self, kind: str, size: resources.Resources) -> bool:
+        """Tell whether a task stays within the limit of its row.
+
+        Each owner applies the share to its own workers, so that the shares
+        add up over the fleet. One task is always within the limit.
+        """
+        row = self.grantor.table.by_kind.get(kind)
+        if row is None or not row.limit.is_share:
+            return True
+        used = self.book.used_by(kind)
+        if used == resources.ZERO:
+            return True
+        capacity = self.book.capacity
+        allowed = resources.Resources(
+            *(int(row.limit.of(amount)) for amount in capacity)
+        )
+        return used.plus(size).fits_in(allowed)
+
+    def preempt(
+        self,
+        ref: jobs.TaskRef,
+        kind: str,
+        size: resources.Resources,
+        claimant: workerbook.Claimant,
+    ) -> workerbook.Reservation | None:
+        """Stop less urgent tasks for an urgent one; hold their room."""
+        by_kind = self.grantor.table.by_kind
+        row = by_kind.get(kind)
+        if row is None or row.rank > URGENT_RANK:
+            return None
+        victims = preemption.choose(
+            self.book.rooms(), size, row.rank, by_kind, self._clock.now()
+        )
+        if victims is None or not self.may_place(victims.worker_id):
+            return None
+        for task in victims.tasks:
+            self.counters['preempted'] += 1
+            self._background.spawn(
+                self.stop_task(victims.worker_id, task.ref, 'preempted')
+            )
+        return self.book.hold_on(ref, victims.worker_id, kind, size, claimant)
+
     def may_place(self, worker_id: str) -> bool:
         """Tell whether new tasks may go to a worker."""
         return self._grantable_ms(worker_id) > 0
--- a/packages/carawaymast-node/carawaymast_node/reservations.py
+++ b/packages/carawaymast-node/carawaymast_node/reservations.py
@@ -23,7 +23,13 @@
         claimant = workerbook.Claimant(request.accepted_at_ms, request.job_id)
         places = []
         for wish in request.wishes:
-            place = _reserve_one(owner, wish, claimant, request.may_hold)
+            place = _reserve_one(
+                owner,
+                wish,
+                claimant,
+                request.may_hold,
+                request.may_preempt,
+            )
             if place is not None:
                 places.append(place)
         return peer_pb2.ReserveTasksReply(places=places)
@@ -57,18 +63,26 @@
     wish: peer_pb2.TaskWish,
     claimant: workerbook.Claimant,
     may_hold: bool,
+    may_preempt: bool,
 ) -> typing.Any:
     size = resources.Resources(
         wish.size.cpu_millis, wish.size.memory_mb, wish.size.accelerators
     )
+    ref = jobs.parse_ref(wish.ref)
+    # A gang that may hold was checked against the limit as a whole.
+    is_checked = may_hold or owner.book.is_reserved(ref)
+    if not is_checked and not owner.is_within_limit(wish.kind, size):
+        return None
     reservation = owner.book.reserve(
-        jobs.parse_ref(wish.ref),
+        ref,
         wish.kind,
         size,
         claimant,
         may_hold,
         is_allowed=owner.may_place,
     )
+    if reservation is None and may_preempt:
+        reservation = owner.preempt(ref, wish.kind, size, claimant)
     if reservation is None:
         return None
     return peer_pb2.TaskPlace(
--- a/packages/carawaymast-node/carawaymast_node/roles.py
+++ b/packages/carawaymast-node/carawaymast_node/roles.py
@@ -103,6 +103,7 @@
             self.call,
             self._free_cpu_of,
             self.shapes.counts,
+            self._is_urgent,
         ).register(self)
         self.accounts = account_writer.AccountWriter(
             holder, self.log, self.account
@@ -194,6 +195,10 @@
             return 0
         return view.capacity[0] - view.used[0]
 
+    def _is_urgent(self, kind: str) -> bool:
+        row = self.tables.table.by_kind.get(kind)
+        return row is not None and row.rank <= owner_mod.URGENT_RANK
+
     def _writes_snapshots(self) -> bool:
         node_ids = [member.node_id for member in self.members.staying()]
         best = membership.preferred('snapshot', node_ids)
--- a/packages/carawaymast-node/carawaymast_node/worker_port.py
+++ b/packages/carawaymast-node/carawaymast_node/worker_port.py
@@ -90,8 +90,9 @@
         }
         return await post(vm, 'start', body, messages.StartAnswer)
 
-    async def stop(vm, epoch: int, ref: str):
-        await post(vm, 'stop', {'epoch': epoch, 'ref': ref})
+    async def stop(vm, epoch: int, ref: str, outcome: str):
+        body = {'epoch': epoch, 'ref': ref, 'outcome': outcome}
+        await post(vm, 'stop', body)
 
     async def acknowledge(vm, epoch: int, refs: list[str]):
         await post(vm, 'acknowledge', {'epoch': epoch, 'refs': refs})
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -154,7 +154,7 @@
             known = self._task_by_ref.get(ref)
             if known is not None:
                 known['handle'].cancel()
-                self._end_task(ref, 'failed')
+                self._end_task(ref, body['outcome'])
             elif ref not in self._ended_by_ref:
                 self._ended_by_ref[ref] = 'never'
         return {}
