Bad workers are quarantined; a leaving endpoint's busy slots go too

Cause: a worker that fails what it starts kept getting tasks.

Change: quarantine by comparison with the same kinds on other workers, fed from the outcomes in the log, probed back in. A slot that is busy when its worker leaves is given back when its request ends.

--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -108,6 +108,25 @@
     Given 30 rosters of 1500 processors that run for 60 s
     Then rosters use at most 60% of the processors
 
+  Scenario: A worker that fails what it starts is quarantined and comes back
+    Given worker-1 fails every task
+    And 40 rosters of 100 processors that run for 1 s
+    Then worker-1 is in quarantine and no other worker is
+    When worker-1 is mended
+    And a roster comes every 2 s for 90 s
+    Then no worker is in quarantine
+
+  Scenario: A kind that fails everywhere condemns no worker
+    Given all tasks fail on every worker
+    And 40 rosters of 100 processors that run for 1 s
+    Then no worker is in quarantine
+
+  Scenario: A leaving endpoint gets no new work even from busy slots
+    Given a load of 250 requests a second for 12 s
+    When worker-0 is listed as leaving after 3 s on the clock
+    Then worker-0 starts nothing from 3 s later on
+    And the callers of live nodes have one answer each
+
   Scenario: Racing edits of the table
     When every node edits the table from the same version at once
     Then exactly one edit is accepted and the others are told they lost
--- a/features/steps/failure_steps.py
+++ b/features/steps/failure_steps.py
@@ -208,7 +208,7 @@
     context.running.signal(node, signal.SIGCONT)
 
 
-@when('{worker} is listed as leaving after {seconds:d} s')
+@when('the process {worker} is listed as leaving after {seconds:d} s')
 def leave(context, worker, seconds):
     running = context.running
     context.load.sleep_until(seconds)
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -251,6 +251,53 @@
     assert 0 < used <= total * percent / 100, (used, total)
 
 
+@given('{worker_id} fails every task')
+def break_worker(context, worker_id):
+    context.world.fleet.worker_by_id[worker_id].set_fault({'fail_tasks': True})
+
+
+@given('all tasks fail on every worker')
+def break_workers(context):
+    for worker_id in context.world.fleet.worker_by_id:
+        break_worker(context, worker_id)
+
+
+@when('{worker_id} is mended')
+def mend_worker(context, worker_id):
+    context.world.fleet.worker_by_id[worker_id].set_fault(
+        {'fail_tasks': False}
+    )
+
+
+@when('a roster comes every {pause:d} s for {seconds:d} s')
+def trickle(context, pause, seconds):
+    world = context.world
+    for _ in range(seconds // pause):
+        spec = dict(job_spec(1, 100, 500), kind='roster')
+        world.accept(world.nodes[0], spec)
+        world.fleet.advance(pause)
+
+
+def confined(world):
+    """Return the workers that their own owners hold in quarantine."""
+    return [
+        worker_id
+        for node in world.nodes
+        for worker_id in node.roles.owner.quarantine.confined()
+        if node.roles.owner.owns(worker_id)
+    ]
+
+
+@then('{worker_id} is in quarantine and no other worker is')
+def is_confined(context, worker_id):
+    assert confined(context.world) == [worker_id]
+
+
+@then('no worker is in quarantine')
+def none_confined(context):
+    assert confined(context.world) == []
+
+
 @given('a stream of small jobs on all workers for {seconds:d} s')
 def stream_jobs(context, seconds):
     world = context.world
@@ -402,6 +449,25 @@
     world.fleet.cuts.clear()
 
 
+@when('{worker_id} is listed as leaving after {seconds:d} s on the clock')
+def leave_virtually(context, worker_id, seconds):
+    fleet = context.world.fleet
+    fleet.advance(seconds)
+    fleet.leaving.add(worker_id)
+    fleet.publish()
+
+
+@then('{worker_id} starts nothing from {seconds:d} s later on')
+def starts_nothing(context, worker_id, seconds):
+    fleet = context.world.fleet
+    worker = fleet.worker_by_id[worker_id]
+    fleet.advance(seconds)
+    before = worker.evidence({})['counters']['runs']
+    fleet.advance(5)
+    after = worker.evidence({})['counters']['runs']
+    assert before and after == before, (before, after)
+
+
 @when('the log is up after {seconds:d} s')
 def log_up(context, seconds):
     context.world.fleet.advance(seconds)
--- a/packages/carawaymast-core/carawaymast_core/jobs.py
+++ b/packages/carawaymast-core/carawaymast_core/jobs.py
@@ -168,7 +168,13 @@
     if not is_claimed(task.value, ref):
         return None
     failed = failures(task.value) + (outcome == 'failed')
-    value = {'attempt': ref.attempt, 'failures': failed, 'at_ms': now_ms}
+    value = {
+        'attempt': ref.attempt,
+        'failures': failed,
+        'at_ms': now_ms,
+        'worker': task.value['worker'],
+        'outcome': outcome,
+    }
     if outcome == 'done':
         value['state'] = TaskState.DONE.value
     elif failed >= MAX_ATTEMPTS:
--- a/packages/carawaymast-core/carawaymast_core/slots.py
+++ b/packages/carawaymast-core/carawaymast_core/slots.py
@@ -415,9 +415,15 @@
         return released
 
     def drop_worker(self, worker_id: str) -> None:
-        """Stop using the idle slots of one worker."""
-        for slot_id in list(self._idle):
-            if slot_id.worker_id == worker_id:
+        """Stop using the slots of one worker.
+
+        Idle ones leave the cache at once, busy ones when they end.
+        """
+        for slot_id, held in list(self._held_by_id.items()):
+            if slot_id.worker_id != worker_id:
+                continue
+            held.is_recalled = True
+            if slot_id in self._idle:
                 del self._idle[slot_id]
                 del self._held_by_id[slot_id]
 
--- a/packages/carawaymast-core/carawaymast_core/workerbook.py
+++ b/packages/carawaymast-core/carawaymast_core/workerbook.py
@@ -189,6 +189,11 @@
         """Tell whether the worker is in the book."""
         return worker_id in self._worker_by_id
 
+    def running(self, worker_id: str, ref: jobs.TaskRef) -> RunningTask | None:
+        """Return a task that runs or is starting on a worker."""
+        worker = self._worker_by_id.get(worker_id)
+        return worker.running_by_ref.get(ref) if worker else None
+
     def running_on(self, worker_id: str) -> list[RunningTask]:
         """Return the tasks that run or are starting on a worker."""
         worker = self._worker_by_id.get(worker_id)
--- a/packages/carawaymast-node/carawaymast_node/coordinator.py
+++ b/packages/carawaymast-node/carawaymast_node/coordinator.py
@@ -15,6 +15,7 @@
 from carawaymast_core import jobindex
 from carawaymast_core import jobs
 from carawaymast_core import membership
+from carawaymast_core import quarantine
 from carawaymast_core import records
 from carawaymast_core import retry
 from carawaymast_core import workerbook
@@ -82,6 +83,8 @@
         self._dirty: dict[str, None] = {}
         self._background = background.TaskSet()
         self.index = jobindex.JobIndex()
+        self.note_outcome: typing.Callable[[str, str, bool], None]
+        self.note_outcome = lambda worker_id, kind, is_success: None
         self.counters: JobCounters = {
             'claims': 0,
             'claims_lost': 0,
@@ -104,6 +107,15 @@
             job_id = self.index.apply(change)
             if job_id is not None:
                 self._dirty[job_id] = None
+                self._judge_worker(job_id, change.value)
+
+    def _judge_worker(self, job_id: str, value: typing.Any) -> None:
+        """Let the outcome of an attempt speak for or against its worker."""
+        outcome = (value or {}).get('outcome')
+        is_success = quarantine.judged(outcome)
+        job = self._log.replica.get(jobs.job_entity(job_id)).value
+        if job is not None and is_success is not None:
+            self.note_outcome(value['worker'], job['spec']['kind'], is_success)
 
     def is_wanted(self, ref: jobs.TaskRef) -> bool:
         """Tell whether an attempt still belongs to an open job.
--- a/packages/carawaymast-node/carawaymast_node/dump.py
+++ b/packages/carawaymast-node/carawaymast_node/dump.py
@@ -72,6 +72,7 @@
         },
         'owner': {
             'workers': sorted(node.roles.owner.owned_ids),
+            'quarantined': node.roles.owner.quarantine.confined(),
             'slots': ledger.total,
             'slots_free': ledger.free_total,
             'held_by': {
--- a/packages/carawaymast-node/carawaymast_node/owner.py
+++ b/packages/carawaymast-node/carawaymast_node/owner.py
@@ -14,6 +14,7 @@
 from carawaymast_core import lease as lease_mod
 from carawaymast_core import membership
 from carawaymast_core import preemption
+from carawaymast_core import quarantine as quarantine_mod
 from carawaymast_core import resources
 from carawaymast_core import slots
 from carawaymast_core import workerbook
@@ -95,6 +96,7 @@
         self.is_wanted: typing.Callable[[jobs.TaskRef], bool]
         self.is_wanted = lambda ref: True
         self.book = workerbook.WorkerBook(clock)
+        self.quarantine = quarantine_mod.Quarantine(clock)
         self.grantor = grants.Grantor(
             members.own.node_id,
             clock,
@@ -185,8 +187,9 @@
             return known.value
         if not self.book.begin_start(ref, worker_id, token):
             return workerbook.AttemptStatus.NEVER.value
+        self.quarantine.begin(worker_id)
         owned = self._owned_by_id[worker_id]
-        task = next(t for t in self.book.running_on(worker_id) if t.ref == ref)
+        task = self.book.running(worker_id, ref)
         try:
             answer = await self._port.start(
                 owned.vm,
@@ -320,6 +323,8 @@
             self.counters['renewed'] += 1
         else:
             self.counters['acquired'] += 1
+            if is_new_boot:
+                self.quarantine.forget(owned.vm.vm_id)
             owned.boot = answer['boot']
             self._take_in(owned, report)
         self._learn(owned, report, sent_at_ms)
@@ -492,7 +497,8 @@
 
     def may_place(self, worker_id: str) -> bool:
         """Tell whether new tasks may go to a worker."""
-        return self._grantable_ms(worker_id) > 0
+        is_owned = self._grantable_ms(worker_id) > 0
+        return is_owned and self.quarantine.may_place(worker_id)
 
     def _address_of(self, worker_id: str) -> tuple[str, int]:
         vm = self._owned_by_id[worker_id].vm
--- a/packages/carawaymast-node/carawaymast_node/roles.py
+++ b/packages/carawaymast-node/carawaymast_node/roles.py
@@ -171,6 +171,7 @@
         self.entry.spare_slots = self.beats.release_idle
         self.entry.give_back = self.beats.give_back
         self.owner.task_ended = self.coordinator.record_end
+        self.coordinator.note_outcome = self.owner.quarantine.note
         self.owner.claimed_on = self.coordinator.index.claimed_on
         self.owner.is_wanted = self.coordinator.is_wanted
         self.owner.may_own = lambda: not self.is_isolated
--- a/standins/virtual.py
+++ b/standins/virtual.py
@@ -201,6 +201,7 @@
         self.node_by_id: dict[str, _Node] = {}
         self.cuts: set[tuple[str, str]] = set()
         self.is_log_down = False
+        self.leaving: set[str] = set()
         self.loss = 0.0
         self.peer_messages = 0
         self.peer_bytes = 0
@@ -264,7 +265,14 @@
             for node_id in self.node_by_id
         ] + [
             membership.Vm(
-                worker_id, 'worker', '127.0.0.1', 0, 0, 'far', 'r', 'live'
+                worker_id,
+                'worker',
+                '127.0.0.1',
+                0,
+                0,
+                'far',
+                'r',
+                'leaving' if worker_id in self.leaving else 'live',
             )
             for worker_id in self.worker_by_id
         ]
