An end that the log refused is recorded later; tasks leave owner.py

Cause: while splitting owner.py (513 lines) a fault showed: the end of an attempt that the worker no longer reports (it restarted) was dropped if the log was down at that moment, and its claim stayed for ever.

Change: each renewal records again what could not be recorded. Tasks on owned workers live in task_owner.py, leases in owner.py.

--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -52,6 +52,12 @@
     Then the job ends within 60 s
     And the workers saw no offence
 
+  Scenario: An end that the log could not take is recorded after the outage
+    Given a job of 4 tasks of 20000 ms
+    When the log is down from 3 s to 40 s and worker-0 restarts meanwhile
+    Then the job ends within 90 s
+    And the workers saw no offence
+
   Scenario: Of two would-be owners that cannot see each other one owns
     Given a load of 60 requests a second for 30 s
     When all nodes are cut off from each other from 2 s to 20 s
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -227,7 +227,7 @@
         seconds,
     )
     preempted = sum(
-        node.roles.owner.counters['preempted'] for node in world.nodes
+        node.roles.owner.tasks.counters['preempted'] for node in world.nodes
     )
     assert preempted, 'the fleet was not full'
 
@@ -355,6 +355,22 @@
     fleet.is_log_down = False
 
 
+@when(
+    'the log is down from {start:d} s to {end:d} s and {worker_id} restarts '
+    'meanwhile'
+)
+def outage_with_restart(context, start, end, worker_id):
+    fleet = context.world.fleet
+    fleet.advance(start)
+    fleet.is_log_down = True
+    fleet.advance(2)
+    for one in fleet.worker_by_id:
+        fleet.restart_worker(one)
+    assert worker_id in fleet.worker_by_id
+    fleet.advance(end - start - 2)
+    fleet.is_log_down = False
+
+
 @when('every node is replaced, one every {seconds:d} s')
 def replace_nodes(context, seconds):
     fleet = context.world.fleet
--- a/packages/carawaymast-node/carawaymast_node/dump.py
+++ b/packages/carawaymast-node/carawaymast_node/dump.py
@@ -20,6 +20,7 @@
         'refusals': node.roles.entry.refusal_by_error,
         'log': node.roles.log.counters,
         'owner': node.roles.owner.counters,
+        'tasks': node.roles.owner.tasks.counters,
         'jobs': node.roles.coordinator.counters,
         'guard': node.guard.counters,
         'beats': {
--- a/packages/carawaymast-node/carawaymast_node/owner.py
+++ b/packages/carawaymast-node/carawaymast_node/owner.py
@@ -1,26 +1,21 @@
-"""The owner role: leases on workers, their slots and their tasks.
+"""The owner role: leases on workers.
 
 The worker decides who owns it; rendezvous hashing only says who should try.
-Each renewal brings a report, from which the owner learns which slots are
-idle and which tasks run or ended.
+Each renewal brings a report, from which the grantor learns which slots are
+idle and the task owner which tasks run or ended.
 """
 
 import asyncio
 import typing
 
 from carawaymast_core import clock as clock_mod
-from carawaymast_core import errors
-from carawaymast_core import jobs
 from carawaymast_core import lease as lease_mod
 from carawaymast_core import membership
-from carawaymast_core import preemption
-from carawaymast_core import quarantine as quarantine_mod
-from carawaymast_core import resources
 from carawaymast_core import slots
-from carawaymast_core import workerbook
 from carawaymast_node import background
 from carawaymast_node import grants
 from carawaymast_node import messages
+from carawaymast_node import task_owner
 from carawaymast_node import worker_port
 
 __all__ = ['OwnerService']
@@ -30,7 +25,7 @@
 UNREACHABLE_AFTER_CALLS = 3
 UNREACHABLE_POLL_MS = 2_000
 PARALLEL_CALLS = 32
-URGENT_RANK = 0
+TICK_MS = 50
 
 
 class _Owned:
@@ -57,11 +52,6 @@
     lapsed: int
     handed_over: int
     worker_errors: int
-    tasks_ended: int
-    preempted: int
-
-
-TaskEnded = typing.Callable[[jobs.TaskRef, str], typing.Awaitable[bool]]
 
 
 class OwnerService:
@@ -82,21 +72,16 @@
         self._members = members
         self._lease_ms = lease_ms
         self._owned_by_id: dict[str, _Owned] = {}
-        self._ended_by_ref: dict[jobs.TaskRef, str] = {}
-        self._recording: set[jobs.TaskRef] = set()
         self._background = background.TaskSet()
         self._gate = asyncio.Semaphore(PARALLEL_CALLS)
         self.may_own: typing.Callable[[], bool] = lambda: True
         self.reaches: typing.Callable[[str, str], bool]
         self.reaches = lambda node_id, worker_id: True
-        self.task_ended: TaskEnded
-        self.claimed_on: typing.Callable[
-            [str], typing.Iterable[jobs.TaskRef]
-        ] = lambda worker_id: ()
-        self.is_wanted: typing.Callable[[jobs.TaskRef], bool]
-        self.is_wanted = lambda ref: True
-        self.book = workerbook.WorkerBook(clock)
-        self.quarantine = quarantine_mod.Quarantine(clock)
+        self.tasks = task_owner.TaskOwner(
+            clock, port, self._held, self._renew_soon
+        )
+        self.book = self.tasks.book
+        self.quarantine = self.tasks.quarantine
         self.grantor = grants.Grantor(
             members.own.node_id,
             clock,
@@ -112,8 +97,6 @@
             'lapsed': 0,
             'handed_over': 0,
             'worker_errors': 0,
-            'tasks_ended': 0,
-            'preempted': 0,
         }
 
     @property
@@ -154,7 +137,7 @@
         """Acquire, renew and hand over, for as long as the node runs."""
         while True:
             self.tick()
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(TICK_MS / 1000)
 
     def tick(self) -> None:
         """Start the calls that are due."""
@@ -175,67 +158,6 @@
         held = [o for o in self._owned_by_id.values() if o.lease.is_held()]
         await asyncio.gather(*(self._release(owned) for owned in held))
 
-    async def start_task(
-        self, worker_id: str, ref: jobs.TaskRef, token: int, run_ms: int
-    ) -> str:
-        """Start a reserved attempt; return its status afterwards.
-
-        ``NEVER`` is binding: the attempt is refused from then on.
-        """
-        known = self.status(worker_id, ref)
-        if known is not workerbook.AttemptStatus.RESERVED:
-            return known.value
-        if not self.book.begin_start(ref, worker_id, token):
-            return workerbook.AttemptStatus.NEVER.value
-        self.quarantine.begin(worker_id)
-        owned = self._owned_by_id[worker_id]
-        task = self.book.running(worker_id, ref)
-        try:
-            answer = await self._port.start(
-                owned.vm,
-                owned.lease.epoch,
-                str(ref),
-                task.kind,
-                task.size,
-                run_ms,
-            )
-        except worker_port.WorkerDownError:
-            self.counters['worker_errors'] += 1
-            return workerbook.AttemptStatus.STARTING.value
-        if answer['started']:
-            self.book.confirm_start(ref)
-            return workerbook.AttemptStatus.RUNNING.value
-        self.book.end(ref)
-        self.book.refuse(ref)
-        return workerbook.AttemptStatus.NEVER.value
-
-    def status(
-        self, worker_id: str, ref: jobs.TaskRef
-    ) -> workerbook.AttemptStatus:
-        """Return what is known of an attempt on an owned worker."""
-        if ref in self._ended_by_ref:
-            return workerbook.AttemptStatus.ENDED
-        return self.book.status(ref, worker_id)
-
-    async def stop_task(
-        self, worker_id: str, ref: jobs.TaskRef, outcome: str = 'failed'
-    ) -> None:
-        """Ask a worker to stop an attempt or refuse it from then on.
-
-        ``outcome`` is what the worker then reports of it.
-        """
-        owned = self._owned_by_id.get(worker_id)
-        if owned is None or not owned.lease.is_held():
-            return
-        try:
-            await self._port.stop(
-                owned.vm, owned.lease.epoch, str(ref), outcome
-            )
-            # The next renewal brings the report that it has ended.
-            owned.next_call_at_ms = self._clock.now()
-        except worker_port.WorkerDownError:
-            self.counters['worker_errors'] += 1
-
     def check_accounts(self) -> None:
         """Raise ``InvariantError`` unless book and ledger add up."""
         self.book.check_accounts()
@@ -341,18 +263,7 @@
     def _take_in(self, owned: _Owned, report) -> None:
         worker_id = owned.vm.vm_id
         self._lose_book(worker_id)
-        running = [
-            workerbook.RunningTask(
-                jobs.parse_ref(task['ref']),
-                task['kind'],
-                messages.to_resources(task['size']),
-                workerbook.AttemptStatus.RUNNING,
-                self._clock.now(),
-            )
-            for task in report['tasks']
-        ]
-        capacity = messages.to_resources(report['capacity'])
-        self.book.add_worker(worker_id, capacity, owned.vm.domain, running)
+        self.tasks.take_in(owned.vm, report)
         usable_from_ms = self._clock.now() + slots.SLOT_GUARD_MS
         self.grantor.ledger.add_worker(
             worker_id, report['slots'], usable_from_ms
@@ -365,69 +276,7 @@
         )
         if freed:
             self.grantor.schedule_rebalance()
-        ended = {
-            jobs.parse_ref(task['ref']): task['outcome']
-            for task in report['ended']
-        }
-        running = {jobs.parse_ref(task['ref']) for task in report['tasks']}
-        for task in self.book.running_on(worker_id):
-            if task.ref in ended or task.ref in running:
-                continue
-            if task.started_at_ms >= sent_at_ms:
-                continue
-            self._vanished(owned, task)
-        for ref in running:
-            self.book.confirm_start(ref)
-        for ref, outcome in ended.items():
-            self._spawn_end(owned, ref, outcome)
-        self._reconcile(owned)
-
-    def _reconcile(self, owned: _Owned) -> None:
-        """Compare what the log has claimed on a worker with its book.
-
-        An attempt that neither runs nor has a reservation never will: the
-        book refuses it, and the log is told.
-        """
-        worker_id = owned.vm.vm_id
-        for ref in self.claimed_on(worker_id):
-            status = self.status(worker_id, ref)
-            if status is workerbook.AttemptStatus.NEVER:
-                self._spawn_end(owned, ref, 'never')
-        for task in self.book.running_on(worker_id):
-            if not self.is_wanted(task.ref):
-                self._background.spawn(self.stop_task(worker_id, task.ref))
-
-    def _vanished(self, owned: _Owned, task: workerbook.RunningTask) -> None:
-        """Handle a task that the worker neither runs nor reports ended."""
-        if task.status is workerbook.AttemptStatus.RUNNING:
-            self._spawn_end(owned, task.ref, 'failed')
-            return
-        # The start may still be on its way: have the worker refuse it.
-        # Once it does, the worker reports the attempt as ended.
-        self._background.spawn(self.stop_task(owned.vm.vm_id, task.ref))
-
-    def _spawn_end(self, owned, ref: jobs.TaskRef, outcome: str) -> None:
-        if ref in self._recording:
-            return
-        self._ended_by_ref[ref] = outcome
-        self._recording.add(ref)
-        self.book.end(ref)
-        self._background.spawn(self._record_end(owned, ref, outcome))
-
-    async def _record_end(self, owned, ref, outcome: str) -> None:
-        """Record the end of an attempt in the log, then acknowledge it."""
-        try:
-            if not await self.task_ended(ref, outcome):
-                return
-            self.counters['tasks_ended'] += 1
-            self._ended_by_ref.pop(ref, None)
-            await self._port.acknowledge(
-                owned.vm, owned.lease.epoch, [str(ref)]
-            )
-        except worker_port.WorkerDownError:
-            self.counters['worker_errors'] += 1
-        finally:
-            self._recording.discard(ref)
+        self.tasks.learn(worker_id, report, sent_at_ms)
 
     def _drop_lapsed(self) -> None:
         for owned in self._owned_by_id.values():
@@ -441,7 +290,7 @@
         self._lose_book(owned.vm.vm_id)
 
     def _lose_book(self, worker_id: str) -> None:
-        self.book.drop_worker(worker_id)
+        self.tasks.drop(worker_id)
         self.grantor.ledger.drop_worker(worker_id)
 
     def _grantable_ms(self, worker_id: str) -> int:
@@ -453,47 +302,14 @@
             return 0
         return owned.lease.remaining_ms()
 
-    def is_within_limit(self, kind: str, size: resources.Resources) -> bool:
-        """Tell whether a task stays within the limit of its row.
-
-        Each owner applies the share to its own workers, so that the shares
-        add up over the fleet. One task is always within the limit.
-        """
-        row = self.grantor.table.by_kind.get(kind)
-        if row is None or not row.limit.is_share:
-            return True
-        used = self.book.used_by(kind)
-        if used == resources.ZERO:
-            return True
-        capacity = self.book.capacity
-        allowed = resources.Resources(
-            *(int(row.limit.of(amount)) for amount in capacity)
-        )
-        return used.plus(size).fits_in(allowed)
-
-    def preempt(
-        self,
-        ref: jobs.TaskRef,
-        kind: str,
-        size: resources.Resources,
-        claimant: workerbook.Claimant,
-    ) -> workerbook.Reservation | None:
-        """Stop less urgent tasks for an urgent one; hold their room."""
-        by_kind = self.grantor.table.by_kind
-        row = by_kind.get(kind)
-        if row is None or row.rank > URGENT_RANK:
-            return None
-        victims = preemption.choose(
-            self.book.rooms(), size, row.rank, by_kind, self._clock.now()
-        )
-        if victims is None or not self.may_place(victims.worker_id):
+    def _held(self, worker_id: str) -> task_owner.HeldWorker | None:
+        owned = self._owned_by_id.get(worker_id)
+        if owned is None or not owned.lease.is_held():
             return None
-        for task in victims.tasks:
-            self.counters['preempted'] += 1
-            self._background.spawn(
-                self.stop_task(victims.worker_id, task.ref, 'preempted')
-            )
-        return self.book.hold_on(ref, victims.worker_id, kind, size, claimant)
+        return task_owner.HeldWorker(owned.vm, owned.lease.epoch)
+
+    def _renew_soon(self, worker_id: str) -> None:
+        self._owned_by_id[worker_id].next_call_at_ms = self._clock.now()
 
     def may_place(self, worker_id: str) -> bool:
         """Tell whether new tasks may go to a worker."""
@@ -503,11 +319,3 @@
     def _address_of(self, worker_id: str) -> tuple[str, int]:
         vm = self._owned_by_id[worker_id].vm
         return vm.host, vm.port
-
-    def summary(self) -> tuple[int, int, resources.Resources]:
-        """Return the number of workers, of slots, and the capacity."""
-        ledger = self.grantor.ledger
-        errors.check(
-            ledger.free_total <= ledger.total, 'more free slots than slots'
-        )
-        return len(self.book), ledger.total, self.book.capacity
--- a/packages/carawaymast-node/carawaymast_node/reservations.py
+++ b/packages/carawaymast-node/carawaymast_node/reservations.py
@@ -47,7 +47,7 @@
             if not owner.owns(one.worker_id):
                 continue
             ref = jobs.parse_ref(one.ref)
-            status = await owner.start_task(
+            status = await owner.tasks.start_task(
                 one.worker_id, ref, one.token, one.run_ms
             )
             statuses.append(peer_pb2.TaskStatus(ref=one.ref, status=status))
@@ -71,7 +71,7 @@
     ref = jobs.parse_ref(wish.ref)
     # A gang that may hold was checked against the limit as a whole.
     is_checked = may_hold or owner.book.is_reserved(ref)
-    if not is_checked and not owner.is_within_limit(wish.kind, size):
+    if not is_checked and not owner.tasks.is_within_limit(wish.kind, size):
         return None
     reservation = owner.book.reserve(
         ref,
@@ -82,7 +82,9 @@
         is_allowed=owner.may_place,
     )
     if reservation is None and may_preempt:
-        reservation = owner.preempt(ref, wish.kind, size, claimant)
+        reservation = owner.tasks.preempt(
+            ref, wish.kind, size, claimant, owner.may_place
+        )
     if reservation is None:
         return None
     return peer_pb2.TaskPlace(
--- a/packages/carawaymast-node/carawaymast_node/roles.py
+++ b/packages/carawaymast-node/carawaymast_node/roles.py
@@ -27,6 +27,7 @@
 from carawaymast_node import peers
 from carawaymast_node import reservations
 from carawaymast_node import table_keeper
+from carawaymast_node import task_owner
 from carawaymast_node import worker_port as worker_port_mod
 
 __all__ = ['Ports', 'Roles']
@@ -170,10 +171,10 @@
         self.entry.want_slots = self.beats.demand
         self.entry.spare_slots = self.beats.release_idle
         self.entry.give_back = self.beats.give_back
-        self.owner.task_ended = self.coordinator.record_end
+        self.owner.tasks.task_ended = self.coordinator.record_end
         self.coordinator.note_outcome = self.owner.quarantine.note
-        self.owner.claimed_on = self.coordinator.index.claimed_on
-        self.owner.is_wanted = self.coordinator.is_wanted
+        self.owner.tasks.claimed_on = self.coordinator.index.claimed_on
+        self.owner.tasks.is_wanted = self.coordinator.is_wanted
         self.owner.may_own = lambda: not self.is_isolated
         self.owner.reaches = self.beats.reaches
         handlers = self.service.handler_by_method
@@ -188,6 +189,7 @@
         """Put a newer table in force in all roles."""
         self.entry.take_table(table)
         self.owner.grantor.table = table
+        self.owner.tasks.table = table
         logs.changed('table', version=table.version)
 
     def _free_cpu_of(self, node_id: str) -> int:
@@ -198,7 +200,7 @@
 
     def _is_urgent(self, kind: str) -> bool:
         row = self.tables.table.by_kind.get(kind)
-        return row is not None and row.rank <= owner_mod.URGENT_RANK
+        return row is not None and row.rank <= task_owner.URGENT_RANK
 
     def _writes_snapshots(self) -> bool:
         node_ids = [member.node_id for member in self.members.staying()]
--- /dev/null
+++ b/packages/carawaymast-node/carawaymast_node/task_owner.py
@@ -0,0 +1,268 @@
+"""The tasks on owned workers: starting, ending, giving way.
+
+The book says what runs and what is reserved; the log says what is claimed.
+Each report of a worker brings the two together.
+"""
+
+import typing
+
+from carawaymast_core import clock as clock_mod
+from carawaymast_core import jobs
+from carawaymast_core import membership
+from carawaymast_core import preemption
+from carawaymast_core import quarantine as quarantine_mod
+from carawaymast_core import resources
+from carawaymast_core import table as table_mod
+from carawaymast_core import workerbook
+from carawaymast_node import background
+from carawaymast_node import messages
+from carawaymast_node import worker_port
+
+__all__ = ['HeldWorker', 'TaskOwner']
+
+URGENT_RANK = 0
+
+
+class HeldWorker(typing.NamedTuple):
+    """A worker whose lease is held, and the epoch of the lease."""
+
+    vm: membership.Vm
+    epoch: int
+
+
+class TaskCounters(typing.TypedDict):
+    """What happened to tasks on owned workers since the node started."""
+
+    ended: int
+    preempted: int
+    worker_errors: int
+
+
+class TaskOwner:
+    """The tasks on the workers that this node owns."""
+
+    def __init__(
+        self,
+        clock: clock_mod.Clock,
+        port: worker_port.WorkerPort,
+        held: typing.Callable[[str], HeldWorker | None],
+        renew_soon: typing.Callable[[str], None],
+    ):
+        self._clock = clock
+        self._port = port
+        self._held = held
+        self._renew_soon = renew_soon
+        self._ended_by_ref: dict[jobs.TaskRef, str] = {}
+        self._recording: set[jobs.TaskRef] = set()
+        self._background = background.TaskSet()
+        self.task_ended: typing.Callable[
+            [jobs.TaskRef, str], typing.Awaitable[bool]
+        ]
+        self.claimed_on: typing.Callable[
+            [str], typing.Iterable[jobs.TaskRef]
+        ] = lambda worker_id: ()
+        self.is_wanted: typing.Callable[[jobs.TaskRef], bool]
+        self.is_wanted = lambda ref: True
+        self.table = table_mod.EMPTY
+        self.book = workerbook.WorkerBook(clock)
+        self.quarantine = quarantine_mod.Quarantine(clock)
+        self.counters: TaskCounters = {
+            'ended': 0,
+            'preempted': 0,
+            'worker_errors': 0,
+        }
+
+    def take_in(self, vm: membership.Vm, report) -> None:
+        """Begin with a worker that was just acquired."""
+        running = [
+            workerbook.RunningTask(
+                jobs.parse_ref(task['ref']),
+                task['kind'],
+                messages.to_resources(task['size']),
+                workerbook.AttemptStatus.RUNNING,
+                self._clock.now(),
+            )
+            for task in report['tasks']
+        ]
+        capacity = messages.to_resources(report['capacity'])
+        self.book.add_worker(vm.vm_id, capacity, vm.domain, running)
+
+    def drop(self, worker_id: str) -> None:
+        """Forget a worker that is no longer owned."""
+        for ref in self.claimed_on(worker_id):
+            self._ended_by_ref.pop(ref, None)
+        self.book.drop_worker(worker_id)
+
+    def learn(self, worker_id: str, report, sent_at_ms: int) -> None:
+        """Take in a report that was asked for at ``sent_at_ms``."""
+        ended = {
+            jobs.parse_ref(task['ref']): task['outcome']
+            for task in report['ended']
+        }
+        running = {jobs.parse_ref(task['ref']) for task in report['tasks']}
+        for task in self.book.running_on(worker_id):
+            if task.ref in ended or task.ref in running:
+                continue
+            if task.started_at_ms < sent_at_ms:
+                self._vanished(worker_id, task)
+        for ref in running:
+            self.book.confirm_start(ref)
+        for ref, outcome in ended.items():
+            self._end(worker_id, ref, outcome)
+        self._reconcile(worker_id)
+
+    async def start_task(
+        self, worker_id: str, ref: jobs.TaskRef, token: int, run_ms: int
+    ) -> str:
+        """Start a reserved attempt; return its status afterwards.
+
+        ``NEVER`` is binding: the attempt is refused from then on.
+        """
+        known = self.status(worker_id, ref)
+        if known is not workerbook.AttemptStatus.RESERVED:
+            return known.value
+        if not self.book.begin_start(ref, worker_id, token):
+            return workerbook.AttemptStatus.NEVER.value
+        self.quarantine.begin(worker_id)
+        held = self._held(worker_id)
+        task = self.book.running(worker_id, ref)
+        if held is None or task is None:
+            return workerbook.AttemptStatus.STARTING.value
+        try:
+            answer = await self._port.start(
+                held.vm,
+                held.epoch,
+                str(ref),
+                task.kind,
+                task.size,
+                run_ms,
+            )
+        except worker_port.WorkerDownError:
+            self.counters['worker_errors'] += 1
+            return workerbook.AttemptStatus.STARTING.value
+        if answer['started']:
+            self.book.confirm_start(ref)
+            return workerbook.AttemptStatus.RUNNING.value
+        self.book.end(ref)
+        self.book.refuse(ref)
+        return workerbook.AttemptStatus.NEVER.value
+
+    def status(
+        self, worker_id: str, ref: jobs.TaskRef
+    ) -> workerbook.AttemptStatus:
+        """Return what is known of an attempt on an owned worker."""
+        if ref in self._ended_by_ref:
+            return workerbook.AttemptStatus.ENDED
+        return self.book.status(ref, worker_id)
+
+    async def stop_task(
+        self, worker_id: str, ref: jobs.TaskRef, outcome: str = 'failed'
+    ) -> None:
+        """Ask a worker to stop an attempt or refuse it from then on.
+
+        ``outcome`` is what the worker then reports of it.
+        """
+        held = self._held(worker_id)
+        if held is None:
+            return
+        try:
+            await self._port.stop(held.vm, held.epoch, str(ref), outcome)
+            # The next renewal brings the report that it has ended.
+            self._renew_soon(worker_id)
+        except worker_port.WorkerDownError:
+            self.counters['worker_errors'] += 1
+
+    def is_within_limit(self, kind: str, size: resources.Resources) -> bool:
+        """Tell whether a task stays within the limit of its row.
+
+        Each owner applies the share to its own workers, so that the shares
+        add up over the fleet. One task is always within the limit.
+        """
+        row = self.table.by_kind.get(kind)
+        if row is None or not row.limit.is_share:
+            return True
+        used = self.book.used_by(kind)
+        if used == resources.ZERO:
+            return True
+        capacity = self.book.capacity
+        allowed = resources.Resources(
+            *(int(row.limit.of(amount)) for amount in capacity)
+        )
+        return used.plus(size).fits_in(allowed)
+
+    def preempt(
+        self,
+        ref: jobs.TaskRef,
+        kind: str,
+        size: resources.Resources,
+        claimant: workerbook.Claimant,
+        may_place: typing.Callable[[str], bool],
+    ) -> workerbook.Reservation | None:
+        """Stop less urgent tasks for an urgent one; hold their room."""
+        by_kind = self.table.by_kind
+        row = by_kind.get(kind)
+        if row is None or row.rank > URGENT_RANK:
+            return None
+        rooms = (r for r in self.book.rooms() if may_place(r.worker_id))
+        victims = preemption.choose(
+            rooms, size, row.rank, by_kind, self._clock.now()
+        )
+        if victims is None:
+            return None
+        for task in victims.tasks:
+            self.counters['preempted'] += 1
+            self._background.spawn(
+                self.stop_task(victims.worker_id, task.ref, 'preempted')
+            )
+        return self.book.hold_on(ref, victims.worker_id, kind, size, claimant)
+
+    def _reconcile(self, worker_id: str) -> None:
+        """Compare what the log has claimed on a worker with its book.
+
+        An attempt that neither runs nor has a reservation never will: the
+        book refuses it, and the log is told.
+        """
+        for ref in self.claimed_on(worker_id):
+            status = self.status(worker_id, ref)
+            if status is workerbook.AttemptStatus.ENDED:
+                # Recording it failed before, say in an outage of the log.
+                self._end(worker_id, ref, self._ended_by_ref[ref])
+            elif status is workerbook.AttemptStatus.NEVER:
+                self._end(worker_id, ref, 'never')
+        for task in self.book.running_on(worker_id):
+            if not self.is_wanted(task.ref):
+                self._background.spawn(self.stop_task(worker_id, task.ref))
+
+    def _vanished(self, worker_id: str, task: workerbook.RunningTask) -> None:
+        """Handle a task that the worker neither runs nor reports ended."""
+        if task.status is workerbook.AttemptStatus.RUNNING:
+            self._end(worker_id, task.ref, 'failed')
+            return
+        # The start may still be on its way: have the worker refuse it.
+        # Once it does, the worker reports the attempt as ended.
+        self._background.spawn(self.stop_task(worker_id, task.ref))
+
+    def _end(self, worker_id: str, ref: jobs.TaskRef, outcome: str) -> None:
+        if ref in self._recording:
+            return
+        self._ended_by_ref[ref] = outcome
+        self._recording.add(ref)
+        self.book.end(ref)
+        self._background.spawn(self._record_end(worker_id, ref, outcome))
+
+    async def _record_end(
+        self, worker_id: str, ref: jobs.TaskRef, outcome: str
+    ) -> None:
+        """Record the end of an attempt in the log, then acknowledge it."""
+        try:
+            if not await self.task_ended(ref, outcome):
+                return
+            self.counters['ended'] += 1
+            self._ended_by_ref.pop(ref, None)
+            held = self._held(worker_id)
+            if held is not None:
+                await self._port.acknowledge(held.vm, held.epoch, [str(ref)])
+        except worker_port.WorkerDownError:
+            self.counters['worker_errors'] += 1
+        finally:
+            self._recording.discard(ref)
