Slots and beats are split by who looks at them

Change: slot_ledger.py (owner) and slot_cache.py (entry node) over slots.py; slot_seeker.py asks for, takes and gives back slots, beats.py only beats.

--- a/features/mutants.py
+++ b/features/mutants.py
@@ -9,7 +9,8 @@
 
 from carawaymast_core import lease
 from carawaymast_core import records
-from carawaymast_core import slots
+from carawaymast_core import slot_cache
+from carawaymast_core import slot_ledger
 from carawaymast_node import log_service
 
 __all__ = ['MUTANT_BY_NAME']
@@ -25,7 +26,7 @@
 def slot_reused_without_report():
     """Count a lapsed slot as free, whatever the endpoint says."""
     return mock.patch.object(
-        slots.SlotLedger,
+        slot_ledger.SlotLedger,
         'prove_idle',
         lambda self, worker_id, busy, taken_at_ms: original_prove(
             self, worker_id, (), taken_at_ms + TOO_LONG_MS
@@ -35,13 +36,13 @@
 
 def slot_lease_counted_from_receipt():
     """Let an entry node count its slot leases for too long."""
-    original = slots.SlotCache.add
+    original = slot_cache.SlotCache.add
 
     def add(self, slot_id, owner_id, epoch, serial, expires_at_ms, now_ms):
         too_late_ms = expires_at_ms + TOO_LONG_MS
         original(self, slot_id, owner_id, epoch, serial, too_late_ms, now_ms)
 
-    return mock.patch.object(slots.SlotCache, 'add', add)
+    return mock.patch.object(slot_cache.SlotCache, 'add', add)
 
 
 def claim_used_before_read_back():
@@ -71,7 +72,7 @@
     return mock.patch.object(records.Replica, '_add_part', add_part)
 
 
-original_prove = slots.SlotLedger.prove_idle
+original_prove = slot_ledger.SlotLedger.prove_idle
 original_add_part = records.Replica._add_part
 
 MUTANT_BY_NAME = {
--- a/packages/carawaymast-node/carawaymast_node/endpoint.py
+++ b/packages/carawaymast-node/carawaymast_node/endpoint.py
@@ -11,7 +11,7 @@
 
 import aiohttp
 
-from carawaymast_core import slots
+from carawaymast_core import slot_cache
 from carawaymast_node import messages
 
 __all__ = ['Dispatch', 'Endpoint', 'EndpointClient', 'Verdict', 'verdict_of']
@@ -128,7 +128,7 @@
     async def run(
         self,
         endpoint: Endpoint,
-        use: slots.SlotUse,
+        use: slot_cache.SlotUse,
         dispatch: Dispatch,
     ) -> Verdict:
         """Run a request in a slot and return what became of it."""
--- a/packages/carawaymast-node/carawaymast_node/entry.py
+++ b/packages/carawaymast-node/carawaymast_node/entry.py
@@ -15,6 +15,7 @@
 from carawaymast_core import errors
 from carawaymast_core import fairqueue
 from carawaymast_core import retry
+from carawaymast_core import slot_cache
 from carawaymast_core import slots
 from carawaymast_core import table as table_mod
 from carawaymast_node import background
@@ -84,7 +85,7 @@
         self._budget = retry.RetryBudget()
         self.account = account
         self.queue = fairqueue.FairQueue()
-        self.cache = slots.SlotCache()
+        self.cache = slot_cache.SlotCache()
         self.endpoint_by_worker: dict[str, endpoint_mod.Endpoint] = {}
         self.wait_ms_by_kind: dict[str, histogram.HdrHistogram] = {}
         self.decision_us = histogram.HdrHistogram(1, 10_000_000, 2)
@@ -242,7 +243,7 @@
         return max(self.cache.total, even)
 
     def _start(
-        self, request: _Request, use: slots.SlotUse, now_ms: int
+        self, request: _Request, use: slot_cache.SlotUse, now_ms: int
     ) -> None:
         if not request.tries:
             self._record_wait(request, now_ms)
@@ -250,7 +251,7 @@
         self._background.spawn(self._run(request, use, now_ms))
 
     async def _run(
-        self, request: _Request, use: slots.SlotUse, started_at_ms: int
+        self, request: _Request, use: slot_cache.SlotUse, started_at_ms: int
     ) -> None:
         verdict = await self._call_endpoint(request, use, started_at_ms)
         now_ms = self._clock.now()
@@ -266,7 +267,7 @@
         self.pump()
 
     async def _call_endpoint(
-        self, request: _Request, use: slots.SlotUse, started_at_ms: int
+        self, request: _Request, use: slot_cache.SlotUse, started_at_ms: int
     ) -> endpoint_mod.Verdict:
         endpoint = self.endpoint_by_worker[use.slot_id.worker_id]
         left_ms = max(1, request.deadline_at_ms - started_at_ms)
--- a/packages/carawaymast-node/carawaymast_node/grants.py
+++ b/packages/carawaymast-node/carawaymast_node/grants.py
@@ -11,6 +11,7 @@
 from carawaymast_core import clock as clock_mod
 from carawaymast_core import membership
 from carawaymast_core import shares
+from carawaymast_core import slot_ledger
 from carawaymast_core import slots
 from carawaymast_core import table as table_mod
 from carawaymast_node import background
@@ -60,7 +61,7 @@
         self._is_scheduled = False
         self._background = background.TaskSet()
         self.table = table_mod.EMPTY
-        self.ledger = slots.SlotLedger()
+        self.ledger = slot_ledger.SlotLedger()
         self.offers_total = 0
         self.recalls_total = 0
 
@@ -87,6 +88,13 @@
             self.schedule_rebalance()
         return renewed, self._grants(granted)
 
+    async def on_return_message(
+        self, message: peer_pb2.ReturnSlotsRequest
+    ) -> peer_pb2.Empty:
+        """Take back slots of this node's workers."""
+        self.on_return(message.node_id, message.slots)
+        return peer_pb2.Empty()
+
     def on_return(
         self, entry_id: str, released: typing.Iterable[peer_pb2.ReleasedSlot]
     ) -> None:
--- a/packages/carawaymast-node/carawaymast_node/roles.py
+++ b/packages/carawaymast-node/carawaymast_node/roles.py
@@ -26,6 +26,7 @@
 from carawaymast_node import owner as owner_mod
 from carawaymast_node import peers
 from carawaymast_node import reservations
+from carawaymast_node import slot_seeker
 from carawaymast_node import table_keeper
 from carawaymast_node import task_owner
 from carawaymast_node import worker_port as worker_port_mod
@@ -88,11 +89,15 @@
             owner_lease_ms,
             self.call,
         )
+        self.seeker = slot_seeker.SlotSeeker(
+            clock, self.members, self.call, self.entry
+        )
         self.beats = beats_mod.Beats(
             clock,
             self.members,
             self.call,
             self.entry,
+            self.seeker,
             self.owner,
             self.tables,
             self.log,
@@ -168,9 +173,11 @@
 
     def _wire(self) -> None:
         """Connect the roles to each other by plain functions."""
-        self.entry.want_slots = self.beats.demand
-        self.entry.spare_slots = self.beats.release_idle
-        self.entry.give_back = self.beats.give_back
+        self.seeker.ask = self.beats.beat
+        self.seeker.slots_of = self.beats.slots_of
+        self.entry.want_slots = self.seeker.demand
+        self.entry.spare_slots = self.seeker.release_idle
+        self.entry.give_back = self.seeker.give_back
         self.owner.tasks.task_ended = self.coordinator.record_end
         self.coordinator.note_outcome = self.owner.quarantine.note
         self.owner.tasks.claimed_on = self.coordinator.index.claimed_on
@@ -179,9 +186,9 @@
         self.owner.reaches = self.beats.reaches
         handlers = self.service.handler_by_method
         handlers['Beat'] = self.beats.on_beat
-        handlers['OfferSlots'] = self.beats.on_offer
-        handlers['RecallSlots'] = self.beats.on_recall
-        handlers['ReturnSlots'] = self.beats.on_return
+        handlers['OfferSlots'] = self.seeker.on_offer
+        handlers['RecallSlots'] = self.seeker.on_recall
+        handlers['ReturnSlots'] = self.owner.grantor.on_return_message
         reservations.register(self.service, self.owner)
 
     @circuits.handler('table_changed', channel='*')
--- /dev/null
+++ b/packages/carawaymast-node/carawaymast_node/slot_seeker.py
@@ -0,0 +1,221 @@
+"""The entry node's side of the slot messages: asking, taking, giving back."""
+
+import random
+import typing
+
+from carawaymast_core import clock as clock_mod
+from carawaymast_core import membership
+from carawaymast_core import slots
+from carawaymast_node import background
+from carawaymast_node import endpoint as endpoint_mod
+from carawaymast_node import entry as entry_mod
+from carawaymast_node import peer_pb2
+from carawaymast_node import peers
+
+__all__ = ['SlotSeeker']
+
+DEMAND_REPEAT_MS = 100
+KEEP_IDLE_PLENTY_MS = 500
+KEEP_IDLE_SOME_MS = 20
+PLENTY_SHARE = 0.2
+
+Ask = typing.Callable[[membership.Member, int], typing.Awaitable[int]]
+
+
+class SlotSeeker:
+    """Gets the slots that this node's requests need, and no more."""
+
+    def __init__(
+        self,
+        clock: clock_mod.Clock,
+        members: membership.Membership,
+        call: typing.Callable[..., typing.Awaitable[typing.Any]],
+        entry: entry_mod.EntryService,
+    ):
+        self._clock = clock
+        self._members = members
+        self._call = call
+        self._entry = entry
+        self._last_demand_at_ms = 0
+        self._demand_sent = 0
+        self._asking = 0
+        self._free_by_id: dict[str, int] = {}
+        self._background = background.TaskSet()
+        self.slots_of: typing.Callable[[str], int] = lambda node_id: 0
+        self.ask: Ask
+        self.failed_total = 0
+
+    def note_free(self, node_id: str, free: int) -> None:
+        """Note how many free slots an owner says it has."""
+        self._free_by_id[node_id] = free
+
+    def forget(self, node_id: str) -> None:
+        """Drop what is known of an owner that went silent."""
+        self._free_by_id.pop(node_id, None)
+
+    def note_told(self) -> None:
+        """Note that all owners are being told the present demand."""
+        self._demand_sent = 0
+
+    def demand(self) -> None:
+        """Ask owners for slots at once, unless that was done just now.
+
+        Owners that are known to have free slots are asked first. If there
+        are none, all owners are told the demand; they remember it and offer
+        slots as they come back.
+        """
+        waiting = self.short()
+        if waiting <= 0 or self._asking:
+            return
+        asked = self._free_first(waiting)
+        if not asked:
+            if not self._is_news(waiting):
+                return
+            asked = {
+                member.node_id: self.part(member.node_id, waiting)
+                for member in self._owners()
+            }
+        for node_id, wanted in asked.items():
+            member = self._members.member(node_id)
+            if wanted and member is not None:
+                self._asking += 1
+                self._background.spawn(self._ask(member, wanted))
+
+    async def _ask(self, member: membership.Member, wanted: int) -> None:
+        try:
+            granted = await self.ask(member, wanted)
+        finally:
+            self._asking -= 1
+        if granted < wanted:
+            # Others wait there too; what is free goes by their shares.
+            self._free_by_id[member.node_id] = 0
+        self.demand()
+
+    def _free_first(self, waiting: int) -> dict[str, int]:
+        """Return how many slots to ask of owners that have free ones."""
+        asked = {}
+        by_free = sorted(self._free_by_id.items(), key=lambda item: -item[1])
+        for node_id, free in by_free:
+            if waiting <= 0 or free <= 0:
+                break
+            asked[node_id] = min(waiting, free)
+            waiting -= asked[node_id]
+        return asked
+
+    def _is_news(self, waiting: int) -> bool:
+        """Tell whether the demand differs from what all owners know."""
+        now_ms = self._clock.now()
+        is_old = now_ms - self._last_demand_at_ms >= DEMAND_REPEAT_MS
+        if not is_old and waiting <= 2 * self._demand_sent:
+            return False
+        self._last_demand_at_ms = now_ms
+        self._demand_sent = waiting
+        return True
+
+    def release_idle(self) -> None:
+        """Give back slots that were idle for longer than is useful now."""
+        keep_ms = self._keep_idle_ms()
+        until_ms = self._clock.now() - keep_ms
+        released_by_owner: dict[str, list[slots.ReleasedSlot]] = {}
+        for owner_id, one in self._entry.cache.pop_idle_since(until_ms):
+            released_by_owner.setdefault(owner_id, []).append(one)
+        for owner_id, released in released_by_owner.items():
+            self._return(released, owner_id)
+
+    def _keep_idle_ms(self) -> int:
+        """Return how long an idle slot is kept.
+
+        Slots are kept long while many are free, since a kept slot saves a
+        message, and not at all while others may wait for one.
+        """
+        free = sum(self._free_by_id.values())
+        if free > self._entry.fleet_slots * PLENTY_SHARE:
+            return KEEP_IDLE_PLENTY_MS
+        return KEEP_IDLE_SOME_MS if free else 0
+
+    def give_back(self, released: slots.ReleasedSlot, owner_id: str) -> None:
+        """Return a recalled slot whose request has ended."""
+        self._return([released], owner_id)
+
+    def _return(
+        self, released: list[slots.ReleasedSlot], owner_id: str
+    ) -> None:
+        member = self._members.member(owner_id)
+        if member is None:
+            return
+        message = peer_pb2.ReturnSlotsRequest(
+            node_id=self._members.own.node_id,
+            slots=peers.released_slots(released),
+        )
+        self._background.spawn(self._tell(member, 'ReturnSlots', message))
+
+    async def on_recall(
+        self, recall: peer_pb2.RecallSlotsRequest
+    ) -> peer_pb2.RecallSlotsReply:
+        """Give idle slots back and mark busy ones."""
+        released = self._entry.cache.recall(recall.owner_id, recall.count)
+        return peer_pb2.RecallSlotsReply(slots=peers.released_slots(released))
+
+    async def on_offer(
+        self, offer: peer_pb2.OfferSlotsRequest
+    ) -> peer_pb2.Empty:
+        """Take in slots that an owner offers."""
+        self.take_grants(
+            offer.owner_id, offer.grants, offer.basis_ms + offer.lease_ms
+        )
+        return peer_pb2.Empty()
+
+    def short(self) -> int:
+        """Return how many more slots could be used at once."""
+        cache = self._entry.cache
+        protected = self._entry.queue.protected_slots(cache.total)
+        return len(self._entry.queue) - cache.idle_total + protected
+
+    def part(self, owner_id: str, waiting: int) -> int:
+        """Return one owner's part of the slots that could be used.
+
+        The part is proportional to the owner's slots; fractions are drawn,
+        so that a single wanted slot is asked of one owner on average.
+        """
+        fleet = self._entry.fleet_slots
+        if waiting <= 0 or not fleet:
+            return 0
+        exact = waiting * self.slots_of(owner_id) / fleet
+        return int(exact + random.random())
+
+    def take_renewed(self, renewed, expires_at_ms: int) -> None:
+        """Extend the leases that an owner has renewed."""
+        for one in renewed:
+            for number in peers.slot_numbers(one.mask):
+                slot_id = slots.SlotId(one.worker_id, number)
+                self._entry.cache.renew(slot_id, expires_at_ms)
+
+    def take_grants(self, owner_id: str, grants, expires_at_ms: int) -> None:
+        """Take in slots that an owner has leased to this node."""
+        if expires_at_ms <= self._clock.now():
+            return
+        for grant in grants:
+            self._entry.endpoint_by_worker[grant.worker_id] = (
+                endpoint_mod.Endpoint(grant.worker_id, grant.host, grant.port)
+            )
+            for number in peers.slot_numbers(grant.mask):
+                self._entry.cache.add(
+                    slots.SlotId(grant.worker_id, number),
+                    owner_id,
+                    grant.epoch,
+                    grant.serial,
+                    expires_at_ms,
+                    self._clock.now(),
+                )
+        if grants:
+            self._demand_sent = 0
+            self._entry.pump()
+
+    def _owners(self) -> list[membership.Member]:
+        return [self._members.own, *self._members.peers()]
+
+    async def _tell(self, member, method: str, message) -> None:
+        try:
+            await self._call(member, method, message)
+        except peers.PeerError:
+            self.failed_total += 1
