--- /dev/null
+++ b/features/__init__.py
@@ -0,0 +1,1 @@
+"""Scenarios, random runs and their steps."""
--- /dev/null
+++ b/features/steps/__init__.py
@@ -0,0 +1,1 @@
+"""Steps of the scenarios."""
--- /dev/null
+++ b/features/steps/operating_steps.py
@@ -0,0 +1,80 @@
+"""Steps that hold the operators' page against the program."""
+
+import os
+import pathlib
+import re
+import shutil
+import subprocess
+import tempfile
+
+from behave import then
+from behave import when
+
+from carawaymast_core import table
+from carawaymast_node import settings
+from features.steps import path_steps
+from standins import deployment
+
+PAGE = deployment.ROOT / 'docs' / 'OPERATING.md'
+COMMAND = re.compile(r'^    carawaymast (.+)$', re.MULTILINE)
+ROW = re.compile(r'^    ([a-z-]+,.+)$', re.MULTILINE)
+COUNTER = re.compile(r'`([a-z]+\.[a-z_]+|refusals)`')
+
+
+@when('each command of docs/OPERATING.md is run in its order')
+def run_page(context):
+    directory = pathlib.Path(
+        context.stack.enter_context(tempfile.TemporaryDirectory())
+    )
+    shutil.copy(deployment.ROOT / 'standins' / 'table.csv', directory)
+    raw = path_steps.job_raw(False, 1, 100, 10, 0, 60_000)
+    (directory / 'job.json').write_text(raw)
+    urls = context.running.url_by_name
+    nodes = ','.join(urls[name] for name in context.running.node_names)
+    context.endings = {}
+    job_id = ''
+    for words in COMMAND.findall(PAGE.read_text()):
+        ended = subprocess.run(
+            [str(path_steps.COMMAND), *words.replace('$JOB', job_id).split()],
+            cwd=directory,
+            env=os.environ | {'CARAWAYMAST_NODES': nodes},
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
+        context.endings[words] = ended
+        if words.startswith('job submit'):
+            job_id = ended.stdout.strip()
+
+
+@then('each ended as the page says')
+def commands_worked(context):
+    assert len(context.endings) >= 10, list(context.endings)
+    for words, ended in context.endings.items():
+        assert ended.returncode == 0, (words, ended)
+
+
+@then('docs/OPERATING.md has the generated table of settings')
+def settings_listed(context):
+    assert settings.describe() in PAGE.read_text()
+
+
+@then('every counter that docs/OPERATING.md names is in the metrics')
+def counters_exist(context):
+    url = context.running.url_by_name['node-0']
+    metrics = deployment.call('GET', f'{url}/v1/metrics')[1]
+    names = [n for n in COUNTER.findall(PAGE.read_text()) if n != 'job.json']
+    names = [n for n in names if n != 'owner.quarantined']
+    assert len(names) >= 10, names
+    for name in names:
+        group, _, counter = name.partition('.')
+        assert group in metrics, name
+        assert not counter or counter in metrics[group], name
+
+
+@then('every example row of docs/OPERATING.md can be parsed')
+def rows_parse(context):
+    rows = ROW.findall(PAGE.read_text())
+    assert len(rows) == 2, rows
+    text = ','.join(table.COLUMNS) + '\n' + '\n'.join(rows)
+    assert len(table.parse(text)) == 2
--- a/packages/carawaymast-node/carawaymast_node/settings.py
+++ b/packages/carawaymast-node/carawaymast_node/settings.py
@@ -11,7 +11,7 @@
 
 from absl import flags
 
-__all__ = ['SETTINGS', 'SettingError', 'Settings', 'load']
+__all__ = ['SETTINGS', 'SettingError', 'Settings', 'describe', 'load']
 
 ENV_PREFIX = 'CARAWAYMAST_'
 MAX_PORT = 65_535
@@ -195,6 +195,15 @@
     return Settings(**values)
 
 
+def describe() -> str:
+    """Return all settings as rows of a Markdown table."""
+    lines = [
+        f'| `{s.name}` | {s.default or "required"} | {s.allowed} | {s.help} |'
+        for s in SETTINGS
+    ]
+    return '\n'.join(lines)
+
+
 def _value(setting, flag_values, environment) -> typing.Any:
     text = flag_values[setting.name].value
     if text is None:
