--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -154,6 +154,19 @@
     And a node starts
     Then the new node has the table and the job
 
+  Scenario: Ended jobs and keys leave the state after a day
+    Given a job of 4 tasks of 1000 ms
+    When a keyed request with a deadline of 8 s is sent
+    Then the job ends within 20 s
+    And the state holds 1 job, 0 tasks and 1 key
+    When 25 hours pass on the wall
+    Then the state holds 0 jobs, 0 tasks and 0 keys
+
+  Scenario: Accounts of past days are folded and still add up
+    Given a load of 60 requests a second for 5 s
+    When 50 hours pass on the wall
+    Then one entity has the account of the first day, and it adds up
+
   Scenario: A node that reaches neither log nor peers refuses new work
     When node-0 is cut off from everything but the workers
     Then node-0 refuses new work after 15 s and before the workers change hands
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -10,9 +10,11 @@
 from behave import when
 
 from carawaymast_core import errors
+from carawaymast_core import expiry
 from carawaymast_core import jobs
 from carawaymast_core import membership
 from carawaymast_core import table as table_mod
+from carawaymast_node import account_writer
 from standins import virtual
 
 TABLE = pathlib.Path(__file__).parent.parent.parent / 'standins' / 'table.csv'
@@ -484,6 +486,42 @@
     assert before and after == before, (before, after)
 
 
+@when('{hours:d} hours pass on the wall')
+def pass_hours(context, hours):
+    fleet = context.world.fleet
+    context.first_day = expiry.day_of(fleet.clock.wall())
+    for _ in range(hours):
+        fleet.wall_ahead_ms += 3600 * 1000
+        fleet.advance(5)
+    fleet.advance(130)
+
+
+@then('the state holds {jobs_left:d} job, {tasks:d} tasks and {keys:d} key')
+@then('the state holds {jobs_left:d} jobs, {tasks:d} tasks and {keys:d} keys')
+def state_holds(context, jobs_left, tasks, keys):
+    for node in context.world.nodes:
+        replica = node.roles.log.replica
+        counts = [
+            len(replica.with_prefix(prefix))
+            for prefix in ('job/', 'task/', 'key/')
+        ]
+        assert counts == [jobs_left, tasks, keys], counts
+
+
+@then('one entity has the account of the first day, and it adds up')
+def folded_account(context):
+    world = context.world
+    day = context.first_day
+    for node in world.nodes:
+        replica = node.roles.log.replica
+        found = replica.with_prefix(f'account/{day}/')
+        assert list(found) == [f'account/{day}/all'], list(found)
+        merged = account_writer.merged(replica, day, '9999-12-31')
+        assert not merged['differences'], merged
+        tally = merged['by_kind']['renewal']
+        assert tally['accepted'] == len(world.node_by_request), merged
+
+
 @when('the log is up after {seconds:d} s')
 def log_up(context, seconds):
     context.world.fleet.advance(seconds)
--- /dev/null
+++ b/packages/carawaymast-core/carawaymast_core/expiry.py
@@ -0,0 +1,93 @@
+"""What may leave the log's state, so that it does not grow without end.
+
+Ended jobs and idempotency keys are kept for a day. The tallies of single
+node processes are folded into one entity a day once the day is over, so that
+a year of accounts takes as many entities as it has days.
+"""
+
+import datetime
+import typing
+
+from carawaymast_core import account
+from carawaymast_core import jobs
+from carawaymast_core import keys
+from carawaymast_core import records
+
+__all__ = ['FOLDED_HOLDER', 'day_of', 'expired', 'folded_accounts']
+
+KEPT_MS = 24 * 3600 * 1000
+BATCH = 200
+MILLISECONDS = 1_000
+ACCOUNT_PREFIX = 'account/'
+FOLDED_HOLDER = 'all'
+
+
+def day_of(wall_ms: int) -> str:
+    """Return the day (UTC) of a wall time, as ``2026-12-31``."""
+    seconds = wall_ms / MILLISECONDS
+    moment = datetime.datetime.fromtimestamp(seconds, datetime.UTC)
+    return moment.date().isoformat()
+
+
+def expired(
+    by_entity: typing.Mapping[str, records.Versioned], now_ms: int
+) -> list[jobs.Writes]:
+    """Return the writes that delete what was kept for long enough.
+
+    A key whose outcome is not known is kept for as long as a known one.
+    """
+    old = [
+        (entity, versioned.version)
+        for entity, versioned in by_entity.items()
+        if _ended_at_ms(entity, versioned.value, now_ms) + KEPT_MS <= now_ms
+    ]
+    return [
+        _deletion(dict(old[start : start + BATCH]))
+        for start in range(0, len(old), BATCH)
+    ]
+
+
+def folded_accounts(
+    by_entity: typing.Mapping[str, records.Versioned], today: str
+) -> list[jobs.Writes]:
+    """Return the writes that fold the tallies of each day that is over.
+
+    The day before ``today`` is left alone, since a node may still write to
+    it just after midnight.
+    """
+    yesterday = datetime.date.fromisoformat(today) - datetime.timedelta(1)
+    holders_by_day: dict[str, dict[str, records.Versioned]] = {}
+    for entity, versioned in by_entity.items():
+        if entity.startswith(ACCOUNT_PREFIX):
+            day = entity.split('/')[1]
+            if day < yesterday.isoformat():
+                holders_by_day.setdefault(day, {})[entity] = versioned
+    return [
+        _fold(day, by_holder)
+        for day, by_holder in holders_by_day.items()
+        if len(by_holder) > 1
+    ]
+
+
+def _deletion(version_by_entity: dict[str, int]) -> jobs.Writes:
+    return jobs.Writes(version_by_entity, dict.fromkeys(version_by_entity))
+
+
+def _fold(
+    day: str, by_holder: typing.Mapping[str, records.Versioned]
+) -> jobs.Writes:
+    target = f'{ACCOUNT_PREFIX}{day}/{FOLDED_HOLDER}'
+    expects = {entity: v.version for entity, v in by_holder.items()}
+    expects.setdefault(target, 0)
+    puts: dict[str, typing.Any] = dict.fromkeys(by_holder)
+    puts[target] = account.merge(v.value for v in by_holder.values())
+    return jobs.Writes(expects, puts)
+
+
+def _ended_at_ms(entity: str, value: typing.Any, now_ms: int) -> int:
+    """Return since when an entity is only kept; ``now_ms`` if it is not."""
+    if entity.startswith('job/'):
+        return value.get('ended_at_ms', now_ms)
+    if entity.startswith(keys.PREFIXES):
+        return value['at_ms']
+    return now_ms
--- a/packages/carawaymast-core/carawaymast_core/jobs.py
+++ b/packages/carawaymast-core/carawaymast_core/jobs.py
@@ -199,7 +199,7 @@
         return None
     has_failed = TaskState.FAILED in states
     state = JobState.FAILED if has_failed else JobState.DONE
-    return _set_state(job, job_id, state, now_ms)
+    return _end_job(replica, job_id, state, now_ms)
 
 
 def cancel(
@@ -209,7 +209,7 @@
     job = replica.get(job_entity(job_id))
     if not is_open(job.value):
         return None
-    return _set_state(job, job_id, JobState.CANCELLED, now_ms)
+    return _end_job(replica, job_id, JobState.CANCELLED, now_ms)
 
 
 def is_open(job_value: typing.Any) -> bool:
@@ -246,10 +246,43 @@
     return TaskState.PENDING if value is None else TaskState(value['state'])
 
 
-def _set_state(job, job_id, state, now_ms) -> Writes:
+def task_states(
+    replica: records.Replica, job_id: str
+) -> list[tuple[str, str, int, str | None]]:
+    """Return name, state, attempt and worker of each task of a job."""
+    value = replica.get(job_entity(job_id)).value
+    if 'ended_tasks' in value:
+        return [tuple(task) for task in value['ended_tasks']]
+    found = []
+    for task in value['spec']['tasks']:
+        known = replica.get(task_entity(job_id, task['name'])).value or {}
+        state = known.get('state', TaskState.PENDING.value)
+        attempt = known.get('attempt', 0)
+        found.append((task['name'], state, attempt, known.get('worker')))
+    return found
+
+
+def _end_job(replica, job_id, state, now_ms) -> Writes:
+    """Return the writes that end a job and fold its tasks into it."""
     entity = job_entity(job_id)
-    value = dict(job.value, state=state.value, ended_at_ms=now_ms)
-    return Writes({entity: job.version}, {entity: value})
+    job = replica.get(entity)
+    spec = job.value['spec']
+    value = {
+        'spec': dict(spec, tasks=[]),
+        'state': state.value,
+        'accepted_at_ms': job.value['accepted_at_ms'],
+        'ended_at_ms': now_ms,
+        'ended_tasks': task_states(replica, job_id),
+    }
+    expects = {entity: job.version}
+    puts: dict[str, typing.Any] = {entity: value}
+    for task in spec['tasks']:
+        name = task_entity(job_id, task['name'])
+        version = replica.get(name).version
+        if version:
+            expects[name] = version
+            puts[name] = None
+    return Writes(expects, puts)
 
 
 def _check_task(task: TaskSpec) -> None:
--- a/packages/carawaymast-core/carawaymast_core/keys.py
+++ b/packages/carawaymast-core/carawaymast_core/keys.py
@@ -14,6 +14,7 @@
 
 __all__ = [
     'KeyState',
+    'PREFIXES',
     'claim',
     'digest',
     'entity',
@@ -24,6 +25,7 @@
 ]
 
 MAX_KEY_LENGTH = 128
+PREFIXES = ('key/', 'job-key/')
 KEPT_RESULT_BYTES = 16_384
 
 
--- a/packages/carawaymast-node/carawaymast_node/account_writer.py
+++ b/packages/carawaymast-node/carawaymast_node/account_writer.py
@@ -6,17 +6,17 @@
 
 import asyncio
 import copy
-import datetime
 import typing
 
 from carawaymast_core import account as account_mod
+from carawaymast_core import clock as clock_mod
+from carawaymast_core import expiry
 from carawaymast_core import jobs
 from carawaymast_core import records
 from carawaymast_node import log_service
 
-__all__ = ['ACCOUNT_PREFIX', 'AccountWriter', 'merged']
+__all__ = ['AccountWriter', 'merged']
 
-ACCOUNT_PREFIX = 'account/'
 WRITE_INTERVAL_MS = 2_000
 COMMIT_TIMEOUT_MS = 4_000
 LAST_TRIES = 3
@@ -28,14 +28,16 @@
     def __init__(
         self,
         holder: str,
+        clock: clock_mod.Clock,
         log: log_service.LogService,
         account: account_mod.Account,
     ):
         self._holder = holder
+        self._clock = clock
         self._log = log
         self._account = account
         self._written: typing.Any = {}
-        self._day = _today()
+        self._day = self._today()
         self._base: dict[str, account_mod.Tally] = {}
 
     async def keep_writing(self) -> typing.NoReturn:
@@ -56,16 +58,19 @@
         now = copy.deepcopy(self._account.tally_by_kind)
         if not await self._put(account_mod.since(now, self._base)):
             return False
-        if self._day != _today():
-            self._day = _today()
+        if self._day != self._today():
+            self._day = self._today()
             self._base = now
             self._written = {}
         return True
 
+    def _today(self) -> str:
+        return expiry.day_of(self._clock.wall())
+
     async def _put(self, tallies: dict[str, account_mod.Tally]) -> bool:
         if tallies == self._written:
             return True
-        entity = f'{ACCOUNT_PREFIX}{self._day}/{self._holder}'
+        entity = f'{expiry.ACCOUNT_PREFIX}{self._day}/{self._holder}'
         version = self._log.replica.get(entity).version
         writes = jobs.Writes({entity: version}, {entity: tallies})
         try:
@@ -85,7 +90,9 @@
     Days are written ``2026-12-31``; both ends belong to the range.
     """
     tallies_by_holder: dict[str, list] = {}
-    for entity, versioned in replica.with_prefix(ACCOUNT_PREFIX).items():
+    for entity, versioned in replica.with_prefix(
+        expiry.ACCOUNT_PREFIX
+    ).items():
         _, day, holder = entity.split('/')
         if first_day <= day <= last_day:
             tallies_by_holder.setdefault(holder, []).append(versioned.value)
@@ -101,7 +108,3 @@
         'by_holder': by_holder,
         'differences': account_mod.differences(total),
     }
-
-
-def _today() -> str:
-    return datetime.datetime.now(datetime.UTC).strftime('%Y-%m-%d')
--- a/packages/carawaymast-node/carawaymast_node/api.py
+++ b/packages/carawaymast-node/carawaymast_node/api.py
@@ -50,7 +50,7 @@
         self._log = roles.log
         self._keyed = keyed.KeyedRequests(roles.clock, roles.log, roles.entry)
         self._desk = job_desk.JobDesk(
-            roles.clock, roles.log, roles.tables, roles.shapes.counts
+            roles.clock, roles.log, roles.tables, roles.count_by_shape
         )
         self._reports = reports
         self._background = background.TaskSet()
--- /dev/null
+++ b/packages/carawaymast-node/carawaymast_node/janitor.py
@@ -0,0 +1,54 @@
+"""Clearing the log's state of what need not be kept."""
+
+import asyncio
+import typing
+
+from carawaymast_core import clock as clock_mod
+from carawaymast_core import expiry
+from carawaymast_node import log_service
+
+__all__ = ['Janitor']
+
+INTERVAL_MS = 60_000
+COMMIT_TIMEOUT_MS = 10_000
+
+
+class Janitor:
+    """Deletes and folds; only a preference says which node does it.
+
+    Two nodes at once do no harm, since each write names the versions that
+    it expects.
+    """
+
+    def __init__(
+        self,
+        clock: clock_mod.Clock,
+        log: log_service.LogService,
+        is_preferred: typing.Callable[[], bool],
+    ):
+        self._clock = clock
+        self._log = log
+        self._is_preferred = is_preferred
+        self.deleted_total = 0
+
+    async def keep_clearing(self) -> typing.NoReturn:
+        """Clear the state for as long as the node runs."""
+        while True:
+            await asyncio.sleep(INTERVAL_MS / 1000)
+            if self._is_preferred() and self._log.is_caught_up:
+                await self.clear()
+
+    async def clear(self) -> None:
+        """Delete and fold once."""
+        state = self._log.replica.copy()
+        now_ms = self._clock.wall()
+        today = expiry.day_of(now_ms)
+        for writes in (
+            *expiry.expired(state, now_ms),
+            *expiry.folded_accounts(state, today),
+        ):
+            try:
+                if await self._log.commit(writes, COMMIT_TIMEOUT_MS):
+                    self.deleted_total += len(writes.puts)
+            except log_service.CommitError:
+                return
--- a/packages/carawaymast-node/carawaymast_node/job_desk.py
+++ b/packages/carawaymast-node/carawaymast_node/job_desk.py
@@ -75,7 +75,15 @@
             'gang': spec['gang'],
             'state': value['state'],
             'tasks': [
-                self._show_task(job_id, task['name']) for task in spec['tasks']
+                {
+                    'name': name,
+                    'state': state,
+                    'attempt': attempt,
+                    'worker': worker_id,
+                }
+                for name, state, attempt, worker_id in jobs.task_states(
+                    replica, job_id
+                )
             ],
         }
 
@@ -140,13 +148,3 @@
                 f'a gang of {len(sizes)} tasks finds no room even on the '
                 'empty fleet',
             )
-
-    def _show_task(self, job_id: str, name: str) -> dict[str, typing.Any]:
-        entity = jobs.task_entity(job_id, name)
-        known = self._log.replica.get(entity).value or {}
-        return {
-            'name': name,
-            'state': known.get('state', jobs.TaskState.PENDING.value),
-            'attempt': known.get('attempt', 0),
-            'worker': known.get('worker'),
-        }
--- a/packages/carawaymast-node/carawaymast_node/roles.py
+++ b/packages/carawaymast-node/carawaymast_node/roles.py
@@ -20,6 +20,7 @@
 from carawaymast_node import coordinator as coordinator_mod
 from carawaymast_node import endpoint as endpoint_mod
 from carawaymast_node import entry as entry_mod
+from carawaymast_node import janitor
 from carawaymast_node import log_port as log_port_mod
 from carawaymast_node import log_service
 from carawaymast_node import logs
@@ -108,12 +109,13 @@
             self.members,
             self.call,
             self._free_cpu_of,
-            self.shapes.counts,
+            self.count_by_shape,
             self._is_urgent,
         ).register(self)
         self.accounts = account_writer.AccountWriter(
-            holder, self.log, self.account
+            holder, clock, self.log, self.account
         )
+        self.janitor = janitor.Janitor(clock, self.log, self._writes_snapshots)
         self._wire()
 
     @property
@@ -135,6 +137,7 @@
             self.entry.keep_expiring(),
             self.coordinator.keep_working(),
             self.accounts.keep_writing(),
+            self.janitor.keep_clearing(),
             self._keep_checking(),
         ]
 
@@ -158,6 +161,11 @@
             if vm.state == 'leaving':
                 self.entry.cache.drop_worker(vm.vm_id)
 
+    def count_by_shape(self) -> fleetshape.CountByShape:
+        """Return how many workers of each capacity there are."""
+        self._observe_fleet()
+        return self.shapes.counts()
+
     def _observe_fleet(self) -> None:
         """Note how many workers of each capacity the nodes own."""
         total: collections.Counter[resources.Resources]
--- a/standins/virtual.py
+++ b/standins/virtual.py
@@ -104,7 +104,7 @@
             fleet.clock,
             self.roles.log,
             self.roles.tables,
-            self.roles.shapes.counts,
+            self.roles.count_by_shape,
         )
         self.tasks = [
             asyncio.ensure_future(step) for step in self.roles.steps()
@@ -192,7 +192,11 @@
         random.seed(seed)
         self._ids = mock.patch.object(uuid, 'uuid4', self._next_id)
         self._ids.start()
-        self.clock = clock_mod.Clock(lambda: int(loop.time() * 1000))
+        self.wall_ahead_ms = 0
+        self.clock = clock_mod.Clock(
+            lambda: int(loop.time() * 1000),
+            lambda: int(loop.time() * 1000) + self.wall_ahead_ms,
+        )
         self.log = log_standin.Log(RETENTION_MS, loop.time)
         self.worker_by_id = {
             f'worker-{n}': self._make_worker() for n in range(worker_count)
