Large modules are split, the benches share their fleet

Cause: workerbook.py, coordinator.py and two benches had grown or repeated each other.

Change: attempts.py (data of attempts), owner_calls.py (the coordinator's calls), bench/fleets.py.

--- a/bench/floods.py
+++ b/bench/floods.py
@@ -14,11 +14,8 @@
 
 import tabulate
 
-from carawaymast_core import errors
-from carawaymast_core import table as table_mod
-from standins import deployment
+from bench import fleets
 from standins import load
-from standins import virtual
 
 __all__ = ['main']
 
@@ -37,7 +34,6 @@
     'engraving-set': 400,
 }
 CALM_SHARE = 0.08
-DEADLINE_MS = 30_000
 
 
 class Flood(typing.NamedTuple):
@@ -65,7 +61,7 @@
     for kind, run_ms in RUN_MS_BY_KIND.items():
         rate = CALM_SHARE * SLOTS / (run_ms / 1000)
         team = rows[kind].team
-        calm = load.Stream(kind, team, rate, run_ms, False, DEADLINE_MS)
+        calm = load.Stream(kind, team, rate, run_ms, False, fleets.DEADLINE_MS)
         found.append(calm)
         if flood is not None and kind in flood.kinds:
             times = flood.times / len(flood.kinds)
@@ -76,13 +72,8 @@
 
 def run(flood: Flood | None, seed: int) -> dict[str, Row]:
     """Return what each kind saw."""
-    loop = virtual.VirtualLoop()
-    asyncio.set_event_loop(loop)
-    fleet = virtual.Fleet(loop, seed, NODES, WORKERS, slots=SLOTS_PER_WORKER)
-    text = (deployment.ROOT / 'standins' / 'table.csv').read_text()
-    rows = table_mod.parse(text)
-    fleet.start(rows)
-    fleet.advance(2)
+    rows = fleets.table()
+    fleet = fleets.start(rows, seed, NODES, WORKERS, SLOTS_PER_WORKER)
     arrivals = load.draw_arrivals(streams(rows, flood), LENGTH_S, seed)
     busy_by_kind: dict[str, float] = dict.fromkeys(RUN_MS_BY_KIND, 0.0)
     fleet.run(_play(fleet, arrivals, busy_by_kind, seed))
@@ -105,23 +96,11 @@
             await asyncio.sleep(left)
         stream = arrival.stream
         run_ms = max(1, int(source.uniform(0.5, 1.5) * stream.run_ms))
-        body = {
-            'kind': stream.kind,
-            'team': stream.team,
-            'deadline_ms': stream.deadline_ms,
-            'idempotent': stream.is_idempotent,
-            'payload': {'run_ms': run_ms, 'echo': 1},
-        }
         node = nodes[arrival.number % NODES]
-        try:
-            node.roles.entry.submit(
-                f'r{arrival.number}', body, lambda status, body: None
-            )
-        except errors.SchedulerError:
-            continue
+        name = f'r{arrival.number}'
+        fleets.submit(node, name, stream.kind, stream.team, run_ms)
     sampler.cancel()
-    while any(node.roles.entry.in_flight for node in nodes):
-        await asyncio.sleep(1)
+    await fleets.settle(nodes)
 
 
 async def _sample(nodes, busy_by_kind) -> None:
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -20,6 +20,7 @@
 import msgspec
 import tabulate
 
+from carawaymast_core import attempts
 from carawaymast_core import clock as clock_mod
 from carawaymast_core import fairqueue
 from carawaymast_core import jobindex
@@ -158,11 +159,11 @@
     size = resources.Resources(3_000, 12_000, 0)
     for number in range(workers):
         tasks = [
-            workerbook.RunningTask(
+            attempts.RunningTask(
                 jobs.TaskRef(f'{number:032x}', f't{index}', 1),
                 'renewal',
                 size,
-                workerbook.AttemptStatus.RUNNING,
+                attempts.AttemptStatus.RUNNING,
                 0,
             )
             for index in range(18)
--- a/bench/slots.py
+++ b/bench/slots.py
@@ -15,9 +15,8 @@
 
 import tabulate
 
-from carawaymast_core import errors
+from bench import fleets
 from carawaymast_core import table as table_mod
-from standins import deployment
 from standins import virtual
 
 __all__ = ['main']
@@ -31,7 +30,6 @@
 ROUND_TRIP_S = virtual.LONGEST_DELAY_S + 0.0002
 HOLD_S = MEAN_RUN_MS / 1000 + ROUND_TRIP_S
 SAMPLE_S = 0.01
-DEADLINE_MS = 60_000
 
 
 class Arrival(typing.NamedTuple):
@@ -90,16 +88,10 @@
 
 def leased(arrivals: list[Arrival], seed: int) -> Result:
     """Serve with the real roles of eight nodes."""
-    loop = virtual.VirtualLoop()
-    asyncio.set_event_loop(loop)
-    fleet = virtual.Fleet(loop, seed, NODES, WORKERS, slots=SLOTS_PER_WORKER)
-    text = (deployment.ROOT / 'standins' / 'table.csv').read_text()
-    rows = table_mod.parse(text)
-    rows['renewal'] = rows['renewal']._replace(
-        limit=table_mod.Amount(1.0, True)
-    )
-    fleet.start(rows)
-    fleet.advance(2)
+    rows = fleets.table()
+    whole = table_mod.Amount(1.0, True)
+    rows['renewal'] = rows['renewal']._replace(limit=whole)
+    fleet = fleets.start(rows, seed, NODES, WORKERS, SLOTS_PER_WORKER)
     fleet.peer_messages = fleet.peer_bytes = 0
     idle: list[float] = []
     fleet.run(_play(fleet, arrivals, idle))
@@ -131,22 +123,10 @@
         left = started + arrival.at_s - fleet.loop.time()
         if left > 0:
             await asyncio.sleep(left)
-        body = {
-            'kind': 'renewal',
-            'team': 'kilima',
-            'deadline_ms': DEADLINE_MS,
-            'idempotent': False,
-            'payload': {'run_ms': arrival.run_ms, 'echo': 1},
-        }
-        try:
-            nodes[arrival.node].roles.entry.submit(
-                f'r{number}', body, lambda status, body: None
-            )
-        except errors.SchedulerError:
-            continue
+        node = nodes[arrival.node]
+        fleets.submit(node, f'r{number}', 'renewal', 'kilima', arrival.run_ms)
     sampler.cancel()
-    while any(node.roles.entry.in_flight for node in nodes):
-        await asyncio.sleep(1)
+    await fleets.settle(nodes)
 
 
 async def _sample_idle(fleet, nodes, idle) -> None:
--- a/features/core_machines.py
+++ b/features/core_machines.py
@@ -5,6 +5,7 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
+from carawaymast_core import attempts
 from carawaymast_core import clock as clock_mod
 from carawaymast_core import fairqueue
 from carawaymast_core import jobs
@@ -334,7 +335,7 @@
         self.sent += 1
         ref = jobs.TaskRef(f'job{self.sent}', 't', 1)
         size = resources.Resources(cpu, memory, 0)
-        claimant = workerbook.Claimant(age, ref.job_id)
+        claimant = attempts.Claimant(age, ref.job_id)
         self.size_by_ref[ref] = (size, claimant)
         self.book.reserve(ref, 'a', size, claimant, hold)
 
--- a/packages/carawaymast-core/carawaymast_core/preemption.py
+++ b/packages/carawaymast-core/carawaymast_core/preemption.py
@@ -7,9 +7,9 @@
 
 import typing
 
+from carawaymast_core import attempts
 from carawaymast_core import resources
 from carawaymast_core import table as table_mod
-from carawaymast_core import workerbook
 
 __all__ = ['Victims', 'choose']
 
@@ -18,12 +18,12 @@
     """The tasks to stop on one worker, and the work lost by it in ms."""
 
     worker_id: str
-    tasks: tuple[workerbook.RunningTask, ...]
+    tasks: tuple[attempts.RunningTask, ...]
     lost_ms: int
 
 
 def choose(
-    rooms: typing.Iterable[workerbook.Room],
+    rooms: typing.Iterable[attempts.Room],
     size: resources.Resources,
     rank: int,
     by_kind: typing.Mapping[str, table_mod.Row],
--- a/packages/carawaymast-core/carawaymast_core/workerbook.py
+++ b/packages/carawaymast-core/carawaymast_core/workerbook.py
@@ -7,90 +7,30 @@
 """
 
 import collections
-import enum
 import itertools
 import typing
 
+from carawaymast_core import attempts
 from carawaymast_core import clock as clock_mod
 from carawaymast_core import errors
 from carawaymast_core import jobs
 from carawaymast_core import placement
 from carawaymast_core import resources
 
-__all__ = [
-    'AttemptStatus',
-    'Claimant',
-    'Reservation',
-    'Room',
-    'RunningTask',
-    'WorkerBook',
-]
+__all__ = ['WorkerBook']
 
 RESERVATION_MS = 3_000
 REFUSED_KEPT = 50_000
 
 
-class AttemptStatus(enum.StrEnum):
-    """What the owner of a worker knows about an attempt."""
-
-    RESERVED = 'reserved'
-    STARTING = 'starting'
-    RUNNING = 'running'
-    ENDED = 'ended'
-    NEVER = 'never'
-
-
-class Claimant(typing.NamedTuple):
-    """Who asks for room; an older claimant goes before a younger one."""
-
-    accepted_at_ms: int
-    job_id: str
-
-
-class Reservation(typing.NamedTuple):
-    """Room on a worker kept for one attempt.
-
-    ``is_pending`` marks a hold whose room has not drained yet. ``token``
-    tells the reservation from any other of the same attempt, so that a start
-    that was delayed cannot use one made since for somebody else.
-    """
-
-    ref: jobs.TaskRef
-    worker_id: str
-    kind: str
-    size: resources.Resources
-    claimant: Claimant
-    expires_at_ms: int
-    is_pending: bool
-    token: int
-
-
-class RunningTask(typing.NamedTuple):
-    """A task that a worker runs or is being asked to run."""
-
-    ref: jobs.TaskRef
-    kind: str
-    size: resources.Resources
-    status: AttemptStatus
-    started_at_ms: int
-
-
-class Room(typing.NamedTuple):
-    """What is free on a worker, and the tasks that run there."""
-
-    worker_id: str
-    free: resources.Resources
-    tasks: tuple[RunningTask, ...]
-
-
 class _Worker:
     """What the book knows about one worker."""
 
     def __init__(self, capacity: resources.Resources, domain: str):
         self.capacity = capacity
         self.domain = domain
-        self.running_by_ref: dict[jobs.TaskRef, RunningTask] = {}
-        self.reserved_by_ref: dict[jobs.TaskRef, Reservation] = {}
+        self.running_by_ref: dict[jobs.TaskRef, attempts.RunningTask] = {}
+        self.reserved_by_ref: dict[jobs.TaskRef, attempts.Reservation] = {}
         self.used = resources.ZERO
         self.reserved = resources.ZERO
 
@@ -146,11 +86,11 @@
         """Return what a kind runs and has reserved on all owned workers."""
         return self._used_by_kind.get(kind, resources.ZERO)
 
-    def rooms(self) -> typing.Iterator[Room]:
+    def rooms(self) -> typing.Iterator[attempts.Room]:
         """Return the free room and the running tasks of each worker."""
         for worker_id, worker in self._worker_by_id.items():
             tasks = tuple(worker.running_by_ref.values())
-            yield Room(worker_id, worker.free(), tasks)
+            yield attempts.Room(worker_id, worker.free(), tasks)
 
     def count_by_shape(self) -> collections.Counter[resources.Resources]:
         """Return the number of owned workers of each capacity."""
@@ -163,7 +103,7 @@
         worker_id: str,
         capacity: resources.Resources,
         domain: str,
-        running: typing.Iterable[RunningTask],
+        running: typing.Iterable[attempts.RunningTask],
     ) -> None:
         """Take in a worker with the tasks that it reports as running."""
         worker = _Worker(capacity, domain)
@@ -189,12 +129,14 @@
         """Tell whether the worker is in the book."""
         return worker_id in self._worker_by_id
 
-    def running(self, worker_id: str, ref: jobs.TaskRef) -> RunningTask | None:
+    def running(
+        self, worker_id: str, ref: jobs.TaskRef
+    ) -> attempts.RunningTask | None:
         """Return a task that runs or is starting on a worker."""
         worker = self._worker_by_id.get(worker_id)
         return worker.running_by_ref.get(ref) if worker else None
 
-    def running_on(self, worker_id: str) -> list[RunningTask]:
+    def running_on(self, worker_id: str) -> list[attempts.RunningTask]:
         """Return the tasks that run or are starting on a worker."""
         worker = self._worker_by_id.get(worker_id)
         return list(worker.running_by_ref.values()) if worker else []
@@ -204,11 +146,11 @@
         ref: jobs.TaskRef,
         kind: str,
         size: resources.Resources,
-        claimant: Claimant,
+        claimant: attempts.Claimant,
         may_hold: bool = False,
         avoid_domains: typing.Container[str] = (),
         is_allowed: typing.Callable[[str], bool] = lambda worker_id: True,
-    ) -> Reservation | None:
+    ) -> attempts.Reservation | None:
         """Keep room for an attempt; None if there is none.
 
         Asking again renews the reservation. With ``may_hold`` the answer may
@@ -240,8 +182,8 @@
         worker_id: str,
         kind: str,
         size: resources.Resources,
-        claimant: Claimant,
-    ) -> Reservation:
+        claimant: attempts.Claimant,
+    ) -> attempts.Reservation:
         """Hold room on one worker that is about to be freed."""
         return self._keep(ref, worker_id, kind, size, claimant, True)
 
@@ -286,11 +228,11 @@
             self.refuse(ref)
             return False
         self._drop_reservation(reservation)
-        task = RunningTask(
+        task = attempts.RunningTask(
             ref,
             reservation.kind,
             reservation.size,
-            AttemptStatus.STARTING,
+            attempts.AttemptStatus.STARTING,
             self._clock.now(),
         )
         self._add_running(worker_id, self._worker_by_id[worker_id], task)
@@ -305,7 +247,7 @@
         worker = self._worker_by_id[worker_id]
         task = worker.running_by_ref.get(ref)
         if task is not None:
-            running = task._replace(status=AttemptStatus.RUNNING)
+            running = task._replace(status=attempts.AttemptStatus.RUNNING)
             worker.running_by_ref[ref] = running
 
     def end(self, ref: jobs.TaskRef) -> None:
@@ -329,7 +271,9 @@
         if len(self._refused) > REFUSED_KEPT:
             del self._refused[next(iter(self._refused))]
 
-    def status(self, ref: jobs.TaskRef, worker_id: str) -> AttemptStatus:
+    def status(
+        self, ref: jobs.TaskRef, worker_id: str
+    ) -> attempts.AttemptStatus:
         """Return what is known of an attempt on an owned worker.
 
         ``NEVER`` is binding: the attempt is refused from then on.
@@ -343,9 +287,9 @@
         if task is not None:
             return task.status
         if self._reservation(ref, worker_id) is not None:
-            return AttemptStatus.RESERVED
+            return attempts.AttemptStatus.RESERVED
         self.refuse(ref)
-        return AttemptStatus.NEVER
+        return attempts.AttemptStatus.NEVER
 
     def check_accounts(self) -> None:
         """Raise ``InvariantError`` unless every worker's sums hold."""
@@ -384,7 +328,7 @@
 
     def _reservation(
         self, ref: jobs.TaskRef, on_worker: str | None = None
-    ) -> Reservation | None:
+    ) -> attempts.Reservation | None:
         """Return the reservation of an attempt, on one worker if given."""
         worker_id = self._worker_id_by_ref.get(ref)
         if worker_id is None or on_worker not in (None, worker_id):
@@ -393,8 +337,8 @@
 
     def _keep(
         self, ref, worker_id, kind, size, claimant, is_pending
-    ) -> Reservation:
-        reservation = Reservation(
+    ) -> attempts.Reservation:
+        reservation = attempts.Reservation(
             ref,
             worker_id,
             kind,
@@ -412,7 +356,7 @@
         self._reindex(worker_id)
         return reservation
 
-    def _renew(self, known: Reservation) -> Reservation:
+    def _renew(self, known: attempts.Reservation) -> attempts.Reservation:
         worker = self._worker_by_id[known.worker_id]
         is_pending = known.is_pending and not self._has_drained(worker, known)
         renewed = known._replace(
@@ -422,7 +366,9 @@
         worker.reserved_by_ref[known.ref] = renewed
         return renewed
 
-    def _has_drained(self, worker: _Worker, hold: Reservation) -> bool:
+    def _has_drained(
+        self, worker: _Worker, hold: attempts.Reservation
+    ) -> bool:
         taken = worker.used
         for other in worker.reserved_by_ref.values():
             if not other.is_pending:
@@ -431,7 +377,7 @@
 
     def _hold(
         self, ref, kind, size, claimant, is_allowed
-    ) -> Reservation | None:
+    ) -> attempts.Reservation | None:
         """Evict younger reservations, or hold the emptiest worker."""
         best = None
         best_free = None
@@ -470,7 +416,7 @@
             f'{worker_id}: {worker.used} used exceeds {worker.capacity}',
         )
 
-    def _drop_reservation(self, reservation: Reservation) -> None:
+    def _drop_reservation(self, reservation: attempts.Reservation) -> None:
         worker = self._worker_by_id[reservation.worker_id]
         del worker.reserved_by_ref[reservation.ref]
         worker.reserved = worker.reserved.minus(reservation.size)
--- a/packages/carawaymast-node/carawaymast_node/coordinator.py
+++ b/packages/carawaymast-node/carawaymast_node/coordinator.py
@@ -18,11 +18,9 @@
 from carawaymast_core import quarantine
 from carawaymast_core import records
 from carawaymast_core import retry
-from carawaymast_core import workerbook
 from carawaymast_node import background
 from carawaymast_node import log_service
-from carawaymast_node import peer_pb2
-from carawaymast_node import peers
+from carawaymast_node import owner_calls
 
 __all__ = ['Coordinator']
 
@@ -74,7 +72,7 @@
         self._clock = clock
         self._log = log
         self._members = members
-        self._call = call
+        self._owners = owner_calls.OwnerCalls(call)
         self._free_cpu_of = free_cpu_of
         self._count_by_shape = count_by_shape
         self._is_urgent = is_urgent
@@ -213,9 +211,9 @@
         """Reserve, claim and start what finds room."""
         some = dict(list(due.items())[:BATCH_TASKS])
         owners = self._owners_by_room()
-        places = await self._reserve(job_id, value, some, owners, False)
+        places = await self._owners.reserve(job_id, value, some, owners, False)
         if not places and self._is_urgent(value['spec']['kind']):
-            places = await self._ask_with_preemption(
+            places = await self._owners.ask_with_preemption(
                 job_id, value, some, owners
             )
         firm = {ref: p for ref, p in places.items() if not p.is_pending}
@@ -226,16 +224,6 @@
         await self._claim_and_start(value, some, firm)
         self._backoff_by_id.pop(job_id, None)
 
-    async def _ask_with_preemption(self, job_id, value, due, owners):
-        """Have room made by the first owner that can."""
-        for member in owners:
-            places = await self._ask(
-                member, job_id, value, due, False, may_preempt=True
-            )
-            if places:
-                return places
-        return {}
-
     async def _advance_gang(self, job_id, value, due) -> None:
         """Reserve all tasks, then claim and start them, or release all.
 
@@ -248,7 +236,9 @@
             map(jobs.size_of, due.values()), self._count_by_shape()
         )
         owners = sorted(self._members.staying(), key=lambda m: m.node_id)
-        places = await self._reserve(job_id, value, due, owners, may_hold)
+        places = await self._owners.reserve(
+            job_id, value, due, owners, may_hold
+        )
         firm = {ref: p for ref, p in places.items() if not p.is_pending}
         if len(firm) == len(due):
             await self._claim_and_start(value, due, firm)
@@ -259,53 +249,9 @@
             self.counters['holds'] += 1
             self._back_off(job_id, BACKOFF_BASE_MS * 3)
             return
-        await self._release(places)
+        await self._owners.release(places)
         self._miss(job_id)
 
-    async def _reserve(
-        self, job_id, value, due, owners, may_hold
-    ) -> dict[jobs.TaskRef, '_Place']:
-        """Ask owner after owner for room; first without holds, then with."""
-        places: dict[jobs.TaskRef, _Place] = {}
-        rounds = [False, True] if may_hold else [False]
-        for with_hold in rounds:
-            for member in owners:
-                left = {r: t for r, t in due.items() if r not in places}
-                if not left:
-                    return places
-                places.update(
-                    await self._ask(member, job_id, value, left, with_hold)
-                )
-        return places
-
-    async def _ask(
-        self, member, job_id, value, left, may_hold, may_preempt=False
-    ):
-        request = peer_pb2.ReserveTasksRequest(
-            wishes=[
-                peer_pb2.TaskWish(
-                    ref=str(ref),
-                    kind=value['spec']['kind'],
-                    size=peer_pb2.Resources(**jobs.size_of(task)._asdict()),
-                )
-                for ref, task in left.items()
-            ],
-            accepted_at_ms=value['accepted_at_ms'],
-            job_id=job_id,
-            may_hold=may_hold,
-            may_preempt=may_preempt,
-        )
-        try:
-            reply = await self._call(member, 'ReserveTasks', request)
-        except peers.PeerError:
-            return {}
-        return {
-            jobs.parse_ref(place.ref): _Place(
-                member, place.worker_id, place.is_pending, place.token
-            )
-            for place in reply.places
-        }
-
     async def _claim_and_start(self, value, due, places) -> None:
         worker_by_ref = {ref: p.worker_id for ref, p in places.items()}
         writes = jobs.claim(self._log.replica, worker_by_ref)
@@ -314,48 +260,21 @@
             applied = await self._log.commit(writes, COMMIT_TIMEOUT_MS)
         if not applied:
             self.counters['claims_lost'] += 1
-            await self._release(places)
+            await self._owners.release(places)
             return
         self.counters['claims'] += len(places)
-        by_member = _by_member(places)
         await asyncio.gather(
             *(
                 self._start(member, refs, due, places)
-                for member, refs in by_member.items()
+                for member, refs in owner_calls.by_member(places).items()
             )
         )
 
     async def _start(self, member, refs, due, places) -> None:
-        request = peer_pb2.StartTasksRequest(
-            starts=[
-                peer_pb2.TaskStart(
-                    ref=str(ref),
-                    worker_id=places[ref].worker_id,
-                    token=places[ref].token,
-                    run_ms=due[ref]['run_ms'],
-                )
-                for ref in refs
-            ]
-        )
-        try:
-            reply = await self._call(member, 'StartTasks', request)
-        except peers.PeerError:
-            # The owner compares the log with its book and ends the claim
-            # if the attempt does not run.
-            return
-        self.counters['starts'] += len(reply.statuses)
-        for status in reply.statuses:
-            if status.status == workerbook.AttemptStatus.NEVER:
-                self.counters['starts_refused'] += 1
-                await self.record_end(jobs.parse_ref(status.ref), 'never')
-
-    async def _release(self, places) -> None:
-        for member, refs in _by_member(places).items():
-            message = peer_pb2.TaskRefs(refs=[str(ref) for ref in refs])
-            try:
-                await self._call(member, 'ReleaseTasks', message)
-            except peers.PeerError:
-                continue
+        self.counters['starts'] += len(refs)
+        for ref in await self._owners.start(member, refs, due, places):
+            self.counters['starts_refused'] += 1
+            await self.record_end(ref, 'never')
 
     def _owners_by_room(self) -> list[membership.Member]:
         members = self._members.staying()
@@ -373,19 +292,3 @@
     def _back_off(self, job_id: str, wait_ms: int) -> None:
         backoff = self._backoff_by_id.setdefault(job_id, _Backoff())
         backoff.next_at_ms = self._clock.now() + wait_ms
-
-
-class _Place(typing.NamedTuple):
-    """Where an owner has reserved room for an attempt."""
-
-    member: membership.Member
-    worker_id: str
-    is_pending: bool
-    token: int
-
-
-def _by_member(places) -> dict[membership.Member, list[jobs.TaskRef]]:
-    by_member: dict[membership.Member, list[jobs.TaskRef]] = {}
-    for ref, place in places.items():
-        by_member.setdefault(place.member, []).append(ref)
-    return by_member
--- /dev/null
+++ b/packages/carawaymast-node/carawaymast_node/owner_calls.py
@@ -0,0 +1,128 @@
+"""The coordinator's calls to owners: reserve, release, start."""
+
+import typing
+
+from carawaymast_core import attempts
+from carawaymast_core import jobs
+from carawaymast_core import membership
+from carawaymast_node import peer_pb2
+from carawaymast_node import peers
+
+__all__ = ['OwnerCalls', 'Place', 'by_member']
+
+
+class Place(typing.NamedTuple):
+    """Where an owner has reserved room for an attempt."""
+
+    member: membership.Member
+    worker_id: str
+    is_pending: bool
+    token: int
+
+
+def by_member(places) -> dict[membership.Member, list[jobs.TaskRef]]:
+    """Return the attempts that each owner has reserved room for."""
+    by_member: dict[membership.Member, list[jobs.TaskRef]] = {}
+    for ref, place in places.items():
+        by_member.setdefault(place.member, []).append(ref)
+    return by_member
+
+
+class OwnerCalls:
+    """Asks owners for room and starts what was claimed."""
+
+    def __init__(
+        self, call: typing.Callable[..., typing.Awaitable[typing.Any]]
+    ):
+        self._call = call
+
+    async def reserve(
+        self, job_id, value, due, owners, may_hold
+    ) -> dict[jobs.TaskRef, 'Place']:
+        """Ask owner after owner for room; first without holds, then with."""
+        places: dict[jobs.TaskRef, Place] = {}
+        rounds = [False, True] if may_hold else [False]
+        for with_hold in rounds:
+            for member in owners:
+                left = {r: t for r, t in due.items() if r not in places}
+                if not left:
+                    return places
+                places.update(
+                    await self.ask(member, job_id, value, left, with_hold)
+                )
+        return places
+
+    async def ask(
+        self, member, job_id, value, left, may_hold, may_preempt=False
+    ) -> dict[jobs.TaskRef, Place]:
+        """Ask one owner for room; return where it has some."""
+        request = peer_pb2.ReserveTasksRequest(
+            wishes=[
+                peer_pb2.TaskWish(
+                    ref=str(ref),
+                    kind=value['spec']['kind'],
+                    size=peer_pb2.Resources(**jobs.size_of(task)._asdict()),
+                )
+                for ref, task in left.items()
+            ],
+            accepted_at_ms=value['accepted_at_ms'],
+            job_id=job_id,
+            may_hold=may_hold,
+            may_preempt=may_preempt,
+        )
+        try:
+            reply = await self._call(member, 'ReserveTasks', request)
+        except peers.PeerError:
+            return {}
+        return {
+            jobs.parse_ref(place.ref): Place(
+                member, place.worker_id, place.is_pending, place.token
+            )
+            for place in reply.places
+        }
+
+    async def ask_with_preemption(self, job_id, value, due, owners):
+        """Have room made by the first owner that can."""
+        for member in owners:
+            places = await self.ask(
+                member, job_id, value, due, False, may_preempt=True
+            )
+            if places:
+                return places
+        return {}
+
+    async def start(self, member, refs, due, places) -> list[jobs.TaskRef]:
+        """Start claimed attempts; return those that never will.
+
+        If the owner does not answer, it compares the log with its book and
+        ends the claims that do not run.
+        """
+        request = peer_pb2.StartTasksRequest(
+            starts=[
+                peer_pb2.TaskStart(
+                    ref=str(ref),
+                    worker_id=places[ref].worker_id,
+                    token=places[ref].token,
+                    run_ms=due[ref]['run_ms'],
+                )
+                for ref in refs
+            ]
+        )
+        try:
+            reply = await self._call(member, 'StartTasks', request)
+        except peers.PeerError:
+            return []
+        return [
+            jobs.parse_ref(status.ref)
+            for status in reply.statuses
+            if status.status == attempts.AttemptStatus.NEVER
+        ]
+
+    async def release(self, places) -> None:
+        """Give reservations up."""
+        for member, refs in by_member(places).items():
+            message = peer_pb2.TaskRefs(refs=[str(ref) for ref in refs])
+            try:
+                await self._call(member, 'ReleaseTasks', message)
+            except peers.PeerError:
+                continue
--- a/packages/carawaymast-node/carawaymast_node/reservations.py
+++ b/packages/carawaymast-node/carawaymast_node/reservations.py
@@ -2,9 +2,9 @@
 
 import typing
 
+from carawaymast_core import attempts
 from carawaymast_core import jobs
 from carawaymast_core import resources
-from carawaymast_core import workerbook
 from carawaymast_node import owner as owner_mod
 from carawaymast_node import peer_pb2
 from carawaymast_node import peers
@@ -20,7 +20,7 @@
     async def reserve(
         request: peer_pb2.ReserveTasksRequest,
     ) -> peer_pb2.ReserveTasksReply:
-        claimant = workerbook.Claimant(request.accepted_at_ms, request.job_id)
+        claimant = attempts.Claimant(request.accepted_at_ms, request.job_id)
         places = []
         for wish in request.wishes:
             place = _reserve_one(
@@ -61,7 +61,7 @@
 def _reserve_one(
     owner: owner_mod.OwnerService,
     wish: peer_pb2.TaskWish,
-    claimant: workerbook.Claimant,
+    claimant: attempts.Claimant,
     may_hold: bool,
     may_preempt: bool,
 ) -> typing.Any:
--- a/packages/carawaymast-node/carawaymast_node/task_owner.py
+++ b/packages/carawaymast-node/carawaymast_node/task_owner.py
@@ -6,6 +6,7 @@
 
 import typing
 
+from carawaymast_core import attempts
 from carawaymast_core import clock as clock_mod
 from carawaymast_core import jobs
 from carawaymast_core import membership
@@ -75,11 +76,11 @@
     def take_in(self, vm: membership.Vm, report) -> None:
         """Begin with a worker that was just acquired."""
         running = [
-            workerbook.RunningTask(
+            attempts.RunningTask(
                 jobs.parse_ref(task['ref']),
                 task['kind'],
                 messages.to_resources(task['size']),
-                workerbook.AttemptStatus.RUNNING,
+                attempts.AttemptStatus.RUNNING,
                 self._clock.now(),
             )
             for task in report['tasks']
@@ -119,15 +120,15 @@
         ``NEVER`` is binding: the attempt is refused from then on.
         """
         known = self.status(worker_id, ref)
-        if known is not workerbook.AttemptStatus.RESERVED:
+        if known is not attempts.AttemptStatus.RESERVED:
             return known.value
         if not self.book.begin_start(ref, worker_id, token):
-            return workerbook.AttemptStatus.NEVER.value
+            return attempts.AttemptStatus.NEVER.value
         self.quarantine.begin(worker_id)
         held = self._held(worker_id)
         task = self.book.running(worker_id, ref)
         if held is None or task is None:
-            return workerbook.AttemptStatus.STARTING.value
+            return attempts.AttemptStatus.STARTING.value
         try:
             answer = await self._port.start(
                 held.vm,
@@ -139,20 +140,20 @@
             )
         except worker_port.WorkerDownError:
             self.counters['worker_errors'] += 1
-            return workerbook.AttemptStatus.STARTING.value
+            return attempts.AttemptStatus.STARTING.value
         if answer['started']:
             self.book.confirm_start(ref)
-            return workerbook.AttemptStatus.RUNNING.value
+            return attempts.AttemptStatus.RUNNING.value
         self.book.end(ref)
         self.book.refuse(ref)
-        return workerbook.AttemptStatus.NEVER.value
+        return attempts.AttemptStatus.NEVER.value
 
     def status(
         self, worker_id: str, ref: jobs.TaskRef
-    ) -> workerbook.AttemptStatus:
+    ) -> attempts.AttemptStatus:
         """Return what is known of an attempt on an owned worker."""
         if ref in self._ended_by_ref:
-            return workerbook.AttemptStatus.ENDED
+            return attempts.AttemptStatus.ENDED
         return self.book.status(ref, worker_id)
 
     async def stop_task(
@@ -195,9 +196,9 @@
         ref: jobs.TaskRef,
         kind: str,
         size: resources.Resources,
-        claimant: workerbook.Claimant,
+        claimant: attempts.Claimant,
         may_place: typing.Callable[[str], bool],
-    ) -> workerbook.Reservation | None:
+    ) -> attempts.Reservation | None:
         """Stop less urgent tasks for an urgent one; hold their room."""
         by_kind = self.table.by_kind
         row = by_kind.get(kind)
@@ -224,18 +225,18 @@
         """
         for ref in self.claimed_on(worker_id):
             status = self.status(worker_id, ref)
-            if status is workerbook.AttemptStatus.ENDED:
+            if status is attempts.AttemptStatus.ENDED:
                 # Recording it failed before, say in an outage of the log.
                 self._end(worker_id, ref, self._ended_by_ref[ref])
-            elif status is workerbook.AttemptStatus.NEVER:
+            elif status is attempts.AttemptStatus.NEVER:
                 self._end(worker_id, ref, 'never')
         for task in self.book.running_on(worker_id):
             if not self.is_wanted(task.ref):
                 self._background.spawn(self.stop_task(worker_id, task.ref))
 
-    def _vanished(self, worker_id: str, task: workerbook.RunningTask) -> None:
+    def _vanished(self, worker_id: str, task: attempts.RunningTask) -> None:
         """Handle a task that the worker neither runs nor reports ended."""
-        if task.status is workerbook.AttemptStatus.RUNNING:
+        if task.status is attempts.AttemptStatus.RUNNING:
             self._end(worker_id, task.ref, 'failed')
             return
         # The start may still be on its way: have the worker refuse it.
