--- a/bench/path.py
+++ b/bench/path.py
@@ -37,9 +37,19 @@
         'payload': {'run_ms': 0, 'echo': 'x'},
     }
 )
+REFUSED = BODY.replace(b'glyph-preview', b'no-such-kind')
 CLOCK_TICKS = os.sysconf('SC_CLK_TCK')
 
 
+class Target(typing.NamedTuple):
+    """A process under load, and the answer that is expected of it."""
+
+    url: str
+    pid: int
+    body: bytes
+    status: int
+
+
 class Figures(typing.NamedTuple):
     """What one load on one process showed."""
 
@@ -62,7 +72,9 @@
     return pages * os.sysconf('SC_PAGE_SIZE') / 1_000_000
 
 
-async def closed_loop(url: str, seconds: float) -> tuple[int, int]:
+async def closed_loop(
+    url: str, body: bytes, expected: int, seconds: float
+) -> tuple[int, int]:
     """Keep all callers busy; return how many calls were done and failed."""
     done = failed = 0
     give_up_at = time.monotonic() + seconds
@@ -72,9 +84,9 @@
         async def caller() -> None:
             nonlocal done, failed
             while time.monotonic() < give_up_at:
-                async with session.post(url, data=BODY) as response:
+                async with session.post(url, data=body) as response:
                     await response.read()
-                    if response.status == 200:
+                    if response.status == expected:
                         done += 1
                     else:
                         failed += 1
@@ -83,12 +95,14 @@
     return done, failed
 
 
-def measure(url: str, pid: int) -> Figures:
+def measure(target: Target) -> Figures:
     """Return the figures of one round."""
-    before, started = cpu_s(pid), time.monotonic()
-    done, failed = asyncio.run(closed_loop(url, LENGTH_S))
+    before, started = cpu_s(target.pid), time.monotonic()
+    done, failed = asyncio.run(
+        closed_loop(target.url, target.body, target.status, LENGTH_S)
+    )
     elapsed = time.monotonic() - started
-    cpu_us = (cpu_s(pid) - before) / max(1, done) * 1_000_000
+    cpu_us = (cpu_s(target.pid) - before) / max(1, done) * 1_000_000
     return Figures(done / elapsed, cpu_us, failed)
 
 
@@ -129,15 +143,17 @@
 
 def _compare(running, bare_url: str, bare_pid: int) -> None:
     node_url = running.url_by_name['node-0']
+    node_requests = f'{node_url}/v1/requests'
     node_pid = running.process_by_name['node-0'].pid
     targets = {
-        'bare handler': (bare_url, bare_pid),
-        'node': (f'{node_url}/v1/requests', node_pid),
+        'bare handler': Target(bare_url, bare_pid, BODY, 200),
+        'node, served': Target(node_requests, node_pid, BODY, 200),
+        'node, refused': Target(node_requests, node_pid, REFUSED, 422),
     }
     rounds: dict[str, list[Figures]] = {name: [] for name in targets}
     for _ in range(ROUNDS):
-        for name, (url, pid) in targets.items():
-            rounds[name].append(measure(url, pid))
+        for name, target in targets.items():
+            rounds[name].append(measure(target))
     rows = [
         [
             name,
@@ -150,8 +166,9 @@
     headers = ['process', 'requests/s', 'CPU us/request', 'failed']
     print(tabulate.tabulate(rows, headers, floatfmt='.0f'))
     print(f'ratio of rates {rows[1][1] / rows[0][1]:.2f} (target 0.50)')
+    print(f'CPU refused/served {rows[2][2] / rows[1][2]:.2f} (target 0.20)')
     print(f'node memory {rss_mb(node_pid):.0f} MB (target under 128)')
-    asyncio.run(steady(f'{node_url}/v1/requests'))
+    asyncio.run(steady(node_requests))
     metrics = deployment.call('GET', f'{node_url}/v1/metrics')[1]
     print(
         f'decision at {STEADY_RATE}/s: {metrics["decision_us"]} us '
