The deployment that stays up ends cleanly at any moment

Cause: a SIGTERM during start-up left processes behind; the demo showed answer times but not the waits for a slot.

--- a/features/failures.feature
+++ b/features/failures.feature
@@ -74,6 +74,11 @@
     Then a keyed request is done within 15 s
     And nothing was doubled, and "not run" did not run
 
+  Scenario: The deployment that stays up, and its end
+    When the deployment is started to stay up
+    Then it prints 3 nodes, 11 processes and ready
+    And after SIGTERM it ends with status 0 and leaves no process
+
   Scenario: The demo adds up
     When the demo runs
     Then it exits with 0 and says that the account adds up
--- a/features/steps/failure_steps.py
+++ b/features/steps/failure_steps.py
@@ -1,6 +1,7 @@
 """Steps that make real processes fail under load."""
 
 import asyncio
+import os
 import signal
 import subprocess
 import sys
@@ -407,3 +408,39 @@
 def demo_adds_up(context):
     assert context.demo.returncode == 0, context.demo.stdout[-3000:]
     assert 'the account adds up' in context.demo.stdout
+
+
+@when('the deployment is started to stay up')
+def start_up(context):
+    context.up = subprocess.Popen(
+        [sys.executable, '-m', 'standins.up'],
+        cwd=deployment.ROOT,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    context.stack.callback(context.up.wait)
+    context.stack.callback(context.up.terminate)
+    context.lines = []
+    for line in context.up.stdout:
+        context.lines.append(line.split())
+        if context.lines[-1] == ['ready']:
+            break
+
+
+@then('it prints {nodes:d} nodes, {processes:d} processes and ready')
+def prints_lines(context, nodes, processes):
+    kinds = [line[0] for line in context.lines]
+    assert kinds.count('node') == nodes, context.lines
+    assert kinds.count('pid') == processes, context.lines
+    assert kinds[-1] == 'ready', context.lines
+    for line in context.lines[:nodes]:
+        assert deployment.call('GET', f'{line[1]}/readyz')[0] == 200
+
+
+@then('after SIGTERM it ends with status 0 and leaves no process')
+def up_ends(context):
+    pids = [int(line[2]) for line in context.lines if line[0] == 'pid']
+    assert all(os.path.exists(f'/proc/{pid}') for pid in pids)
+    context.up.send_signal(signal.SIGTERM)
+    assert context.up.wait(60) == 0
+    assert not any(os.path.exists(f'/proc/{pid}') for pid in pids)
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -111,8 +111,24 @@
     return caller
 
 
-def print_table(caller: load.Caller) -> None:
+def longest_waits(running) -> dict[str, tuple[float, float]]:
+    """Return the p50 and p99 wait for a slot at the worst live node."""
+    worst: dict[str, tuple[float, float]] = {}
+    for name in running.node_names:
+        if running.process_by_name[name].poll() is not None:
+            continue
+        url = f'{running.url_by_name[name]}/v1/metrics'
+        waits_by_kind = deployment.call('GET', url)[1]['waits_ms']
+        for kind, found in waits_by_kind.items():
+            known = worst.get(kind, (0, 0))
+            pair = (found['p50'], found['p99'])
+            worst[kind] = tuple(map(max, known, pair))
+    return worst
+
+
+def print_table(running, caller: load.Caller) -> None:
     """Print what the callers saw, kind by kind."""
+    waits = longest_waits(running)
     rows = [
         [
             kind,
@@ -122,6 +138,7 @@
             result.unknown,
             result.failed,
             result.node_lost,
+            *waits.get(kind, ('-', '-')),
             result.latency_ms.get_value_at_percentile(50),
             result.latency_ms.get_value_at_percentile(99),
         ]
@@ -135,8 +152,10 @@
         'outcome unknown',
         'failed',
         'node killed',
-        'p50 ms',
-        'p99 ms',
+        'wait p50 ms',
+        'wait p99 ms',
+        'answer p50 ms',
+        'answer p99 ms',
     ]
     print(tabulate.tabulate(rows, headers))
     print(f'errors told to callers: {caller.errors}')
@@ -228,7 +247,7 @@
             )
         except TimeoutError as error:
             print(error)
-        print_table(caller)
+        print_table(running, caller)
         faults = check(running, caller, job_ids)
     for fault in faults:
         print(f'FAULT {fault}')
