--- a/packages/carawaymast-core/carawaymast_core/fairqueue.py
+++ b/packages/carawaymast-core/carawaymast_core/fairqueue.py
@@ -153,14 +153,6 @@
             expired.append(queued)
         return expired
 
-    def next_expiry_ms(self) -> int | None:
-        """Return when the next request expires; None if none waits."""
-        while self._expiries:
-            if self._expiries[0][1] in self._queued_by_id:
-                return self._expiries[0][0]
-            heapq.heappop(self._expiries)
-        return None
-
     def waiting(self, kind: str) -> int:
         """Return how many requests of ``kind`` wait."""
         return self._line_by_kind[kind].waiting
--- a/packages/carawaymast-core/carawaymast_core/resources.py
+++ b/packages/carawaymast-core/carawaymast_core/resources.py
@@ -43,9 +43,5 @@
             and self.accelerators <= other.accelerators
         )
 
-    def raised_to(self, other: 'Resources') -> 'Resources':
-        """Return the larger of the two amounts, part by part."""
-        return Resources(*map(max, self, other))
-
 
 ZERO = Resources(0, 0, 0)
