--- /dev/null
+++ b/features/slots.feature
@@ -0,0 +1,20 @@
+Feature: Leased slots and messages that arrive late
+
+  Scenario: A renewal that comes after a recall brings nothing back
+    Given an entry node that holds a slot
+    When the slot is recalled and then renewed
+    Then the entry node holds nothing
+
+  Scenario: A late release does not end a newer lease
+    Given an owner that leased a slot and leased it again after its release
+    When the first release arrives once more
+    Then the newer lease still stands
+
+  Scenario: A lapsed slot needs a report from after the lapse
+    Given an owner whose lease of a slot has lapsed
+    When a report from before the lapse shows it idle
+    Then it is not free
+    When a report from after the lapse shows it busy
+    Then it is not free
+    When a report from after the lapse shows it idle
+    Then it is free
