--- a/features/fleet_machine.py
+++ b/features/fleet_machine.py
@@ -16,6 +16,7 @@
 from carawaymast_core import errors
 from carawaymast_core import jobs
 from carawaymast_core import table as table_mod
+from standins import load
 from standins import virtual
 
 __all__ = ['FleetMachine', 'TrustingFleetMachine']
@@ -88,21 +89,9 @@
         run_ms=st.sampled_from([100, 2_000]),
     )
     def send_job(self, which, gang, count, cpu, run_ms):
-        spec = {
-            'kind': 'renewal',
-            'team': 'kilima',
-            'gang': gang,
-            'tasks': [
-                {
-                    'name': f't{index}',
-                    'cpu_millis': cpu,
-                    'memory_mb': 500,
-                    'accelerators': 0,
-                    'run_ms': run_ms,
-                }
-                for index in range(count)
-            ],
-        }
+        spec = load.job_body(
+            'renewal', 'kilima', count, (cpu, 500, 0), run_ms, gang
+        )
         self.loop.create_task(self._job(self._node(which), spec))
 
     @stateful.rule(seconds=st.sampled_from([0.01, 0.2, 1.0, 3.0, 9.0]))
--- a/features/steps/failure_steps.py
+++ b/features/steps/failure_steps.py
@@ -118,17 +118,7 @@
 
 @given('a job of {count:d} tasks of {run_ms:d} ms over HTTP')
 def start_job(context, count, run_ms):
-    tasks = [
-        {
-            'name': f't{index}',
-            'cpu_millis': 1_000,
-            'memory_mb': 100,
-            'accelerators': 0,
-            'run_ms': run_ms,
-        }
-        for index in range(count)
-    ]
-    body = {'kind': 'roster', 'team': 'kilima', 'gang': False, 'tasks': tasks}
+    body = load.job_body('roster', 'kilima', count, (1_000, 100, 0), run_ms)
     url = live_urls(context.running)[0]
     status, answer = deployment.call('POST', f'{url}/v1/jobs', body)
     assert status == 202, answer
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -15,6 +15,7 @@
 from carawaymast_core import membership
 from carawaymast_core import table as table_mod
 from carawaymast_node import account_writer
+from standins import load
 from standins import virtual
 
 TABLE = pathlib.Path(__file__).parent.parent.parent / 'standins' / 'table.csv'
@@ -112,21 +113,8 @@
 
 
 def job_spec(count, cpu, run_ms, gang=False):
-    return {
-        'kind': 'renewal',
-        'team': 'kilima',
-        'gang': gang,
-        'tasks': [
-            {
-                'name': f't{index}',
-                'cpu_millis': cpu,
-                'memory_mb': 100,
-                'accelerators': 0,
-                'run_ms': run_ms,
-            }
-            for index in range(count)
-        ],
-    }
+    size = (cpu, 100, 0)
+    return load.job_body('renewal', 'kilima', count, size, run_ms, gang)
 
 
 def replayed(function):
--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -95,19 +95,9 @@
 
 
 def job_raw(gang, count, cpu, memory, accelerators, run_ms=300):
-    tasks = [
-        {
-            'name': f't{index}',
-            'cpu_millis': cpu,
-            'memory_mb': memory,
-            'accelerators': accelerators,
-            'run_ms': run_ms,
-        }
-        for index in range(count)
-    ]
-    return json.dumps(
-        {'kind': 'renewal', 'team': 'kilima', 'gang': gang, 'tasks': tasks}
-    )
+    size = (cpu, memory, accelerators)
+    body = load.job_body('renewal', 'kilima', count, size, run_ms, gang)
+    return json.dumps(body)
 
 
 @when(
--- a/packages/carawaymast-node/carawaymast_node/events.py
+++ b/packages/carawaymast-node/carawaymast_node/events.py
@@ -5,7 +5,6 @@
 __all__ = [
     'log_changed',
     'table_changed',
-    'drain_started',
 ]
 
 
@@ -15,7 +14,3 @@
 
 class table_changed(circuits.Event):  # noqa: N801
     """A newer table is in force on this node; carries the table."""
-
-
-class drain_started(circuits.Event):  # noqa: N801
-    """The node is asked to stop and takes no new work."""
--- a/packages/carawaymast-node/carawaymast_node/node.py
+++ b/packages/carawaymast-node/carawaymast_node/node.py
@@ -17,7 +17,6 @@
 from carawaymast_node import api as api_mod
 from carawaymast_node import dump
 from carawaymast_node import endpoint
-from carawaymast_node import events
 from carawaymast_node import guard as guard_mod
 from carawaymast_node import log_port
 from carawaymast_node import logs
@@ -194,7 +193,6 @@
         """Shut down gracefully: nothing new in, everything answered."""
         roles = self.roles
         self.is_draining = True
-        self.fire(events.drain_started(), '*')
         logs.changed('draining', in_flight=roles.entry.in_flight)
         give_up_at_ms = self.clock.now() + self._settings.drain_ms
         await roles.beats.say_leaving()
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -42,23 +42,9 @@
 
 def job_body(number: int) -> dict:
     """Return a job of renewals; every third is a gang."""
-    tasks = [
-        {
-            'name': f'part-{index}',
-            'cpu_millis': 2_000,
-            'memory_mb': 4_000,
-            'accelerators': 0,
-            'run_ms': 1_500,
-        }
-        for index in range(4)
-    ]
     is_gang = number % 3 == 0
-    return {
-        'kind': 'renewal',
-        'team': 'kilima',
-        'gang': is_gang,
-        'tasks': tasks,
-    }
+    size = (2_000, 4_000, 0)
+    return load.job_body('renewal', 'kilima', 4, size, 1_500, is_gang)
 
 
 def submit_jobs(url: str) -> list[str]:
--- a/standins/load.py
+++ b/standins/load.py
@@ -14,7 +14,7 @@
 from hdrh import histogram
 import msgspec
 
-__all__ = ['Arrival', 'Caller', 'Stream', 'draw_arrivals']
+__all__ = ['Arrival', 'Caller', 'Stream', 'draw_arrivals', 'job_body']
 
 MAX_LATENCY_MS = 600_000
 CLIENT_TIMEOUT_S = 150
@@ -61,6 +61,32 @@
         return self.sent == ended + self.node_lost
 
 
+def job_body(
+    kind: str,
+    team: str,
+    count: int,
+    size: tuple[int, int, int],
+    run_ms: int,
+    gang: bool = False,
+) -> dict[str, typing.Any]:
+    """Return a job of ``count`` tasks alike.
+
+    ``size`` is in thousandths of a processor, megabytes and accelerators.
+    """
+    cpu_millis, memory_mb, accelerators = size
+    tasks = [
+        {
+            'name': f't{index}',
+            'cpu_millis': cpu_millis,
+            'memory_mb': memory_mb,
+            'accelerators': accelerators,
+            'run_ms': run_ms,
+        }
+        for index in range(count)
+    ]
+    return {'kind': kind, 'team': team, 'gang': gang, 'tasks': tasks}
+
+
 def draw_arrivals(
     streams: typing.Sequence[Stream], length_s: float, seed: int
 ) -> list[Arrival]:
