--- a/Makefile
+++ b/Makefile
@@ -5,12 +5,12 @@
 
 setup: .venv/installed
 
-.venv/installed: requirements.txt requirements-dev.txt packages/*/pyproject.toml
+.venv/installed: requirements.txt requirements-dev.txt packages/*/pyproject.toml platform/pyproject.toml
 	$(PYTHON) -m venv .venv
 	$(BIN)/pip install -q --disable-pip-version-check -r requirements-dev.txt
 	$(BIN)/pip install -q --disable-pip-version-check --no-deps \
 	  -e packages/carawaymast-core -e packages/carawaymast-node \
-	  -e packages/carawaymast-cli
+	  -e packages/carawaymast-cli -e platform
 	touch $@
 
 run: setup
@@ -38,4 +38,4 @@
 	PATH=$(BIN):$$PATH $(BIN)/python -m grpc_tools.protoc -I packages/carawaymast-node \
 	  --python_out=packages/carawaymast-node \
 	  --grpclib_python_out=packages/carawaymast-node \
-	  packages/carawaymast-node/carawaymast_node/peer.proto
+	  carawaymast_node/peer.proto carawaymast_node/fabric.proto
--- /dev/null
+++ b/deploy/build.sh
@@ -0,0 +1,16 @@
+#!/bin/sh
+# Puts the pinned libraries and the workspace's packages into target/deps.
+set -eu
+deps=target/deps
+if [ ! -e target/installed ] || [ requirements.txt -nt target/installed ]; then
+  rm -rf "$deps"
+  python3 -m pip install -q --disable-pip-version-check \
+    --target "$deps" -r requirements.txt
+  touch target/installed
+fi
+for package in packages/carawaymast-core/carawaymast_core \
+  packages/carawaymast-node/carawaymast_node \
+  platform/carawaymast_platform; do
+  rm -rf "$deps/$(basename "$package")"
+  cp -R "$package" "$deps/"
+done
--- /dev/null
+++ b/packages/carawaymast-core/carawaymast_core/cell/ends.py
@@ -0,0 +1,137 @@
+"""What the end of a run means for its task, its gang and its job."""
+
+import typing
+
+from carawaymast_core import resources
+from carawaymast_core.cell import worker as worker_mod
+
+if typing.TYPE_CHECKING:
+    from carawaymast_core.cell import cell as cell_mod
+    from carawaymast_core.cell import jobs
+
+__all__ = ['apply', 'apply_unplaced', 'unlisted_entry']
+
+# Failures of a worker's runs in a row after which it gets nothing for a while.
+SUSPECT_AFTER_FAILURES = 3
+SUSPECT_MS = 4_000
+QUIET_ENDS = ('done', 'stopped', 'withdrawn')
+
+
+def unlisted_entry(key: tuple[str, int]) -> worker_mod.WorkerEntry:
+    """Return an entry for a worker of which only the identity is known."""
+    worker_id, born_ms = key
+    return worker_mod.WorkerEntry(
+        worker_id, '', born_ms, '', '', False, resources.ZERO, (), 0, None
+    )
+
+
+def apply(
+    cell: 'cell_mod.Cell',
+    run: worker_mod.Run,
+    how: str,
+    checkpoint: str,
+    now_ms: int,
+) -> None:
+    """Apply the end of a run that the cell has placed."""
+    task = run.task
+    cell.release(run)
+    cell.note(
+        'run_ended',
+        task=task.name,
+        run_id=run.run_id,
+        worker=run.worker.worker_id,
+        how=how,
+        ran_ms=now_ms - run.placed_at_ms,
+        why=run.stop_reason,
+    )
+    if checkpoint:
+        task.checkpoint = checkpoint
+    _judge_worker(cell, run, how, now_ms)
+    _settle(cell, task, run.run_id, how, now_ms)
+
+
+def apply_unplaced(
+    cell: 'cell_mod.Cell', end: worker_mod.End, now_ms: int
+) -> None:
+    """Apply an end that the cell no longer expected.
+
+    The lease of the run was written off, or a former leader noted it. A task
+    that has ended as done need not run again.
+    """
+    job_id, _, rest = end.task.partition('.')
+    job = cell.job_by_id.get(job_id)
+    if job is None or end.how != 'done' or job.phase.is_final:
+        return
+    occurrence, number, index = (int(part) for part in rest.split('.'))
+    task = job.steps_by_occurrence[occurrence][number].tasks[index]
+    if task.is_done or end.run_id > task.last_run_id:
+        return
+    cell.note('late_end_used', task=task.name, run_id=end.run_id)
+    _settle(cell, task, end.run_id, end.how, now_ms)
+
+
+def _settle(cell, task: 'jobs.Task', run_id: int, how: str, now_ms) -> None:
+    step = task.step
+    if how == 'done' and not step.spec.is_service:
+        _finish(cell, task)
+    elif how == 'failed':
+        _count_failure(cell, task, run_id)
+    if step.spec.is_gang and how != 'done':
+        _break_gang(cell, task, run_id)
+    cell.settle(step.job, now_ms)
+
+
+def _finish(cell, task: 'jobs.Task') -> None:
+    """Mark a task as done; one member's end stands for its whole gang."""
+    members = task.step.tasks if task.step.spec.is_gang else [task]
+    for member in members:
+        member.is_done = True
+    if not task.step.spec.is_gang:
+        for other in list(task.runs):
+            cell.stop(other, 'another copy is done')
+
+
+def _count_failure(cell, task: 'jobs.Task', run_id: int) -> None:
+    """Count a failed attempt, once for all members of a gang's run."""
+    step = task.step
+    if step.spec.is_service or task.is_done:
+        return
+    members = step.tasks if step.spec.is_gang else [task]
+    if step.spec.is_gang:
+        if run_id <= step.failed_run_id:
+            return
+        step.failed_run_id = run_id
+    for member in members:
+        member.failures += 1
+    limit = step.job.submission.queue.max_attempts
+    if task.failures >= limit:
+        cell.fail_job(
+            step.job, f'task {task.name} failed {task.failures} times'
+        )
+
+
+def _break_gang(cell, task: 'jobs.Task', run_id: int) -> None:
+    """Stop the other members of a run that cannot be done any more."""
+    if task.is_done:
+        return
+    for member in task.step.tasks:
+        for run in member.runs:
+            if run.run_id == run_id:
+                cell.stop(run, 'its gang has lost a member')
+
+
+def _judge_worker(cell, run: worker_mod.Run, how: str, now_ms: int) -> None:
+    """Leave out a worker that fails all that it starts."""
+    worker = run.worker
+    if how == 'done':
+        worker.failures_in_row = 0
+    elif how == 'failed':
+        worker.failures_in_row += 1
+    if worker.failures_in_row >= SUSPECT_AFTER_FAILURES:
+        worker.failures_in_row = SUSPECT_AFTER_FAILURES - 1
+        worker.suspect_until_ms = now_ms + SUSPECT_MS
+        cell.note(
+            'worker_suspected',
+            worker=worker.worker_id,
+            until_ms=worker.suspect_until_ms,
+        )
--- /dev/null
+++ b/packages/carawaymast-core/carawaymast_core/cell/jobs.py
@@ -0,0 +1,155 @@
+"""Jobs under way in a cell: occurrences, steps and tasks."""
+
+import typing
+
+from carawaymast_core.cell import records
+from carawaymast_core.cell import spec as spec_mod
+
+if typing.TYPE_CHECKING:
+    from carawaymast_core.cell import advice
+    from carawaymast_core.cell import worker
+
+__all__ = ['Job', 'StepState', 'Task']
+
+
+class Task:
+    """A task of one occurrence of a step."""
+
+    __slots__ = (
+        'checkpoint',
+        'failures',
+        'index',
+        'is_done',
+        'last_run_id',
+        'name',
+        'runs',
+        'step',
+    )
+
+    def __init__(self, step: 'StepState', index: int):
+        self.step = step
+        self.index = index
+        self.name = f'{step.name}.{index}'
+        self.is_done = False
+        self.last_run_id = 0
+        self.failures = 0
+        self.checkpoint = ''
+        self.runs: list[worker.Run] = []
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether the task has yet to be placed."""
+        return not self.is_done and not self.runs
+
+    def record(self) -> records.TaskRecord:
+        """Return what the store keeps of the task."""
+        return records.TaskRecord(
+            self.is_done,
+            self.last_run_id,
+            self.failures,
+            self.checkpoint,
+            tuple(
+                records.RunRecord(run.run_id, *run.worker.key)
+                for run in self.runs
+            ),
+        )
+
+
+class StepState:
+    """One occurrence of a step."""
+
+    def __init__(self, job: 'Job', occurrence: int, number: int):
+        self.job = job
+        self.occurrence = occurrence
+        self.number = number
+        self.spec = job.submission.spec.steps[number]
+        self.name = f'{job.job_id}.{occurrence}.{number}'
+        self.tasks = [Task(self, index) for index in range(self.spec.count)]
+        self.advice: advice.StepAdvice | None = None
+        self.ready_at_ms = 0
+        # The last run of a gang that was counted as a failed attempt.
+        self.failed_run_id = 0
+
+    @property
+    def is_done(self) -> bool:
+        """Whether all tasks have ended as done."""
+        return all(task.is_done for task in self.tasks)
+
+    def waiting(self) -> list[Task]:
+        """Return the tasks that have yet to be placed."""
+        return [task for task in self.tasks if task.is_waiting]
+
+    def is_ready(self, wall_ms: int) -> bool:
+        """Whether the step's turn has come."""
+        if wall_ms < self.job.due_at_ms(self.occurrence):
+            return False
+        steps = self.job.steps_by_occurrence[self.occurrence]
+        return all(steps[number].is_done for number in self.spec.after)
+
+
+class Job:
+    """A job that has not ended."""
+
+    def __init__(self, submission: spec_mod.Submission, now_wall_ms: int):
+        self.submission = submission
+        self.job_id = submission.job_id
+        self.phase = records.JobPhase.QUEUED
+        self.cause = ''
+        self.has_started = False
+        self.is_cancelled = False
+        self.changed_at_ms = now_wall_ms
+        spec = submission.spec
+        self.steps_by_occurrence = [
+            [StepState(self, k, n) for n in range(len(spec.steps))]
+            for k in range(max(1, spec.occurrences))
+        ]
+        self.objective_ms = int(
+            submission.queue.stretch_factor * spec_mod.chain_ms(spec.steps)
+            + submission.queue.target_ms
+        )
+
+    def due_at_ms(self, occurrence: int) -> int:
+        """Return when an occurrence may start, in ms since 1970."""
+        spec = self.submission.spec
+        if not spec.occurrences:
+            return 0
+        return spec.first_at_ms + occurrence * spec.interval_ms
+
+    def steps(self) -> typing.Iterator[StepState]:
+        """Yield all steps of all occurrences."""
+        for steps in self.steps_by_occurrence:
+            yield from steps
+
+    def runs(self) -> typing.Iterator['worker.Run']:
+        """Yield all runs that may be at a worker."""
+        for step in self.steps():
+            for task in step.tasks:
+                yield from task.runs
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether all tasks of all occurrences have ended as done."""
+        return all(step.is_done for step in self.steps())
+
+    def record(self) -> records.JobRecord:
+        """Return what the store keeps of the job.
+
+        A job that has ended and runs nowhere needs no tasks any more.
+        """
+        is_over = self.phase.is_final and not any(self.runs())
+        tasks = () if is_over else self._task_records()
+        return records.JobRecord(
+            self.phase,
+            self.cause,
+            self.has_started,
+            self.changed_at_ms,
+            tasks,
+        )
+
+    def _task_records(self):
+        return tuple(
+            tuple(
+                tuple(task.record() for task in step.tasks) for step in steps
+            )
+            for steps in self.steps_by_occurrence
+        )
--- /dev/null
+++ b/packages/carawaymast-core/carawaymast_core/cell/planner.py
@@ -0,0 +1,229 @@
+"""Which waiting tasks start next and where: the policy under load.
+
+Pure functions over the state of a cell. Steps are ordered by how soon they
+must start to end within their objective, more urgent ranks first; large gangs
+that do not fit yet hold the workers they may use against less urgent work.
+"""
+
+import typing
+
+from carawaymast_core import resources
+from carawaymast_core.cell import spec as spec_mod
+
+if typing.TYPE_CHECKING:
+    from carawaymast_core.cell import jobs
+    from carawaymast_core.cell import worker as worker_mod
+
+__all__ = ['Placement', 'choose', 'order', 'plan']
+
+# Share of a worker that only the most urgent rank may use: Kilima's
+# placement checks need 11% of the fleet on average.
+URGENT_HEADROOM_SHARE = 0.08
+# Gangs that wait for room at a time while others may not fill it: two of the
+# users' gangs need about a fifth of the fleet.
+MAX_HOLDING_GANGS = 2
+# Each rank below the most urgent is ordered as if it had this much more time.
+RANK_PENALTY_MS = 1_500
+# A job that cannot meet its objective any more is ordered behind those that
+# can, but moves up as it ages, so that none waits for ever.
+LATE_PENALTY_MS = 20_000
+# Steps looked at in one plan: bounds the time of a plan under a flood.
+MAX_STEPS_A_PLAN = 120
+# Steps in a row that found no room, after which the fleet counts as full.
+MAX_MISSES_A_PLAN = 40
+
+
+class Placement(typing.NamedTuple):
+    """A task and the worker it shall run on."""
+
+    task: 'jobs.Task'
+    worker: 'worker_mod.Worker'
+    ticket: str
+
+
+def order(
+    steps: typing.Iterable['jobs.StepState'], wall_ms: int
+) -> list['jobs.StepState']:
+    """Return steps in the order in which they shall start."""
+    return sorted(steps, key=lambda step: _start_by_ms(step, wall_ms))
+
+
+def _start_by_ms(step: 'jobs.StepState', wall_ms: int) -> int:
+    """Return the latest useful start, later for ranks that may wait."""
+    job = step.job
+    queue = job.submission.queue
+    due_ms = job.due_at_ms(step.occurrence) or job.submission.accepted_at_ms
+    left_ms = spec_mod.chain_ms(step.job.submission.spec.steps[step.number :])
+    latest_ms = due_ms + job.objective_ms - left_ms
+    penalty_ms = queue.rank * RANK_PENALTY_MS
+    if latest_ms < wall_ms:
+        penalty_ms += LATE_PENALTY_MS
+    return latest_ms + penalty_ms
+
+
+def plan(
+    ordered: typing.Iterable['jobs.StepState'],
+    workers: typing.Sequence['worker_mod.Worker'],
+    now_ms: int,
+    place: typing.Callable[[Placement], None],
+) -> None:
+    """Call ``place`` for each task that shall start now, in order.
+
+    ``place`` must count the room at once, since the next choice reads it.
+    """
+    held: set[tuple[str, int]] = set()
+    holding = 0
+    misses = 0
+    for position, step in enumerate(ordered):
+        if position >= MAX_STEPS_A_PLAN or misses >= MAX_MISSES_A_PLAN:
+            return
+        rank = step.job.submission.queue.rank
+        allowed = [
+            w
+            for w in allowed_workers(step, workers, now_ms)
+            if rank == 0 or w.key not in held
+        ]
+        placements = choose(step, allowed, now_ms)
+        for placement in placements:
+            place(placement)
+        if placements:
+            continue
+        misses += 1
+        if step.spec.is_gang and holding < MAX_HOLDING_GANGS:
+            if could_fit(step, allowed):
+                holding += 1
+                held.update(w.key for w in allowed)
+
+
+def allowed_workers(
+    step: 'jobs.StepState',
+    workers: typing.Iterable['worker_mod.Worker'],
+    now_ms: int,
+) -> list['worker_mod.Worker']:
+    """Return the workers that admit a step and for which it has tickets."""
+    advice = step.advice
+    return [
+        w
+        for w in workers
+        if admits(step, w)
+        and (advice is None or advice.ticket(w.worker_id, now_ms))
+    ]
+
+
+def admits(step: 'jobs.StepState', worker: 'worker_mod.Worker') -> bool:
+    """Tell whether a worker is of the service and kind that a step needs."""
+    entry = worker.entry
+    label = step.spec.required_label
+    return entry.service == step.job.submission.queue.service and (
+        not label or label in entry.labels
+    )
+
+
+def choose(
+    step: 'jobs.StepState',
+    workers: typing.Sequence['worker_mod.Worker'],
+    now_ms: int,
+) -> list[Placement]:
+    """Return placements for the waiting tasks of a step.
+
+    All of them for a gang, or none; otherwise as many as fit.
+    """
+    tasks = step.waiting()
+    if step.spec.is_gang and len(tasks) < len(step.tasks):
+        # Members of the run before are still being stopped.
+        return []
+    for group in _groups(step, workers):
+        chosen = _fill(step, tasks, group, now_ms)
+        if len(chosen) == len(tasks) or not step.spec.is_gang and chosen:
+            return chosen
+    return []
+
+
+def could_fit(
+    step: 'jobs.StepState', workers: typing.Iterable['worker_mod.Worker']
+) -> bool:
+    """Tell whether a step would fit on these workers if they were empty."""
+    size = step.spec.size
+    room = sum(_times(size, w.entry.capacity) for w in workers)
+    return room >= step.spec.count
+
+
+def _groups(step, workers) -> list[list['worker_mod.Worker']]:
+    """Return sets of workers to try in turn: near the data, one rack, all."""
+    wanted_rack = step.spec.data_rack
+    if wanted_rack:
+        near = [w for w in workers if w.rack == wanted_rack]
+        return [near, list(workers)]
+    if not step.spec.is_rack_local:
+        return [list(workers)]
+    by_rack: dict[str, list[worker_mod.Worker]] = {}
+    for worker in workers:
+        by_rack.setdefault(worker.rack, []).append(worker)
+    return [*by_rack.values(), list(workers)]
+
+
+def _fill(step, tasks, workers, now_ms: int) -> list[Placement]:
+    """Fill workers with tasks, the tightest first."""
+    rank = step.job.submission.queue.rank
+    size = step.spec.size
+    rooms = []
+    for worker in workers:
+        count = _times(size, _open_room(worker, rank))
+        limit = step.spec.max_per_worker
+        if limit:
+            count = min(count, limit - _here(step, worker))
+        if count > 0:
+            rooms.append((_slack(worker), worker.worker_id, count, worker))
+    rooms.sort(key=lambda row: row[:2])
+    chosen = []
+    waiting = iter(tasks)
+    for _, _, count, worker in rooms:
+        ticket = ''
+        if step.advice is not None:
+            ticket = step.advice.ticket(worker.worker_id, now_ms) or ''
+        for _ in range(count):
+            task = next(waiting, None)
+            if task is None:
+                return chosen
+            chosen.append(Placement(task, worker, ticket))
+    return chosen
+
+
+def _open_room(worker, rank: int) -> resources.Resources:
+    """Return the room that a rank may use; some is kept for the urgent."""
+    free = worker.free
+    if rank == 0:
+        return free
+    capacity = worker.entry.capacity
+    return resources.Resources(
+        free.cpu_millis - int(capacity.cpu_millis * URGENT_HEADROOM_SHARE),
+        free.memory_mb - int(capacity.memory_mb * URGENT_HEADROOM_SHARE),
+        free.accelerators,
+    )
+
+
+def _times(size: resources.Resources, room: resources.Resources) -> int:
+    """Return how many times a size fits into a room."""
+    counts = [
+        have // need for have, need in zip(room, size, strict=True) if need
+    ]
+    return max(0, min(counts, default=MAX_PER_WORKER))
+
+
+# A task of no size at all: the slots of an endpoint bound how many run.
+MAX_PER_WORKER = 64
+
+
+def _here(step, worker) -> int:
+    """Count the tasks of a step's occurrence that may be at a worker."""
+    return sum(1 for t in step.tasks if t.name in worker.run_by_task)
+
+
+def _slack(worker) -> float:
+    """Return the free share of a worker's scarcer resource."""
+    free = worker.free
+    capacity = worker.entry.capacity
+    return min(
+        free.cpu_millis / max(1, capacity.cpu_millis),
+        free.memory_mb / max(1, capacity.memory_mb),
+    )
--- /dev/null
+++ b/packages/carawaymast-core/carawaymast_core/cell/records.py
@@ -0,0 +1,131 @@
+"""What a cell keeps in the platform's store, and its encoding.
+
+An intake record holds a submission, under the job's id, or the wish to
+cancel it. A state record holds all that the leader decided about one job.
+"""
+
+import enum
+import typing
+
+import msgspec
+
+from carawaymast_core.cell import spec as spec_mod
+
+__all__ = [
+    'CANCEL_SUFFIX',
+    'JobPhase',
+    'JobRecord',
+    'LeaderRecord',
+    'RunRecord',
+    'TaskRecord',
+    'decode',
+    'encode',
+]
+
+CANCEL_SUFFIX = '/cancel'
+
+
+class JobPhase(enum.StrEnum):
+    """The states of a job that callers see."""
+
+    QUEUED = 'queued'
+    RUNNING = 'running'
+    COMPLETED = 'completed'
+    FAILED = 'failed'
+    CANCELED = 'canceled'
+
+    @property
+    def is_final(self) -> bool:
+        """Whether the state never changes again."""
+        return self in (
+            JobPhase.COMPLETED,
+            JobPhase.FAILED,
+            JobPhase.CANCELED,
+        )
+
+
+class RunRecord(typing.NamedTuple):
+    """One run of a task that may be at a worker."""
+
+    run_id: int
+    worker_id: str
+    born_ms: int
+
+
+class TaskRecord(typing.NamedTuple):
+    """A task: how often it started and failed, and where it may run."""
+
+    is_done: bool
+    last_run_id: int
+    failures: int
+    checkpoint: str
+    runs: tuple[RunRecord, ...]
+
+
+class JobRecord(typing.NamedTuple):
+    """A job's state; ``tasks`` by occurrence, step and index."""
+
+    phase: JobPhase
+    cause: str
+    has_started: bool
+    changed_at_ms: int
+    tasks: tuple[tuple[tuple[TaskRecord, ...], ...], ...]
+
+
+class QueueLoad(typing.NamedTuple):
+    """What the leader predicts for one rank: work waiting and its delay."""
+
+    rank: int
+    waiting_tasks: int
+    wait_ms: int
+
+
+class LeaderRecord(typing.NamedTuple):
+    """A claim on a cell's leadership or its renewal.
+
+    ``epoch`` is -1 in the claim itself, whose offset is the epoch.
+    """
+
+    node_id: str
+    boot_id: str
+    epoch: int
+    is_released: bool
+    loads: tuple[QueueLoad, ...]
+
+
+class MemberRecord(typing.NamedTuple):
+    """Where the other nodes reach a node."""
+
+    node_id: str
+    host: str
+    port: int
+    domain: str
+    boot_id: str
+
+
+RECORD_TYPES = (
+    spec_mod.Submission,
+    JobRecord,
+    LeaderRecord,
+    MemberRecord,
+)
+_encoder = msgspec.msgpack.Encoder()
+_decoder_by_type = {
+    kind: msgspec.msgpack.Decoder(kind) for kind in RECORD_TYPES
+}
+
+
+def encode(record: typing.Any) -> bytes:
+    """Return the bytes of a record."""
+    return _encoder.encode(record)
+
+
+def decode(kind: type, raw: bytes) -> typing.Any:
+    """Return the record of type ``kind`` that ``raw`` holds.
+
+    Raises ``ValueError`` if the bytes are of another type.
+    """
+    try:
+        return _decoder_by_type[kind].decode(raw)
+    except msgspec.MsgspecError as error:
+        raise ValueError(f'{kind.__name__}: {error}') from None
--- /dev/null
+++ b/packages/carawaymast-core/carawaymast_core/cell/spec.py
@@ -0,0 +1,154 @@
+"""What callers submit: jobs of steps of tasks, and the queue they enter.
+
+All types are immutable. Sizes are ``Resources``, times whole milliseconds.
+"""
+
+import typing
+
+from carawaymast_core import errors
+from carawaymast_core import resources
+
+__all__ = [
+    'AdvicePolicy',
+    'JobSpec',
+    'QueuePolicy',
+    'Step',
+    'Submission',
+    'chain_ms',
+    'check_spec',
+]
+
+# The users' widest step has 60 tasks; 16 times that bounds one job's memory.
+MAX_TASKS_PER_STEP = 1_000
+# The users' jobs have at most 4 steps.
+MAX_STEPS = 64
+# The platform's contract: a payload is a string of up to 4,000 bytes.
+MAX_PAYLOAD_BYTES = 4_000
+# A scheduled job of one occurrence a minute for a week.
+MAX_OCCURRENCES = 10_080
+
+
+class AdvicePolicy(typing.NamedTuple):
+    """How long the advice service takes and how long its tickets hold."""
+
+    decide_ms: float
+    per_worker_ms: float
+    valid_ms: int
+
+
+class QueuePolicy(typing.NamedTuple):
+    """A queue as the operators declare it; ``rank`` 0 is the most urgent."""
+
+    name: str
+    service: str
+    rank: int
+    max_attempts: int
+    stretch_factor: float
+    target_ms: int
+    advice: AdvicePolicy | None
+
+
+class Step(typing.NamedTuple):
+    """``count`` tasks of one size that may start when ``after`` are done."""
+
+    count: int
+    size: resources.Resources
+    estimate_ms: int
+    after: tuple[int, ...] = ()
+    is_gang: bool = False
+    is_rack_local: bool = False
+    is_checkpointing: bool = False
+    is_speculative: bool = False
+    is_service: bool = False
+    is_filler: bool = False
+    required_label: str = ''
+    data_rack: str = ''
+    max_per_worker: int = 0
+    image: str = ''
+    latency_target_ms: int = 0
+    may_miss: int = 0
+
+
+class JobSpec(typing.NamedTuple):
+    """A job: its payload, its steps and, if it repeats, its times."""
+
+    payload: str
+    steps: tuple[Step, ...]
+    occurrences: int = 0
+    first_at_ms: int = 0
+    interval_ms: int = 0
+
+
+class Submission(typing.NamedTuple):
+    """An accepted job with the queue's policy at that time."""
+
+    job_id: str
+    queue: QueuePolicy
+    spec: JobSpec
+    accepted_at_ms: int
+
+
+def check_spec(spec: JobSpec) -> None:
+    """Raise ``SchedulerError`` unless the job is well formed.
+
+    The message names the argument and its value.
+    """
+    size = len(spec.payload.encode())
+    _require(size <= MAX_PAYLOAD_BYTES, f'spec has {size} bytes')
+    count = len(spec.steps)
+    _require(1 <= count <= MAX_STEPS, f'phases has {count} entries')
+    _require(
+        0 <= spec.occurrences <= MAX_OCCURRENCES,
+        f'repeats is {spec.occurrences}',
+    )
+    for number, step in enumerate(spec.steps):
+        _check_step(number, step)
+    _check_order(spec.steps)
+
+
+def chain_ms(steps: typing.Sequence[Step]) -> int:
+    """Return the estimated length of the longest chain of steps, in ms."""
+    ends: list[int] = []
+    for number, step in enumerate(steps):
+        before = [ends[n] for n in step.after if n < number]
+        ends.append(max(before, default=0) + step.estimate_ms)
+    return max(ends, default=0)
+
+
+def _check_step(number: int, step: Step) -> None:
+    where = f'step {number}'
+    _require(
+        1 <= step.count <= MAX_TASKS_PER_STEP,
+        f'{where}: count is {step.count}',
+    )
+    _require(min(step.size) >= 0, f'{where}: size is {step.size}')
+    _require(
+        step.estimate_ms >= 0, f'{where}: estimate_ms is {step.estimate_ms}'
+    )
+    _require(
+        step.max_per_worker >= 0,
+        f'{where}: anti_affinity is {step.max_per_worker}',
+    )
+
+
+def _check_order(steps: typing.Sequence[Step]) -> None:
+    """Refuse numbers out of range and cycles."""
+    for number, step in enumerate(steps):
+        for other in step.after:
+            _require(
+                0 <= other < len(steps), f'step {number}: after has {other}'
+            )
+    done: set[int] = set()
+    while len(done) < len(steps):
+        ready = [
+            n
+            for n, step in enumerate(steps)
+            if n not in done and done.issuperset(step.after)
+        ]
+        _require(bool(ready), 'after has a cycle')
+        done.update(ready)
+
+
+def _require(condition: bool, detail: str) -> None:
+    if not condition:
+        raise errors.SchedulerError(errors.ErrorKind.BAD_REQUEST, detail)
--- /dev/null
+++ b/packages/carawaymast-node/carawaymast_node/__main__.py
@@ -0,0 +1,5 @@
+"""Starts carawaymastd as ``python -m carawaymast_node``."""
+
+from carawaymast_node import main
+
+main.run()
--- /dev/null
+++ b/packages/carawaymast-node/carawaymast_node/cells/advice_desk.py
@@ -0,0 +1,142 @@
+"""Spreads calls for advice over the nodes.
+
+The service answers one call at a time for each calling VM, so a leader that
+asked alone would wait most of the time. Each node, this one included, has at
+most one call under way.
+"""
+
+import typing
+
+from carawaymast_core import clock as clock_mod
+from carawaymast_core.cell import advice as advice_mod
+from carawaymast_core.cell import jobs
+from carawaymast_node import background
+from carawaymast_node import fabric_pb2
+from carawaymast_node.cells import fabric
+from carawaymast_node.cells import ports
+from carawaymast_node.cells import telemetry
+
+__all__ = ['AdviceDesk', 'answer_peer']
+
+OWN = ''
+# Calls longer than this never take the last nodes: short calls belong to
+# tasks that must start within a second.
+LONG_CALL_MS = 150
+KEPT_FOR_SHORT = 2
+# A call takes up to 0.7 s for today's fleet; the service queues for a VM.
+PEER_TIMEOUT_MS = 3_300
+
+
+class AdviceDesk:
+    """The leader's calls for advice."""
+
+    def __init__(
+        self,
+        clock: clock_mod.Clock,
+        advise: ports.Advise,
+        peers: fabric.Peers,
+        log: telemetry.Telemetry,
+        metrics: telemetry.Metrics,
+        on_answer: typing.Callable[[], None],
+    ):
+        self._clock = clock
+        self._advise = advise
+        self._peers = peers
+        self._log = log
+        self._metrics = metrics
+        self._on_answer = on_answer
+        self._busy: set[str] = set()
+        self._tasks = background.TaskSet()
+
+    def close(self) -> None:
+        """Give up all calls."""
+        self._tasks.cancel()
+
+    def ask(
+        self, wanted: typing.Iterable[tuple[jobs.StepState, list[str]]]
+    ) -> None:
+        """Send as many calls as there are idle nodes, in the given order."""
+        member_by_id = {m.node_id: m for m in self._peers.candidates()}
+        idle = [n for n in [*member_by_id, OWN] if n not in self._busy]
+        for step, worker_ids in wanted:
+            if not idle:
+                return
+            policy = step.job.submission.queue.advice
+            takes_ms = advice_mod.call_ms(policy, len(worker_ids))
+            if takes_ms > LONG_CALL_MS and len(idle) <= KEPT_FOR_SHORT:
+                continue
+            node_id = idle.pop()
+            self._busy.add(node_id)
+            step.advice.is_asked = True
+            call = self._call(
+                node_id, member_by_id.get(node_id), step, worker_ids
+            )
+            self._tasks.spawn(call)
+
+    async def _call(self, node_id, member, step, worker_ids) -> None:
+        sent_at_ms = self._clock.now()
+        try:
+            if member is None:
+                answer = await self._advise(step.name, worker_ids)
+            else:
+                answer = await self._ask_peer(member, step.name, worker_ids)
+        except (ports.AdviceError, fabric.PeerError) as error:
+            self._log.note(
+                'advice_failed',
+                step=step.name,
+                node=node_id,
+                error=str(error),
+            )
+            step.advice.is_asked = False
+            return
+        finally:
+            self._busy.discard(node_id)
+        elapsed_ms = self._clock.now() - sent_at_ms
+        self._metrics.record_ms('advice_call', elapsed_ms)
+        policy = step.job.submission.queue.advice
+        takes_ms = int(advice_mod.call_ms(policy, len(worker_ids)))
+        step.advice.take(
+            worker_ids,
+            answer.ticket_by_worker,
+            sent_at_ms + min(elapsed_ms, takes_ms),
+            answer.valid_ms,
+        )
+        self._log.note(
+            'advised',
+            step=step.name,
+            node=node_id,
+            asked=len(worker_ids),
+            granted=len(answer.ticket_by_worker),
+            took_ms=elapsed_ms,
+        )
+        self._on_answer()
+
+    async def _ask_peer(self, member, step_name, worker_ids) -> ports.Advice:
+        message = fabric_pb2.AdviceCall(step=step_name, worker_ids=worker_ids)
+        answer = await self._peers.call(
+            member, 'Advise', message, PEER_TIMEOUT_MS
+        )
+        if not answer.answered:
+            raise ports.AdviceError(f'{member.node_id} got no answer')
+        return ports.Advice(dict(answer.ticket_by_worker), answer.valid_ms)
+
+
+def answer_peer(
+    advise: ports.Advise | None,
+) -> typing.Callable[..., typing.Awaitable[fabric_pb2.AdviceAnswer]]:
+    """Return the function that asks the service for a leader."""
+
+    async def answer(message: fabric_pb2.AdviceCall):
+        if advise is None:
+            return fabric_pb2.AdviceAnswer(answered=False)
+        try:
+            found = await advise(message.step, list(message.worker_ids))
+        except ports.AdviceError:
+            return fabric_pb2.AdviceAnswer(answered=False)
+        return fabric_pb2.AdviceAnswer(
+            answered=True,
+            ticket_by_worker=found.ticket_by_worker,
+            valid_ms=found.valid_ms,
+        )
+
+    return answer
--- /dev/null
+++ b/packages/carawaymast-node/carawaymast_node/cells/election.py
@@ -0,0 +1,129 @@
+"""Who leads a cell: claims and renewals in the store.
+
+A claim is appended on condition that the partition still ends where the
+claimant saw it end. Its offset is the epoch: unique and rising, the same for
+all readers. The others judge a leader's silence on their own steady clocks.
+"""
+
+import typing
+
+from carawaymast_core import clock as clock_mod
+from carawaymast_core.cell import records
+from carawaymast_node.cells import ports
+
+__all__ = ['Election', 'RENEW_MS', 'SILENCE_MS']
+
+TOPIC = 'lead'
+KEY = 'leader'
+# A renewal takes 6 ms; four may be lost or late before another node claims.
+RENEW_MS = 500
+SILENCE_MS = 2_200
+# After an outage of the store the leader gets this long to renew first.
+REGAINED_MS = 1_300
+CLAIM_EPOCH = -1
+
+
+class Election:
+    """What a node knows of the leadership of one cell."""
+
+    def __init__(
+        self,
+        store: ports.StorePort,
+        clock: clock_mod.Clock,
+        node_id: str,
+        boot_id: str,
+        part: int,
+        on_change: typing.Callable[[], None],
+    ):
+        self._store = store
+        self._clock = clock
+        self._node_id = node_id
+        self._boot_id = boot_id
+        self._part = part
+        self._on_change = on_change
+        self.end_offset = 0
+        self.epoch: int | None = None
+        self.record: records.LeaderRecord | None = None
+        self.seen_at_ms = 0
+        self.confirmed_at_ms = 0
+
+    @property
+    def is_own(self) -> bool:
+        """Whether the latest claim is this process's."""
+        return (
+            self.record is not None
+            and self.record.boot_id == self._boot_id
+            and not self.record.is_released
+        )
+
+    def take(self, item: ports.StoredItem) -> None:
+        """Apply a record of the topic."""
+        self.end_offset = item.offset + 1
+        record = records.decode(records.LeaderRecord, item.value)
+        epoch = record.epoch
+        if epoch == CLAIM_EPOCH:
+            epoch = item.offset
+        is_change = epoch != self.epoch or record.is_released
+        self.epoch = epoch
+        self.record = record
+        self.seen_at_ms = self._clock.now()
+        if is_change:
+            self._on_change()
+
+    def is_vacant(self, tail) -> bool:
+        """Whether this node may claim, given the tail of the topic."""
+        if tail.offset is None or tail.reachable_since_ms is None:
+            return False
+        if self.is_own:
+            return False
+        record = self.record
+        if record is None or record.is_released:
+            return True
+        if record.node_id == self._node_id:
+            # The process before this one led, and has ended.
+            return True
+        now_ms = self._clock.now()
+        silent_since_ms = max(
+            self.seen_at_ms,
+            tail.reachable_since_ms - SILENCE_MS + REGAINED_MS,
+        )
+        asked_ms = tail.current_as_of_ms or 0
+        return (
+            now_ms - silent_since_ms > SILENCE_MS
+            and asked_ms - silent_since_ms > SILENCE_MS - 2 * RENEW_MS
+        )
+
+    async def claim(self, end_offset: int) -> bool:
+        """Try to take the leadership; the tail shows whether it worked."""
+        record = records.LeaderRecord(
+            self._node_id, self._boot_id, CLAIM_EPOCH, False, ()
+        )
+        return await self._append(record, max(end_offset, self.end_offset))
+
+    async def renew(
+        self, epoch: int, loads: tuple[records.QueueLoad, ...]
+    ) -> bool:
+        """Say that the leader is there; False if somebody else claimed."""
+        record = records.LeaderRecord(
+            self._node_id, self._boot_id, epoch, False, loads
+        )
+        return await self._append(record, self.end_offset)
+
+    async def release(self, epoch: int) -> bool:
+        """Give the leadership up, so that others need not wait."""
+        record = records.LeaderRecord(
+            self._node_id, self._boot_id, epoch, True, ()
+        )
+        return await self._append(record, self.end_offset)
+
+    async def _append(self, record: records.LeaderRecord, at: int) -> bool:
+        sent_at_ms = self._clock.now()
+        item = ports.KeyValue(KEY, records.encode(record))
+        try:
+            appended = await self._store.append(TOPIC, self._part, [item], at)
+        except ports.ConflictError:
+            return False
+        if self.end_offset <= appended.offset:
+            self.take(ports.StoredItem(appended.offset, item.key, item.value))
+        self.confirmed_at_ms = sent_at_ms
+        return True
--- /dev/null
+++ b/packages/carawaymast-node/carawaymast_node/cells/fabric.py
@@ -0,0 +1,132 @@
+"""Calls between nodes over grpclib, and who the other nodes are."""
+
+import asyncio
+import random
+import typing
+
+from grpclib import client
+from grpclib import exceptions
+from grpclib import server
+
+from carawaymast_core import clock as clock_mod
+from carawaymast_core.cell import records
+from carawaymast_node import fabric_grpc
+from carawaymast_node.cells import ports
+
+__all__ = ['FabricService', 'PeerError', 'Peers']
+
+MEMBERS_TOPIC = 'members'
+# A peer that failed is not asked again for so long.
+AVOID_MS = 2_000
+
+Handler = typing.Callable[[typing.Any], typing.Awaitable[typing.Any]]
+
+
+class PeerError(Exception):
+    """A call to a peer failed; whether it took effect is not known."""
+
+
+class Peers:
+    """The other nodes, each with one channel; a context manager."""
+
+    def __init__(self, clock: clock_mod.Clock, own_id: str):
+        self._clock = clock
+        self._own_id = own_id
+        self._channel_by_id: dict[str, client.Channel] = {}
+        self._avoid_until_by_id: dict[str, int] = {}
+        self.member_by_id: dict[str, records.MemberRecord] = {}
+
+    async def __aenter__(self) -> 'Peers':
+        return self
+
+    async def __aexit__(self, *exc_info) -> None:
+        for node_id in list(self._channel_by_id):
+            self._close(node_id)
+
+    def take(self, item: ports.StoredItem) -> None:
+        """Apply a record of the members' topic."""
+        if item.key == self._own_id:
+            return
+        if not item.value:
+            self.member_by_id.pop(item.key, None)
+            self._close(item.key)
+            return
+        member = records.decode(records.MemberRecord, item.value)
+        if self.member_by_id.get(item.key) != member:
+            self._close(item.key)
+            self._avoid_until_by_id.pop(item.key, None)
+        self.member_by_id[item.key] = member
+
+    def candidates(self) -> list[records.MemberRecord]:
+        """Return the peers that seem to be well, in random order."""
+        now_ms = self._clock.now()
+        found = [
+            member
+            for member in self.member_by_id.values()
+            if self._avoid_until_by_id.get(member.node_id, 0) <= now_ms
+        ]
+        random.shuffle(found)
+        return found
+
+    def avoid(self, member: records.MemberRecord) -> None:
+        """Do not ask a peer for a while."""
+        until_ms = self._clock.now() + AVOID_MS
+        self._avoid_until_by_id[member.node_id] = until_ms
+
+    async def call(
+        self,
+        member: records.MemberRecord,
+        method: str,
+        message: typing.Any,
+        timeout_ms: float,
+    ) -> typing.Any:
+        """Call a peer and return its reply.
+
+        Raises ``PeerError`` if there is none in time. The channel is then
+        replaced, since it may be silent for good while new ones work.
+        """
+        stub = fabric_grpc.FabricStub(self._channel(member))
+        try:
+            return await getattr(stub, method)(
+                message, timeout=timeout_ms / 1000
+            )
+        except (
+            OSError,
+            asyncio.TimeoutError,
+            exceptions.GRPCError,
+            exceptions.StreamTerminatedError,
+        ) as error:
+            self._close(member.node_id)
+            self.avoid(member)
+            detail = f'{method} to {member.node_id}: {error!r}'
+            raise PeerError(detail) from None
+
+    def _channel(self, member: records.MemberRecord) -> client.Channel:
+        channel = self._channel_by_id.get(member.node_id)
+        if channel is None:
+            channel = client.Channel(member.host, member.port)
+            self._channel_by_id[member.node_id] = channel
+        return channel
+
+    def _close(self, node_id: str) -> None:
+        channel = self._channel_by_id.pop(node_id, None)
+        if channel is not None:
+            channel.close()
+
+
+class FabricService(fabric_grpc.FabricBase):
+    """The calls that this node answers, each by a function."""
+
+    def __init__(self, call_store: Handler, advise: Handler):
+        self._call_store = call_store
+        self._advise = advise
+
+    async def CallStore(self, stream: server.Stream) -> None:  # noqa: N802
+        """Send a call to the store for a peer."""
+        message = await stream.recv_message()
+        await stream.send_message(await self._call_store(message))
+
+    async def Advise(self, stream: server.Stream) -> None:  # noqa: N802
+        """Ask the advice service for the leader."""
+        message = await stream.recv_message()
+        await stream.send_message(await self._advise(message))
--- /dev/null
+++ b/packages/carawaymast-node/carawaymast_node/cells/front.py
@@ -0,0 +1,235 @@
+"""The interface for callers of a cell, over circuits.web."""
+
+import asyncio
+import typing
+
+import circuits
+from circuits.web import events as web_events
+
+from carawaymast_core import clock as clock_mod
+from carawaymast_core import errors
+from carawaymast_core.cell import records
+from carawaymast_core.cell import spec as spec_mod
+from carawaymast_core.cell import view as view_mod
+from carawaymast_node import background
+from carawaymast_node import guard as guard_mod
+from carawaymast_node.cells import intake as intake_mod
+from carawaymast_node.cells import ports
+from carawaymast_node.cells import routing
+from carawaymast_node.cells import tail as tail_mod
+from carawaymast_node.cells import telemetry
+
+__all__ = ['Front', 'FrontParts', 'Pages']
+
+# Callers wait so long unless they say otherwise.
+DEFAULT_DEADLINE_MS = 3_000
+# An answer needs some ms on its way back to be in time.
+ANSWER_MARGIN_MS = 150
+# How long a look-up of an unknown job waits for a fresh read of the store.
+FRESH_READ_MS = 900
+# A caller comes back after so long when the store is away; outages of some
+# seconds are usual, and callers spread out by themselves.
+RETRY_AFTER_S = 1
+
+
+class FrontParts(typing.NamedTuple):
+    """What the front serves callers with."""
+
+    clock: clock_mod.Clock
+    log: telemetry.Telemetry
+    metrics: telemetry.Metrics
+    ingress: ports.Ingress
+    routes: routing.Routes
+    view: view_mod.JobView
+    intake: intake_mod.Intake
+    intake_tail: tail_mod.Tail
+
+
+class Answer(typing.NamedTuple):
+    """Status, body and seconds until a retry is worth while, or 0."""
+
+    status: int
+    body: typing.Any
+    retry_after_s: int = 0
+
+
+class Front(circuits.BaseComponent):
+    """Answers callers; each request is handled by a coroutine."""
+
+    channel = 'web'
+
+    def __init__(self, guard: guard_mod.Guard, parts: FrontParts):
+        super().__init__()
+        self._guard = guard
+        self._parts = parts
+        self._tasks = background.TaskSet()
+        self.is_draining = False
+        self.in_flight = 0
+
+    @circuits.handler('request', priority=1)
+    def _on_request(self, event, request, response) -> None:
+        event.stop()
+        event.success = False
+        self.in_flight += 1
+        self._tasks.spawn(self._answer(request, response))
+
+    async def _answer(self, request, response) -> None:
+        started_ms = self._parts.clock.now()
+        method = request.method
+        deadline_ms = _deadline_ms(request, self._parts.ingress)
+        try:
+            async with asyncio.timeout(
+                max(50, deadline_ms - ANSWER_MARGIN_MS) / 1000
+            ):
+                answer = await self._dispatch(method, request)
+        except errors.SchedulerError as error:
+            answer = _error_answer(error)
+            self._parts.log.note(
+                'request_refused',
+                method=method,
+                path=request.path,
+                status=answer.status,
+                kind=error.kind.value,
+                detail=error.detail,
+                retry_after_s=answer.retry_after_s,
+            )
+        except TimeoutError:
+            unknown = errors.SchedulerError(
+                errors.ErrorKind.OUTCOME_UNKNOWN,
+                f'no answer of the store within {deadline_ms} ms',
+            )
+            answer = _error_answer(unknown)
+            self._parts.log.note(
+                'request_timed_out',
+                method=method,
+                path=request.path,
+                deadline_ms=deadline_ms,
+            )
+        finally:
+            self.in_flight -= 1
+        elapsed_ms = self._parts.clock.now() - started_ms
+        self._parts.metrics.record_ms(f'request_{method.lower()}', elapsed_ms)
+        self._parts.metrics.count(
+            f'requests_total{{method="{method}",status="{answer.status}"}}'
+        )
+        self._send(response, answer)
+
+    async def _dispatch(self, method: str, request) -> Answer:
+        host = request.headers.get('Host', '')
+        queue, job_id = self._parts.routes.find(host, request.path)
+        if method == 'POST' and job_id:
+            return await self._submit(queue, job_id, request)
+        if method == 'GET' and job_id:
+            return await self._show(job_id)
+        if method == 'DELETE' and job_id:
+            return await self._cancel(job_id)
+        if method == 'GET':
+            pending = self._parts.view.pending(queue.policy.name)
+            return Answer(200, {'pending': pending})
+        raise errors.SchedulerError(
+            errors.ErrorKind.NOT_FOUND, f'no route {method} {request.path}'
+        )
+
+    async def _submit(
+        self, queue: ports.Queue, job_id: str, request
+    ) -> Answer:
+        parts = self._parts
+        if job_id in parts.view.submission_by_id:
+            parts.log.note('job_joined', job=job_id)
+            return Answer(200, {})
+        spec = parts.ingress.decode_job(request.body.getvalue())
+        submission = spec_mod.Submission(
+            job_id, queue.policy, spec, parts.clock.wall()
+        )
+        await parts.intake.store(
+            ports.KeyValue(job_id, records.encode(submission))
+        )
+        parts.metrics.count('jobs_accepted_total')
+        parts.log.note(
+            'job_accepted',
+            job=job_id,
+            queue=queue.policy.name,
+            tasks=sum(step.count for step in spec.steps),
+            version=parts.routes.version,
+        )
+        return Answer(200, {})
+
+    async def _show(self, job_id: str) -> Answer:
+        phase = await self._phase(job_id)
+        if phase is None:
+            self._parts.log.note('job_unknown', job=job_id, asked='show')
+            return Answer(410, {})
+        return Answer(200, {'state': phase.value})
+
+    async def _cancel(self, job_id: str) -> Answer:
+        phase = await self._phase(job_id)
+        if phase is not None and phase.is_final:
+            return Answer(200, {})
+        # Also for an unknown job: its submission may still be on its way.
+        item = ports.KeyValue(job_id + records.CANCEL_SUFFIX, b'\x01')
+        await self._parts.intake.store(item)
+        self._parts.log.note('job_cancelled', job=job_id, known=bool(phase))
+        return Answer(410 if phase is None else 200, {})
+
+    async def _phase(self, job_id: str) -> records.JobPhase | None:
+        """Return a job's state; None only if the store does not have it."""
+        phase = self._parts.view.phase(job_id)
+        if phase is not None:
+            return phase
+        now_ms = self._parts.clock.now()
+        try:
+            async with asyncio.timeout(FRESH_READ_MS / 1000):
+                await self._parts.intake_tail.wait_current(now_ms)
+        except TimeoutError:
+            raise errors.SchedulerError(
+                errors.ErrorKind.NOT_READY,
+                f'job {job_id} is not known and the store does not answer',
+            ) from None
+        return self._parts.view.phase(job_id)
+
+    def _send(self, response, answer: Answer) -> None:
+        if not self._guard.is_open(response.request.sock):
+            return
+        if answer.retry_after_s:
+            response.headers['Retry-After'] = str(answer.retry_after_s)
+        guard_mod.json_response(response, answer.status, answer.body)
+        if self.is_draining:
+            response.close = True
+        self.fire(web_events.response(response))
+
+
+class Pages(circuits.BaseComponent):
+    """Answers GET requests for fixed paths on a channel of its own."""
+
+    def __init__(
+        self,
+        channel: str,
+        page_by_path: typing.Mapping[
+            str, typing.Callable[[], tuple[int, str]]
+        ],
+    ):
+        super().__init__(channel=channel)
+        self._page_by_path = page_by_path
+
+    @circuits.handler('request', priority=1)
+    def _on_request(self, event, request, response) -> None:
+        event.stop()
+        event.success = False
+        page = self._page_by_path.get(request.path)
+        status, text = page() if page else (404, 'no such page\n')
+        response.status = status
+        response.headers['Content-Type'] = 'text/plain; charset=utf-8'
+        response.body = text.encode()
+        self.fire(web_events.response(response))
+
+
+def _deadline_ms(request, ingress: ports.Ingress) -> int:
+    text = request.headers.get(ingress.deadline_header, '')
+    return int(text) if text.isdigit() else DEFAULT_DEADLINE_MS
+
+
+def _error_answer(error: errors.SchedulerError) -> Answer:
+    status = error.answer.status
+    retry_after_s = RETRY_AFTER_S if status in (429, 503) else 0
+    body = errors.error_body(error, '')
+    return Answer(status, body, retry_after_s)
--- /dev/null
+++ b/packages/carawaymast-node/carawaymast_node/cells/journal.py
@@ -0,0 +1,98 @@
+"""The leader's writes: one append in flight, repeated until it is settled."""
+
+import asyncio
+import typing
+
+from carawaymast_core import clock as clock_mod
+from carawaymast_core.cell import cell as cell_mod
+from carawaymast_core.cell import records
+from carawaymast_core.cell import view as view_mod
+from carawaymast_node.cells import ports
+from carawaymast_node.cells import tail as tail_mod
+from carawaymast_node.cells import telemetry
+
+__all__ = ['Journal']
+
+WRITER = 'leader'
+RETRY_MS = 100
+
+
+class Journal:
+    """Appends the records of one epoch to the state topic of a cell."""
+
+    def __init__(
+        self,
+        store: ports.StorePort,
+        clock: clock_mod.Clock,
+        metrics: telemetry.Metrics,
+        view: view_mod.JobView,
+        tail: tail_mod.Tail,
+        epoch: int,
+    ):
+        self._store = store
+        self._clock = clock
+        self._metrics = metrics
+        self._view = view
+        self._tail = tail
+        self._epoch = epoch
+        self._sequence = 0
+
+    async def open(self) -> None:
+        """Fence former leaders and read all that they wrote.
+
+        Raises ``FencedError`` if a newer leader was faster.
+        """
+        opened = await self._append([])
+        while True:
+            try:
+                await self._tail.catch_up(opened.end_offset)
+                break
+            except ports.StoreError:
+                await asyncio.sleep(RETRY_MS / 1000)
+        # From here on this process writes all that there is to read.
+        self._tail.is_suspended = True
+
+    async def write(self, batch: cell_mod.Batch) -> None:
+        """Store a batch, however long that takes.
+
+        Raises ``FencedError`` once another leader has fenced this one.
+        """
+        items = [
+            ports.KeyValue(job_id, records.encode(record))
+            for job_id, record in batch.records_by_id.items()
+        ]
+        if items:
+            started_ms = self._clock.now()
+            appended = await self._append(items)
+            elapsed_ms = self._clock.now() - started_ms
+            self._metrics.record_ms('journal_append', elapsed_ms)
+            self._metrics.count(
+                'journal_bytes_total', sum(len(i.value) for i in items)
+            )
+            self._tail.offset = max(
+                self._tail.offset or 0, appended.end_offset
+            )
+        self._view.record_by_id.update(batch.records_by_id)
+
+    async def _append(
+        self, items: typing.Sequence[ports.KeyValue]
+    ) -> ports.Appended:
+        """Repeat an append; the store finds repeats by their number."""
+        while True:
+            writer = ports.Writer(WRITER, self._epoch, self._sequence)
+            try:
+                appended = await self._store.append(
+                    'state', self._tail.part, items, writer=writer
+                )
+            except ports.SequenceError as error:
+                if items and self._sequence > 1:
+                    raise ports.FencedError(str(error)) from None
+                # Whether an empty append counts is the store's choice.
+                self._sequence = error.expected
+                continue
+            except ports.StoreError:
+                self._metrics.count('journal_errors_total')
+                await asyncio.sleep(RETRY_MS / 1000)
+                continue
+            self._sequence += 1
+            return appended
--- /dev/null
+++ b/packages/carawaymast-node/carawaymast_node/cells/leader.py
@@ -0,0 +1,334 @@
+"""Leads one cell: takes over, plans, writes, orders and holds."""
+
+import asyncio
+import typing
+
+from carawaymast_core import clock as clock_mod
+from carawaymast_core.cell import cell as cell_mod
+from carawaymast_core.cell import view as view_mod
+from carawaymast_core.cell import worker as worker_mod
+from carawaymast_node import background
+from carawaymast_node.cells import advice_desk
+from carawaymast_node.cells import election as election_mod
+from carawaymast_node.cells import fabric
+from carawaymast_node.cells import journal as journal_mod
+from carawaymast_node.cells import ports
+from carawaymast_node.cells import tail as tail_mod
+from carawaymast_node.cells import telemetry
+
+__all__ = ['CellContext', 'Leader']
+
+# The lease outlives the loss of a leader: 2.2 s of silence, a takeover of
+# some 0.5 s, and a renewal that was up to 1 s old.
+LEASE_MS = 6_000
+HOLD_WAIT_MS = 1_000
+# Ends that follow each other closely are taken in one look at the worker.
+HOLD_PAUSE_MS = 30
+HOLD_RETRY_MS = 250
+# How long ends wait for the store before the lease is renewed without it.
+ACK_WAIT_MS = 400
+# Events of so long are planned together.
+PLAN_PAUSE_MS = 8
+IDLE_PLAN_MS = 100
+RETRY_MS = 150
+# Without a confirmed renewal a leader goes on holding leases for so long;
+# ``cell.UNREACHED_WORKER_MS`` counts on it.
+UNCONFIRMED_HOLD_MS = 8_000
+
+
+class CellContext(typing.NamedTuple):
+    """What a leader works with."""
+
+    clock: clock_mod.Clock
+    log: telemetry.Telemetry
+    metrics: telemetry.Metrics
+    platform: ports.Platform
+    store: ports.StorePort
+    peers: fabric.Peers
+    view: view_mod.JobView
+    intake_tail: tail_mod.Tail
+    state_tail: tail_mod.Tail
+    election: election_mod.Election
+
+
+class Leader:
+    """One term of leadership."""
+
+    def __init__(self, context: CellContext, epoch: int):
+        self._context = context
+        self._clock = context.clock
+        self._log = context.log
+        self._metrics = context.metrics
+        self._workers = context.platform.workers
+        self.epoch = epoch
+        lease_ms = min(LEASE_MS, context.platform.settings.max_lease_ms)
+        self._lease_ms = lease_ms
+        self.cell = cell_mod.Cell(epoch, lease_ms, self._log.note)
+        self._journal = journal_mod.Journal(
+            context.store,
+            context.clock,
+            context.metrics,
+            context.view,
+            context.state_tail,
+            epoch,
+        )
+        self._wake = asyncio.Event()
+        self._committed = asyncio.Event()
+        self._commit: asyncio.Task | None = None
+        self._tasks = background.TaskSet()
+        self._advice: advice_desk.AdviceDesk | None = None
+        if context.platform.advise is not None:
+            self._advice = advice_desk.AdviceDesk(
+                context.clock,
+                context.platform.advise,
+                context.peers,
+                context.log,
+                context.metrics,
+                self._wake.set,
+            )
+        self._worker_tail = tail_mod.Tail(
+            context.store,
+            context.clock,
+            context.log,
+            context.platform.settings.workers_topic,
+            0,
+            self._take_worker_item,
+        )
+        self.is_open = False
+
+    async def run(self) -> None:
+        """Lead until fenced or cancelled.
+
+        Returns when another leader has fenced this one.
+        """
+        started_ms = self._clock.now()
+        try:
+            await self._open()
+            self._log.note(
+                'leading',
+                epoch=self.epoch,
+                took_ms=self._clock.now() - started_ms,
+                jobs=len(self.cell.job_by_id),
+                workers=len(self.cell.worker_by_key),
+            )
+            self._metrics.count('takeovers_total')
+            self._metrics.record_ms('takeover', self._clock.now() - started_ms)
+            self._tasks.spawn(self._worker_tail.run())
+            await self._keep_planning()
+        except ports.FencedError as error:
+            self._log.note('fenced', epoch=self.epoch, error=str(error))
+        finally:
+            self.is_open = False
+            self._context.state_tail.is_suspended = False
+            self._tasks.cancel()
+            if self._advice is not None:
+                self._advice.close()
+            if self._commit is not None:
+                self._commit.cancel()
+
+    def take_job(self, job_id: str) -> None:
+        """Take in a job, or its cancelling, that the intake shows."""
+        if not self.is_open:
+            return
+        self.cell.submit(
+            self._context.view, job_id, self._clock.now(), self._clock.wall()
+        )
+        self._wake.set()
+
+    async def finish(self, timeout_ms: int) -> None:
+        """Wait until what was decided is written, before a hand-over."""
+        self.is_open = False
+        if self._commit is not None:
+            await asyncio.wait([self._commit], timeout=timeout_ms / 1000)
+
+    # -- taking over -------------------------------------------------------
+
+    async def _open(self) -> None:
+        await self._journal.open()
+        await self._catch_up(self._context.intake_tail)
+        await self._catch_up(self._worker_tail)
+        now_ms = self._clock.now()
+        wall_ms = self._clock.wall()
+        self.cell.tick(now_ms, wall_ms)
+        self.cell.load(self._context.view, now_ms, wall_ms)
+        self.is_open = True
+        for worker in list(self.cell.worker_by_key.values()):
+            if worker.is_listed:
+                self._tasks.spawn(self._keep_holding(worker))
+
+    async def _catch_up(self, tail: tail_mod.Tail) -> None:
+        """Read a topic to an end that was there after the journal's fence."""
+        while True:
+            try:
+                if tail.offset is None:
+                    await tail.catch_up(0)
+                answer = await self._context.store.read(
+                    tail.topic, tail.part, tail.offset, 0
+                )
+                await tail.catch_up(answer.end_offset)
+                return
+            except ports.TrimmedError:
+                tail.offset = None
+            except ports.StoreError:
+                await asyncio.sleep(RETRY_MS / 1000)
+
+    def _take_worker_item(self, item: ports.StoredItem) -> None:
+        change = self._context.platform.ingress.decode_worker(item)
+        now_ms = self._clock.now()
+        if change is None:
+            self._log.note('worker_entry_unreadable', worker=item.key)
+        elif change.entry is None:
+            self.cell.drop_worker(change.worker_id, now_ms)
+        else:
+            worker = self.cell.take_worker(change.entry, now_ms)
+            if worker is not None and self.is_open:
+                self._tasks.spawn(self._keep_holding(worker))
+        self._wake.set()
+
+    # -- planning ----------------------------------------------------------
+
+    async def _keep_planning(self) -> typing.NoReturn:
+        while True:
+            try:
+                await asyncio.wait_for(self._wake.wait(), IDLE_PLAN_MS / 1000)
+                await asyncio.sleep(PLAN_PAUSE_MS / 1000)
+            except asyncio.TimeoutError:
+                self._metrics.count('idle_plans_total')
+            self._wake.clear()
+            self._plan()
+
+    def _plan(self) -> None:
+        now_ms = self._clock.now()
+        wall_ms = self._clock.wall()
+        self.cell.tick(now_ms, wall_ms)
+        self.cell.sweep(now_ms, wall_ms)
+        if self._commit is not None and self._commit.done():
+            # Raises if the journal is fenced.
+            self._commit.result()
+            self._commit = None
+        if self._commit is None:
+            self.cell.plan(now_ms, wall_ms)
+            self._begin_commit(wall_ms)
+        if self._advice is not None:
+            self._advice.ask(self.cell.advice_wanted(now_ms, wall_ms))
+        for order in self.cell.stops:
+            self._tasks.spawn(self._stop(order))
+        self.cell.stops.clear()
+        spent_ms = self._clock.now() - now_ms
+        self._metrics.record_ms('plan', spent_ms)
+
+    def _begin_commit(self, wall_ms: int) -> None:
+        batch = self.cell.take_batch(wall_ms)
+        if batch.is_empty:
+            return
+        self._commit = asyncio.ensure_future(self._write(batch))
+        self._commit.add_done_callback(lambda task: self._wake.set())
+
+    async def _write(self, batch: cell_mod.Batch) -> None:
+        await self._journal.write(batch)
+        for run in self.cell.commit(batch):
+            self._tasks.spawn(self._start(run))
+        committed = self._committed
+        self._committed = asyncio.Event()
+        committed.set()
+
+    # -- orders ------------------------------------------------------------
+
+    async def _start(self, run: worker_mod.Run) -> None:
+        now_ms = self._clock.now()
+        deadline_ms = run.worker.next_deadline(now_ms, self._lease_ms)
+        job = run.task.step.job
+        self._log.note(
+            'start_ordered',
+            task=run.task.name,
+            run_id=run.run_id,
+            worker=run.worker.worker_id,
+            epoch=self.epoch,
+            free_cpu=run.worker.free.cpu_millis,
+            waited_ms=self._clock.wall() - job.submission.accepted_at_ms,
+        )
+        outcome = await self._workers.start(run, self.epoch, deadline_ms)
+        self.cell.take_start(run, outcome, self._clock.now())
+        self._metrics.record_ms('start_call', self._clock.now() - now_ms)
+        self._wake.set()
+
+    async def _stop(self, order: cell_mod.StopOrder) -> None:
+        self._log.note(
+            'stop_ordered',
+            task=order.task_name,
+            run_id=order.run_id,
+            worker=order.worker.worker_id,
+            why=order.run.stop_reason if order.run else 'not placed',
+        )
+        is_answered = await self._workers.stop(order, self.epoch)
+        if order.run is not None:
+            if not is_answered:
+                await asyncio.sleep(HOLD_RETRY_MS / 1000)
+            now_ms = self._clock.now()
+            self.cell.take_stop(order.run, is_answered, now_ms)
+        self._wake.set()
+
+    # -- leases ------------------------------------------------------------
+
+    async def _keep_holding(self, worker: worker_mod.Worker) -> None:
+        """Renew a worker's lease and read its lists, one call at a time."""
+        while not worker.is_gone:
+            unconfirmed_ms = (
+                self._clock.now() - self._context.election.confirmed_at_ms
+            )
+            if unconfirmed_ms > UNCONFIRMED_HOLD_MS:
+                self._log.note('hold_paused', worker=worker.worker_id)
+                await asyncio.sleep(HOLD_RETRY_MS / 1000)
+                continue
+            try:
+                await self._hold(worker)
+            except ports.WorkerRebornError:
+                self.cell.lose_life(
+                    worker, 'another id answered', self._clock.now()
+                )
+                self._wake.set()
+            except ports.WorkerFencedError:
+                self._log.note('worker_fenced', worker=worker.worker_id)
+                await asyncio.sleep(HOLD_RETRY_MS / 1000)
+            except ports.WorkerError as error:
+                self._metrics.count('hold_errors_total')
+                self._log.note(
+                    'hold_failed', worker=worker.worker_id, error=str(error)
+                )
+                await asyncio.sleep(HOLD_RETRY_MS / 1000)
+
+    async def _hold(self, worker: worker_mod.Worker) -> None:
+        sent_at_ms = self._clock.now()
+        deadline_ms = None
+        wait_ms = 0
+        if worker.is_adopted:
+            deadline_ms = worker.next_deadline(sent_at_ms, self._lease_ms)
+            if worker.ack_number >= worker.seen_number:
+                wait_ms = HOLD_WAIT_MS
+        seen_before = worker.seen_number
+        was_adopted = worker.is_adopted
+        self._metrics.count('holds_total')
+        answer = await self._workers.hold(
+            worker, self.epoch, deadline_ms, wait_ms
+        )
+        self.cell.take_hold(
+            worker, answer, sent_at_ms, self._clock.now(), self._clock.wall()
+        )
+        if worker.seen_number > seen_before or not was_adopted:
+            self._wake.set()
+        if worker.ack_number < worker.seen_number:
+            await self._wait_for_ack(worker)
+        elif not was_adopted:
+            return
+        await asyncio.sleep(HOLD_PAUSE_MS / 1000)
+
+    async def _wait_for_ack(self, worker: worker_mod.Worker) -> None:
+        until_ms = self._clock.now() + ACK_WAIT_MS
+        while worker.ack_number < worker.seen_number:
+            left_ms = until_ms - self._clock.now()
+            if left_ms <= 0:
+                return
+            try:
+                await asyncio.wait_for(self._committed.wait(), left_ms / 1000)
+            except asyncio.TimeoutError:
+                return
--- /dev/null
+++ b/packages/carawaymast-node/carawaymast_node/cells/ports.py
@@ -0,0 +1,269 @@
+"""What a node needs of the platform it runs on.
+
+An adapter package fills in these types; the product knows nothing of its
+names. Times are whole milliseconds.
+"""
+
+import typing
+
+from carawaymast_core.cell import cell as cell_mod
+from carawaymast_core.cell import spec as spec_mod
+from carawaymast_core.cell import worker as worker_mod
+
+__all__ = [
+    'Advice',
+    'AdviceError',
+    'Advise',
+    'Appended',
+    'CellSettings',
+    'ConflictError',
+    'Declarations',
+    'FencedError',
+    'Ingress',
+    'KeyValue',
+    'ListChange',
+    'NewestAnswer',
+    'Platform',
+    'Queue',
+    'ReadAnswer',
+    'SequenceError',
+    'StoreError',
+    'StorePort',
+    'StoreSend',
+    'StoredItem',
+    'TrimmedError',
+    'WorkerError',
+    'WorkerFencedError',
+    'WorkerPort',
+    'WorkerRebornError',
+    'Writer',
+]
+
+
+class StoreError(Exception):
+    """A call to the store failed; ``is_unknown`` if it may have run."""
+
+    def __init__(self, detail: str, is_unknown: bool):
+        super().__init__(detail)
+        self.is_unknown = is_unknown
+
+
+class ConflictError(Exception):
+    """The partition does not end where a conditional append expects it."""
+
+    def __init__(self, end_offset: int):
+        super().__init__(f'the partition ends at {end_offset}')
+        self.end_offset = end_offset
+
+
+class FencedError(Exception):
+    """A writer with a higher epoch has taken the partition."""
+
+
+class SequenceError(Exception):
+    """A writer's sequence number does not follow its last one."""
+
+    def __init__(self, expected: int):
+        super().__init__(f'the expected sequence number is {expected}')
+        self.expected = expected
+
+
+class TrimmedError(Exception):
+    """The records asked for are gone; ``first_offset`` is the oldest."""
+
+    def __init__(self, first_offset: int):
+        super().__init__(f'the first offset is {first_offset}')
+        self.first_offset = first_offset
+
+
+class WorkerError(Exception):
+    """A call to a worker had no usable answer; it may take effect."""
+
+
+class WorkerRebornError(WorkerError):
+    """Another life of the worker answered; the one meant has ended."""
+
+
+class WorkerFencedError(WorkerError):
+    """The worker obeys a higher epoch."""
+
+
+class AdviceError(Exception):
+    """The advice service gave no answer."""
+
+
+class KeyValue(typing.NamedTuple):
+    """A record to append; an empty value drops the key."""
+
+    key: str
+    value: bytes
+
+
+class StoredItem(typing.NamedTuple):
+    """A record of a topic at its offset."""
+
+    offset: int
+    key: str
+    value: bytes
+
+
+class Writer(typing.NamedTuple):
+    """A writer whose epoch fences older ones and whose repeats are found."""
+
+    name: str
+    epoch: int
+    sequence: int
+
+
+class Appended(typing.NamedTuple):
+    """Where records were stored; ``end_offset`` is behind the last."""
+
+    offset: int
+    end_offset: int
+
+
+class ReadAnswer(typing.NamedTuple):
+    """Records from an offset on; read on at ``next_offset``."""
+
+    items: list[StoredItem]
+    next_offset: int
+    end_offset: int
+
+
+class NewestAnswer(typing.NamedTuple):
+    """The newest record of each key; newer ones follow ``end_offset``."""
+
+    items: list[StoredItem]
+    end_offset: int
+
+
+# Sends (method, target, body, timeout in ms) to the store and returns status
+# and body. Raises ``StoreError``.
+StoreSend = typing.Callable[
+    [str, str, bytes, float], typing.Awaitable[tuple[int, bytes]]
+]
+
+
+class StorePort(typing.Protocol):
+    """The store of keyed topics."""
+
+    async def append(
+        self,
+        topic: str,
+        part: int,
+        items: typing.Sequence[KeyValue],
+        at: int | None = None,
+        writer: Writer | None = None,
+    ) -> Appended:
+        """Append all records or none.
+
+        With ``at`` only if the partition ends there, else ``ConflictError``;
+        with ``writer`` only if no higher epoch wrote, else ``FencedError``,
+        and once however often it is sent. Raises ``StoreError``.
+        """
+
+    async def read(
+        self, topic: str, part: int, start: int, wait_ms: int
+    ) -> ReadAnswer:
+        """Return the records from ``start`` on.
+
+        Raises ``TrimmedError`` or ``StoreError``.
+        """
+
+    async def newest(self, topic: str, part: int) -> NewestAnswer:
+        """Return the newest record of each key; raises ``StoreError``."""
+
+
+class WorkerPort(typing.Protocol):
+    """Orders to workers."""
+
+    async def hold(
+        self,
+        worker: worker_mod.Worker,
+        epoch: int,
+        deadline_ms: int | None,
+        wait_ms: int,
+    ) -> worker_mod.HoldAnswer:
+        """Renew a lease and return the worker's lists."""
+
+    async def start(
+        self, run: worker_mod.Run, epoch: int, deadline_ms: int
+    ) -> cell_mod.StartOutcome:
+        """Start a run."""
+
+    async def stop(self, order: cell_mod.StopOrder, epoch: int) -> bool:
+        """Stop a run; return whether the worker answered."""
+
+
+class Advice(typing.NamedTuple):
+    """The workers that a step may use, with their tickets."""
+
+    ticket_by_worker: dict[str, str]
+    valid_ms: int
+
+
+Advise = typing.Callable[[str, typing.Sequence[str]], typing.Awaitable[Advice]]
+
+
+class Queue(typing.NamedTuple):
+    """A queue and where callers reach it."""
+
+    host: str
+    prefix: str
+    policy: spec_mod.QueuePolicy
+
+
+class Declarations(typing.NamedTuple):
+    """One version of what the operators declare."""
+
+    version: int
+    queues: tuple[Queue, ...]
+
+
+class ListChange(typing.NamedTuple):
+    """A worker's new entry, or None if it is listed no more."""
+
+    worker_id: str
+    entry: worker_mod.WorkerEntry | None
+
+
+class Ingress(typing.NamedTuple):
+    """How bodies from callers and operators are decoded.
+
+    ``decode_job`` raises ``SchedulerError``, the others return None for
+    records that cannot be read.
+    """
+
+    decode_job: typing.Callable[[bytes], spec_mod.JobSpec]
+    decode_declarations: typing.Callable[[StoredItem], Declarations | None]
+    decode_worker: typing.Callable[[StoredItem], ListChange | None]
+    deadline_header: str
+
+
+class CellSettings(typing.NamedTuple):
+    """What a node is told about itself and its bounds."""
+
+    node_id: str
+    host: str
+    domain: str
+    caller_address: tuple[str, int]
+    ready_address: tuple[str, int]
+    peer_port: int
+    metrics_port: int
+    declarations_topic: str
+    workers_topic: str
+    max_lease_ms: int
+    drain_ms: int
+    grace_ms: int
+    max_connections: int
+
+
+class Platform(typing.NamedTuple):
+    """All that an adapter hands to the node."""
+
+    settings: CellSettings
+    send_to_store: StoreSend
+    store_over: typing.Callable[[StoreSend], StorePort]
+    workers: WorkerPort
+    advise: Advise | None
+    ingress: Ingress
--- /dev/null
+++ b/packages/carawaymast-node/carawaymast_node/cells/routing.py
@@ -0,0 +1,63 @@
+"""Which queue a request belongs to, by the configuration in force."""
+
+from carawaymast_core import errors
+from carawaymast_node.cells import ports
+from carawaymast_node.cells import telemetry
+
+__all__ = ['Routes']
+
+MAX_ID_CHARACTERS = 64  # callers' ids have 16
+
+
+class Routes:
+    """The queues of the newest version; versions never go back."""
+
+    def __init__(self, log: telemetry.Telemetry):
+        self._log = log
+        self._queue_by_place: dict[tuple[str, str], ports.Queue] = {}
+        self.version: int | None = None
+
+    def take(self, declared: ports.Declarations) -> bool:
+        """Put a version in force unless a newer one is."""
+        if self.version is not None and declared.version <= self.version:
+            return False
+        self._queue_by_place = {
+            (queue.host, queue.prefix): queue for queue in declared.queues
+        }
+        self._log.note(
+            'configuration_in_force',
+            version=declared.version,
+            before=self.version,
+            queues=len(declared.queues),
+        )
+        self.version = declared.version
+        return True
+
+    def find(self, host: str, path: str) -> tuple[ports.Queue, str]:
+        """Return the queue of a path and the job id behind its prefix.
+
+        The longest prefix wins; the id is '' for the queue itself. Raises
+        ``SchedulerError``.
+        """
+        if self.version is None:
+            raise errors.SchedulerError(
+                errors.ErrorKind.NOT_READY, 'there is no configuration yet'
+            )
+        host = host.partition(':')[0]
+        end = len(path)
+        while end > 0:
+            queue = self._queue_by_place.get((host, path[:end]))
+            if queue is not None:
+                return queue, _job_id(path[end:])
+            end -= 1
+        raise errors.SchedulerError(
+            errors.ErrorKind.NOT_FOUND, f'no queue for {host}{path}'
+        )
+
+
+def _job_id(text: str) -> str:
+    if len(text) > MAX_ID_CHARACTERS or '/' in text:
+        raise errors.SchedulerError(
+            errors.ErrorKind.BAD_REQUEST, f'job id is {text[:80]!r}'
+        )
+    return text
--- /dev/null
+++ b/packages/carawaymast-node/carawaymast_node/cells/tail.py
@@ -0,0 +1,151 @@
+"""Follows a topic of the store: the newest of each key, then the log."""
+
+import asyncio
+import typing
+
+from carawaymast_core import clock as clock_mod
+from carawaymast_node.cells import ports
+from carawaymast_node.cells import telemetry
+
+__all__ = ['Tail']
+
+# Long polls: the store holds one for at most 30 s; one that went silent is
+# found after the wait and a second.
+DEFAULT_WAIT_MS = 1_000
+RETRY_MS = 150
+
+
+class Tail:
+    """One topic partition, applied record by record in order.
+
+    ``apply`` may see a record again after the store has dropped its history.
+    """
+
+    def __init__(
+        self,
+        store: ports.StorePort,
+        clock: clock_mod.Clock,
+        log: telemetry.Telemetry,
+        topic: str,
+        part: int,
+        apply: typing.Callable[[ports.StoredItem], None],
+        wait_ms: int = DEFAULT_WAIT_MS,
+        pause_ms: typing.Callable[[], int] = lambda: 0,
+    ):
+        self._store = store
+        self._clock = clock
+        self._log = log
+        self._apply = apply
+        self._wait_ms = wait_ms
+        self._pause_ms = pause_ms
+        self._wake = asyncio.Event()
+        self._caught_up = asyncio.Condition()
+        self.topic = topic
+        self.part = part
+        self.offset: int | None = None
+        self.end_offset = 0
+        # When a read was sent that then showed nothing further.
+        self.current_as_of_ms: int | None = None
+        # Since when reads have been answered without a gap.
+        self.reachable_since_ms: int | None = None
+        self.is_suspended = False
+
+    async def run(self) -> typing.NoReturn:
+        """Follow the topic until cancelled."""
+        while True:
+            if self.is_suspended:
+                await asyncio.sleep(RETRY_MS / 1000)
+                continue
+            try:
+                await self._step()
+            except ports.TrimmedError:
+                self.offset = None
+            except ports.StoreError as error:
+                self._note_lost(error)
+                await asyncio.sleep(RETRY_MS / 1000)
+
+    async def catch_up(self, until: int) -> None:
+        """Read until the given offset is applied.
+
+        Raises ``StoreError``.
+        """
+        while self.offset is None or self.offset < until:
+            try:
+                await self._step(is_waiting=False)
+            except ports.TrimmedError:
+                self.offset = None
+
+    async def wait_current(self, since_ms: int) -> None:
+        """Wait for a read that was sent later than ``since_ms``."""
+        self.hurry()
+        async with self._caught_up:
+            await self._caught_up.wait_for(
+                lambda: (
+                    self.current_as_of_ms is not None
+                    and self.current_as_of_ms >= since_ms
+                )
+            )
+
+    def hurry(self) -> None:
+        """End the present pause between reads."""
+        self._wake.set()
+
+    async def _step(self, is_waiting: bool = True) -> None:
+        sent_at_ms = self._clock.now()
+        if self.offset is None:
+            newest = await self._store.newest(self.topic, self.part)
+            items = sorted(newest.items, key=lambda item: item.offset)
+            self._take(items)
+            self.offset = self.end_offset = newest.end_offset
+        else:
+            start = self.offset
+            wait_ms = self._wait_ms if is_waiting else 0
+            answer = await self._store.read(
+                self.topic, self.part, start, wait_ms
+            )
+            if self.offset != start:
+                return
+            self._take(answer.items)
+            self.offset = answer.next_offset
+            self.end_offset = answer.end_offset
+        if self.reachable_since_ms is None:
+            self.reachable_since_ms = self._clock.now()
+            self._log.note('store_reached', topic=self.topic, part=self.part)
+        if self.offset >= self.end_offset:
+            self.current_as_of_ms = sent_at_ms
+            async with self._caught_up:
+                self._caught_up.notify_all()
+        pause_ms = self._pause_ms()
+        if pause_ms and is_waiting:
+            await self._pause(pause_ms)
+
+    def _take(self, items: typing.Iterable[ports.StoredItem]) -> None:
+        for item in items:
+            try:
+                self._apply(item)
+            except ValueError as error:
+                # Written by somebody else, or damaged: it tells nothing.
+                self._log.note(
+                    'record_unreadable',
+                    topic=self.topic,
+                    key=item.key,
+                    offset=item.offset,
+                    error=str(error),
+                )
+
+    async def _pause(self, pause_ms: int) -> None:
+        self._wake.clear()
+        try:
+            await asyncio.wait_for(self._wake.wait(), pause_ms / 1000)
+        except asyncio.TimeoutError:
+            return
+
+    def _note_lost(self, error: ports.StoreError) -> None:
+        if self.reachable_since_ms is not None:
+            self._log.note(
+                'store_lost',
+                topic=self.topic,
+                part=self.part,
+                error=str(error),
+            )
+        self.reachable_since_ms = None
--- /dev/null
+++ b/packages/carawaymast-node/carawaymast_node/cells/telemetry.py
@@ -0,0 +1,192 @@
+"""Decision logs on stdout and the counters and histograms of a node.
+
+Lines go through eliot to a buffer that the loop empties into stdout without
+ever blocking. Each kind of line has a token bucket; what it drops is counted
+and said in the next line of that kind.
+"""
+
+import asyncio
+import collections
+import os
+import time
+import typing
+
+import eliot
+from hdrh import histogram
+import msgspec
+
+from carawaymast_core import clock as clock_mod
+
+__all__ = ['Metrics', 'Telemetry', 'open_stdout']
+
+# Lines of one kind a second, and in a burst: the busiest decision is a task
+# start, 180 a second at the size to design for, spread over some leaders.
+LINES_PER_S = 60
+BURST_LINES = 240
+# Bytes that wait for a reader of stdout before lines are dropped.
+MAX_BUFFERED_BYTES = 512 * 1024
+FLUSH_INTERVAL_S = 0.05
+# Histograms hold 1 ms to ten minutes with two digits: 24 KB each.
+HIGHEST_MS = 600_000
+DIGITS = 2
+PERCENTILES = (50.0, 90.0, 99.0)
+
+
+class _Bucket:
+    """The lines that one kind may still write."""
+
+    __slots__ = ('dropped', 'filled_at_ms', 'tokens')
+
+    def __init__(self, now_ms: int):
+        self.tokens = float(BURST_LINES)
+        self.filled_at_ms = now_ms
+        self.dropped = 0
+
+
+class _Output:
+    """A bounded buffer in front of a file descriptor."""
+
+    def __init__(self, fd: int):
+        self._fd = fd
+        self._lines: collections.deque[bytes] = collections.deque()
+        self._bytes = 0
+        self.dropped_total = 0
+
+    def put(self, line: bytes) -> None:
+        """Keep a line until the loop writes it, or drop it."""
+        if self._bytes + len(line) > MAX_BUFFERED_BYTES:
+            self.dropped_total += 1
+            return
+        self._lines.append(line)
+        self._bytes += len(line)
+
+    def flush(self) -> None:
+        """Write what the reader takes at once."""
+        while self._lines:
+            chunk = b''.join(self._lines)
+            try:
+                written = os.write(self._fd, chunk)
+            except BlockingIOError:
+                return
+            except OSError:
+                # Nobody reads the logs any more; the node goes on.
+                written = len(chunk)
+                self.dropped_total += len(self._lines)
+            self._lines.clear()
+            if written < len(chunk):
+                self._lines.append(chunk[written:])
+            self._bytes = len(chunk) - written
+
+
+class Telemetry:
+    """Writes decision lines; counts all of them, also those not written."""
+
+    def __init__(self, clock: clock_mod.Clock, metrics: 'Metrics'):
+        self._clock = clock
+        self._metrics = metrics
+        self._bucket_by_kind: dict[str, _Bucket] = {}
+
+    def note(self, what: str, **fields: typing.Any) -> None:
+        """Count a decision and write its line if the bucket admits it."""
+        self._metrics.count(f'decisions_total{{kind="{what}"}}')
+        now_ms = self._clock.now()
+        bucket = self._bucket_by_kind.get(what)
+        if bucket is None:
+            bucket = self._bucket_by_kind[what] = _Bucket(now_ms)
+        passed_ms = now_ms - bucket.filled_at_ms
+        bucket.filled_at_ms = now_ms
+        bucket.tokens = min(
+            BURST_LINES, bucket.tokens + passed_ms * LINES_PER_S / 1000
+        )
+        if bucket.tokens < 1:
+            bucket.dropped += 1
+            self._metrics.count('log_lines_dropped_total')
+            return
+        bucket.tokens -= 1
+        if bucket.dropped:
+            fields['lines_dropped'] = bucket.dropped
+            bucket.dropped = 0
+        eliot.log_message(
+            message_type=f'carawaymast:{what}', at_ms=now_ms, **fields
+        )
+
+
+class Metrics:
+    """Counters, gauges and latency histograms, shown as text."""
+
+    def __init__(self) -> None:
+        self._count_by_name: collections.Counter[str] = collections.Counter()
+        self._histogram_by_name: dict[str, histogram.HdrHistogram] = {}
+        self._gauges: list[
+            typing.Callable[[], typing.Mapping[str, float]]
+        ] = []
+
+    def count(self, name: str, by: int = 1) -> None:
+        """Raise a counter."""
+        self._count_by_name[name] += by
+
+    def total(self, name: str) -> int:
+        """Return a counter."""
+        return self._count_by_name[name]
+
+    def record_ms(self, name: str, value_ms: float) -> None:
+        """Add a time to a histogram."""
+        found = self._histogram_by_name.get(name)
+        if found is None:
+            found = histogram.HdrHistogram(1, HIGHEST_MS, DIGITS)
+            self._histogram_by_name[name] = found
+        found.record_value(min(HIGHEST_MS, max(1, int(value_ms))))
+
+    def add_gauges(
+        self, read: typing.Callable[[], typing.Mapping[str, float]]
+    ) -> None:
+        """Show the values that ``read`` returns."""
+        self._gauges.append(read)
+
+    def text(self) -> str:
+        """Return all metrics, a line each."""
+        lines = [
+            f'carawaymast_{name} {value}'
+            for name, value in sorted(self._count_by_name.items())
+        ]
+        for read in self._gauges:
+            lines.extend(f'carawaymast_{n} {v}' for n, v in read().items())
+        for name, found in sorted(self._histogram_by_name.items()):
+            lines.extend(_quantiles(name, found))
+        return '\n'.join(lines) + '\n'
+
+
+def _quantiles(name: str, found: histogram.HdrHistogram) -> list[str]:
+    lines = [
+        f'carawaymast_{name}_ms{{quantile="{percent / 100:g}"}} '
+        f'{found.get_value_at_percentile(percent)}'
+        for percent in PERCENTILES
+    ]
+    lines.append(f'carawaymast_{name}_ms_count {found.get_total_count()}')
+    return lines
+
+
+async def open_stdout(metrics: Metrics) -> typing.NoReturn:
+    """Send eliot's lines to stdout for as long as the loop runs."""
+    fd = 1
+    os.set_blocking(fd, False)
+    output = _Output(fd)
+
+    def write(message: dict[str, typing.Any]) -> None:
+        message.pop('task_uuid', None)
+        message.pop('task_level', None)
+        line = msgspec.json.encode(message, enc_hook=str) + b'\n'
+        output.put(line)
+
+    metrics.add_gauges(lambda: {'log_lines_lost_total': output.dropped_total})
+    eliot.add_destinations(write)
+    try:
+        while True:
+            await asyncio.sleep(FLUSH_INTERVAL_S)
+            output.flush()
+    finally:
+        eliot.remove_destination(write)
+        deadline_s = time.monotonic() + FLUSH_INTERVAL_S
+        while time.monotonic() < deadline_s:
+            output.flush()
+            await asyncio.sleep(0)
--- a/packages/carawaymast-node/carawaymast_node/main.py
+++ b/packages/carawaymast-node/carawaymast_node/main.py
@@ -1,6 +1,7 @@
 """carawaymastd: start a node from flags and environment variables."""
 
 import asyncio
+import importlib
 import json
 import signal
 import sys
@@ -11,10 +12,12 @@
 from carawaymast_node import loop as loop_mod
 from carawaymast_node import node as node_mod
 from carawaymast_node import settings as settings_mod
+from carawaymast_node.cells import service
 
 __all__ = ['run']
 
 EXIT_USAGE = 2
+ADAPTER_FLAG = '--adapter='
 
 
 async def serve(settings: settings_mod.Settings) -> None:
@@ -47,7 +50,14 @@
 
 
 def run() -> None:
-    """Check the settings and run; the entry point of ``carawaymastd``."""
+    """Check the settings and run; the entry point of ``carawaymastd``.
+
+    With ``--adapter=PACKAGE`` the node serves cells on the platform that the
+    package connects to, which also reads the settings.
+    """
+    if len(sys.argv) == 2 and sys.argv[1].startswith(ADAPTER_FLAG):
+        _run_on_platform(sys.argv[1].removeprefix(ADAPTER_FLAG))
+        return
     try:
         settings = settings_mod.load(sys.argv)
     except settings_mod.SettingError as error:
@@ -55,3 +65,12 @@
         sys.exit(EXIT_USAGE)
     logs.open_log(settings.log_file)
     asyncio.run(serve(settings))
+
+
+def _run_on_platform(package: str) -> None:
+    adapter = importlib.import_module(package)
+    try:
+        asyncio.run(service.serve(adapter.connect))
+    except settings_mod.SettingError as error:
+        print(f'carawaymastd: {error}', file=sys.stderr)
+        sys.exit(EXIT_USAGE)
