Probe the store while it is avoided; a gang holds only what it can fill

Change: a probe every 200 ms while the store is avoided; relayed reads do not wait and time out after 0.9 s. The share for the urgent rank is dropped for a step that would never fit with it, and a gang holds workers only by the rule by which it is placed.

Ruled out: a lower retry pause alone (the relays hung, not the retries).

--- a/Makefile
+++ b/Makefile
@@ -38,4 +38,5 @@
 	PATH=$(BIN):$$PATH $(BIN)/python -m grpc_tools.protoc -I packages/carawaymast-node \
 	  --python_out=packages/carawaymast-node \
 	  --grpclib_python_out=packages/carawaymast-node \
-	  carawaymast_node/peer.proto carawaymast_node/fabric.proto
+	  packages/carawaymast-node/carawaymast_node/peer.proto \
+	  packages/carawaymast-node/carawaymast_node/fabric.proto
--- a/packages/carawaymast-core/carawaymast_core/cell/planner.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/planner.py
@@ -89,8 +89,9 @@
         if placements:
             continue
         misses += 1
-        if step.spec.is_gang and holding < MAX_HOLDING_GANGS:
-            if could_fit(step, allowed):
+        is_whole = len(step.waiting()) == len(step.tasks)
+        if step.spec.is_gang and is_whole and holding < MAX_HOLDING_GANGS:
+            if could_fit(step, allowed, _kept_share(step, allowed)):
                 holding += 1
                 held.update(w.key for w in allowed)
 
@@ -132,22 +133,55 @@
     if step.spec.is_gang and len(tasks) < len(step.tasks):
         # Members of the run before are still being stopped.
         return []
+    kept = _kept_share(step, workers)
     for group in _groups(step, workers):
-        chosen = _fill(step, tasks, group, now_ms)
+        chosen = _fill(step, tasks, group, kept, now_ms)
         if len(chosen) == len(tasks) or not step.spec.is_gang and chosen:
             return chosen
     return []
 
 
 def could_fit(
-    step: 'jobs.StepState', workers: typing.Iterable['worker_mod.Worker']
+    step: 'jobs.StepState',
+    workers: typing.Iterable['worker_mod.Worker'],
+    kept_share: float = 0.0,
 ) -> bool:
-    """Tell whether a step would fit on these workers if they were empty."""
-    size = step.spec.size
-    room = sum(_times(size, w.entry.capacity) for w in workers)
+    """Tell whether a step would fit on these workers if they were empty.
+
+    ``kept_share`` of each worker is left for the most urgent rank.
+    """
+    limit = step.spec.max_per_worker or step.spec.count
+    room = 0
+    for worker in workers:
+        capacity = worker.entry.capacity
+        open_room = _less(capacity, capacity, kept_share)
+        room += min(limit, _times(step.spec.size, open_room))
     return room >= step.spec.count
 
 
+def _kept_share(
+    step: 'jobs.StepState', workers: typing.Sequence['worker_mod.Worker']
+) -> float:
+    """Return the share of a worker that a step must leave to the urgent.
+
+    Nothing if the step, or a gang as a whole, would then never fit.
+    """
+    if step.job.submission.queue.rank == 0:
+        return 0.0
+    if step.spec.is_gang:
+        fits = could_fit(step, workers, URGENT_HEADROOM_SHARE)
+    else:
+        fits = any(
+            step.spec.size.fits_in(
+                _less(
+                    w.entry.capacity, w.entry.capacity, URGENT_HEADROOM_SHARE
+                )
+            )
+            for w in workers
+        )
+    return URGENT_HEADROOM_SHARE if fits else 0.0
+
+
 def _groups(step, workers) -> list[list['worker_mod.Worker']]:
     """Return sets of workers to try in turn: near the data, one rack, all."""
     wanted_rack = step.spec.data_rack
@@ -162,13 +196,15 @@
     return [*by_rack.values(), list(workers)]
 
 
-def _fill(step, tasks, workers, now_ms: int) -> list[Placement]:
+def _fill(
+    step, tasks, workers, kept_share: float, now_ms: int
+) -> list[Placement]:
     """Fill workers with tasks, the tightest first."""
-    rank = step.job.submission.queue.rank
     size = step.spec.size
     rooms = []
     for worker in workers:
-        count = _times(size, _open_room(worker, rank))
+        open_room = _less(worker.free, worker.entry.capacity, kept_share)
+        count = _times(size, open_room)
         limit = step.spec.max_per_worker
         if limit:
             count = min(count, limit - _here(step, worker))
@@ -189,16 +225,14 @@
     return chosen
 
 
-def _open_room(worker, rank: int) -> resources.Resources:
-    """Return the room that a rank may use; some is kept for the urgent."""
-    free = worker.free
-    if rank == 0:
-        return free
-    capacity = worker.entry.capacity
+def _less(
+    room: resources.Resources, capacity: resources.Resources, share: float
+) -> resources.Resources:
+    """Return a room less a share of a worker's capacity."""
     return resources.Resources(
-        free.cpu_millis - int(capacity.cpu_millis * URGENT_HEADROOM_SHARE),
-        free.memory_mb - int(capacity.memory_mb * URGENT_HEADROOM_SHARE),
-        free.accelerators,
+        room.cpu_millis - int(capacity.cpu_millis * share),
+        room.memory_mb - int(capacity.memory_mb * share),
+        room.accelerators,
     )
 
 
--- a/packages/carawaymast-node/carawaymast_node/cells/relay.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/relay.py
@@ -1,6 +1,7 @@
 """Store calls that go through a peer while the store turns this VM away."""
 
 import asyncio
+import typing
 
 from carawaymast_core import clock as clock_mod
 from carawaymast_node import fabric_pb2
@@ -10,13 +11,13 @@
 
 __all__ = ['StoreRoute']
 
-# After a failure the store is reached through peers for so long; then this
-# node tries by itself again.
-AVOID_DIRECT_MS = 900
+# After a failure calls go through peers until a probe is answered; the store
+# often comes back within seconds, and a configuration has 2 s to be in force.
+PROBE_INTERVAL_MS = 200
 # Peers tried for one call. More would only load a store that is down.
 MAX_RELAYS = 2
-# The peer's own call and one hop in each direction.
-HOP_SLACK_MS = 250
+# A peer that takes longer may be without power; the call is tried elsewhere.
+RELAY_TIMEOUT_MS = 900
 
 
 class StoreRoute:
@@ -35,13 +36,24 @@
         self._clock = clock
         self._log = log
         self._metrics = metrics
-        self._avoid_until_ms = 0
-        self._is_direct = True
+        self._lost = asyncio.Event()
+        self.is_direct = True
 
-    @property
-    def is_direct(self) -> bool:
-        """Whether this node reaches the store by itself."""
-        return self._clock.now() >= self._avoid_until_ms
+    async def keep_probing(
+        self, probe: typing.Callable[[], typing.Awaitable[typing.Any]]
+    ) -> typing.NoReturn:
+        """Find out when the store answers this node again.
+
+        ``probe`` makes a small call through ``send_direct``.
+        """
+        while True:
+            await self._lost.wait()
+            self._lost.clear()
+            while not self.is_direct:
+                try:
+                    await probe()
+                except ports.StoreError:
+                    await asyncio.sleep(PROBE_INTERVAL_MS / 1000)
 
     async def send(
         self, method: str, target: str, body: bytes, timeout_ms: float
@@ -83,10 +95,10 @@
         return found
 
     def _note(self, is_direct: bool, error: str) -> None:
-        if not is_direct:
-            self._avoid_until_ms = self._clock.now() + AVOID_DIRECT_MS
-        if is_direct != self._is_direct:
-            self._is_direct = is_direct
+        if is_direct != self.is_direct:
+            self.is_direct = is_direct
+            if not is_direct:
+                self._lost.set()
             self._log.note('store_path', direct=is_direct, error=error or None)
 
     async def _relay(
@@ -96,13 +108,13 @@
             method=method,
             target=target,
             body=body,
-            timeout_ms=int(timeout_ms),
+            timeout_ms=min(int(timeout_ms), RELAY_TIMEOUT_MS),
         )
         is_unknown = False
         for peer in self._peers.candidates()[:MAX_RELAYS]:
             try:
                 answer = await self._peers.call(
-                    peer, 'CallStore', message, timeout_ms + HOP_SLACK_MS
+                    peer, 'CallStore', message, RELAY_TIMEOUT_MS
                 )
             except fabric.PeerError:
                 is_unknown = True
--- a/packages/carawaymast-node/carawaymast_node/cells/service.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/service.py
@@ -145,6 +145,7 @@
             apply,
             RARE_WAIT_MS,
             pause_ms,
+            lambda: self.route.is_direct,
         )
 
     def _pause_ms(self) -> int:
@@ -323,6 +324,7 @@
             self._keep_electing(),
             self._keep_sweeping(),
             self._join(),
+            self.route.keep_probing(self._probe_store),
             telemetry_mod.open_stdout(self.metrics),
         ]
         async with asyncio.TaskGroup() as group:
@@ -359,6 +361,12 @@
                 self.log.note('join_failed', error=str(error))
                 await asyncio.sleep(MEMBER_RETRY_MS / 1000)
 
+    async def _probe_store(self) -> None:
+        """Ask the store directly for what it would answer at once."""
+        store = self.platform.store_over(self.route.send_direct)
+        tail = self._lead_tail
+        await store.read(tail.topic, tail.part, tail.offset or 0, 0)
+
     async def _keep_sweeping(self) -> typing.NoReturn:
         while True:
             await asyncio.sleep(SWEEP_MS / 1000)
--- a/packages/carawaymast-node/carawaymast_node/cells/tail.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/tail.py
@@ -13,6 +13,8 @@
 # found after the wait and a second.
 DEFAULT_WAIT_MS = 1_000
 RETRY_MS = 150
+# Between reads through a peer, which do not wait for records.
+RELAYED_PAUSE_MS = 120
 
 
 class Tail:
@@ -31,6 +33,7 @@
         apply: typing.Callable[[ports.StoredItem], None],
         wait_ms: int = DEFAULT_WAIT_MS,
         pause_ms: typing.Callable[[], int] = lambda: 0,
+        is_direct: typing.Callable[[], bool] = lambda: True,
     ):
         self._store = store
         self._clock = clock
@@ -38,6 +41,7 @@
         self._apply = apply
         self._wait_ms = wait_ms
         self._pause_ms = pause_ms
+        self._is_direct = is_direct
         self._wake = asyncio.Event()
         self._caught_up = asyncio.Condition()
         self.topic = topic
@@ -99,7 +103,9 @@
             self.offset = self.end_offset = newest.end_offset
         else:
             start = self.offset
-            wait_ms = self._wait_ms if is_waiting else 0
+            # A long poll would keep a peer that relays it busy.
+            is_long = is_waiting and self._is_direct()
+            wait_ms = self._wait_ms if is_long else 0
             answer = await self._store.read(
                 self.topic, self.part, start, wait_ms
             )
@@ -116,6 +122,8 @@
             async with self._caught_up:
                 self._caught_up.notify_all()
         pause_ms = self._pause_ms()
+        if not self._is_direct():
+            pause_ms = max(pause_ms, RELAYED_PAUSE_MS)
         if pause_ms and is_waiting:
             await self._pause(pause_ms)
 
