--- /dev/null
+++ b/features/cell.feature
@@ -0,0 +1,116 @@
+Feature: One leader decides a cell
+
+  Scenario: A job of two steps runs in order to its end
+    Given a cell of 3 workers
+    And a job "j1" of 4 tasks and then 2 tasks
+    When time passes until "j1" is completed
+    Then no task of the second step began before the first was done
+
+  Scenario: A gang starts whole, with one run number
+    Given a cell of 3 workers
+    And a gang "g1" of 6 tasks of 6 processors
+    When the leader plans
+    Then all members of "g1" run under one number
+
+  Scenario: A gang that does not fit starts no part
+    Given a cell of 3 workers
+    And a gang "g1" of 7 tasks of 8 processors
+    When the leader plans
+    Then nothing runs
+
+  Scenario: A gang that fits only without the urgent rank's share runs
+    Given a cell of 1 workers
+    And a gang "g1" of 2 tasks of 8 processors
+    When time passes until "g1" is completed
+    Then nothing is left at the workers
+
+  Scenario: Two gangs that can never fit keep nobody else out
+    Given a cell of 3 workers
+    And a gang "g1" of 7 tasks of 8 processors
+    And a gang "g2" of 7 tasks of 8 processors
+    And a job "j1" of 4 tasks and then 2 tasks
+    When time passes until "j1" is completed
+    Then nothing is left at the workers
+
+  Scenario: A gang with a limit for each worker keeps nobody out in vain
+    Given a cell of 3 workers
+    And a gang "g1" of 6 tasks, at most 1 on a worker
+    And a gang "g2" of 6 tasks, at most 1 on a worker
+    And a job "j1" of 4 tasks and then 2 tasks
+    When time passes until "j1" is completed
+    Then nothing is left at the workers
+
+  Scenario: A new leader adopts what runs
+    Given a cell of 3 workers
+    And a job "j1" of 4 tasks and then 2 tasks
+    And the leader has started them
+    When another leader takes over
+    And time passes until "j1" is completed
+    Then each task was started once
+
+  Scenario: A start that comes after a takeover does nothing
+    Given a cell of 3 workers
+    And a job "j1" of 4 tasks and then 2 tasks
+    And the leader has written but not sent their starts
+    When another leader takes over
+    And the late starts arrive
+    And time passes until "j1" is completed
+    Then no task ran in two places at once
+
+  Scenario: A start without an answer is refused for good before a retry
+    Given a cell of 3 workers
+    And a job "j1" of 4 tasks and then 2 tasks
+    When the starts are lost on their way
+    And the leader has seen that they are not there
+    And the lost starts arrive late
+    Then no task ran in two places at once
+    When time passes until "j1" is completed
+    Then nothing is left at the workers
+
+  Scenario: A worker that went silent keeps its tasks until its lease lapses
+    Given a cell of 2 workers
+    And a job "j1" of 4 tasks and then 2 tasks
+    And tasks that take 60 s
+    And the leader has started them
+    When a worker is cut off for 5 s
+    Then its tasks are nowhere else
+    When it stays cut off for 3 s more
+    Then its tasks run elsewhere
+    And no task ran in two places at once
+
+  Scenario: A worker that starts anew under its id does not double a task
+    Given a cell of 2 workers
+    And a job "j1" of 4 tasks and then 2 tasks
+    And tasks that take 60 s
+    And the leader has written but not sent their starts
+    When a worker starts anew under the same id
+    And the late starts arrive
+    And 8 s pass
+    Then no task ran in two places at once
+
+  Scenario: A task that fails as often as its queue allows fails its job
+    Given a cell of 3 workers
+    And a job "j1" of 4 tasks and then 2 tasks
+    And every run of task "j1.0.0.0" fails
+    When time passes until "j1" is failed
+    Then task "j1.0.0.0" was started 2 times
+    And nothing is left at the workers
+
+  Scenario: A failed run of a gang counts once
+    Given a cell of 3 workers
+    And a gang "g1" of 6 tasks of 6 processors
+    And the first run of "g1" fails in two members
+    When time passes until "g1" is completed
+    Then nothing is left at the workers
+
+  Scenario: A cancelled job stops and is not revived by a late submission
+    Given a cell of 3 workers
+    And a job "j1" of 4 tasks and then 2 tasks
+    And tasks that take 60 s
+    And the leader has started them
+    When "j1" is cancelled
+    And 2 s pass
+    Then nothing is left at the workers
+    When its submission arrives once more at a new leader
+    And 2 s pass
+    Then nothing is left at the workers
--- /dev/null
+++ b/features/cell_world.py
@@ -0,0 +1,233 @@
+"""A cell, its leaders and in-memory runners on one manual clock.
+
+The store is a list of records; orders travel when the test says so, and may
+be lost or come late. ``check`` looks at the runners themselves for what must
+never happen.
+"""
+
+import collections
+import typing
+
+from carawaymast_core import clock as clock_mod
+from carawaymast_core import resources
+from carawaymast_core.cell import cell as cell_mod
+from carawaymast_core.cell import records
+from carawaymast_core.cell import spec as spec_mod
+from carawaymast_core.cell import view as view_mod
+from carawaymast_core.cell import worker as worker_mod
+from standins import runner as runner_mod
+
+__all__ = ['CAPACITY', 'CellWorld', 'gang', 'job', 'queue', 'step']
+
+LEASE_MS = 6_000
+CAPACITY = resources.Resources(16_000, 65_536, 0)
+SERVICE = 'desk'
+
+
+def queue(rank=1, attempts=2, advice=None, name='renewals'):
+    return spec_mod.QueuePolicy(
+        name, SERVICE, rank, attempts, 2.0, 1_000, advice
+    )
+
+
+def step(count=1, cpu=1_000, memory=1_000, estimate_ms=1_000, **more):
+    size = resources.Resources(cpu, memory, 0)
+    return spec_mod.Step(count, size, estimate_ms, **more)
+
+
+def gang(count, cpu=1_000, memory=1_000, **more):
+    return step(count, cpu, memory, is_gang=True, **more)
+
+
+def job(job_id, *steps, policy=None, accepted_at_ms=0):
+    spec = spec_mod.JobSpec('payload', tuple(steps))
+    return spec_mod.Submission(job_id, policy or queue(), spec, accepted_at_ms)
+
+
+class CellWorld:
+    """The store's records, runners by id, and the present leader's cell."""
+
+    def __init__(self, workers: int = 3, capacity=CAPACITY):
+        self.clock = clock_mod.ManualClock(100_000)
+        self.view = view_mod.JobView()
+        self.capacity = capacity
+        self.runner_by_id: dict[str, runner_mod.RunnerStandin] = {}
+        self.work_ms = 1_000
+        self.fails: typing.Callable[[str], bool] = lambda task: False
+        self.lines: list[tuple[str, dict]] = []
+        self.noted_done: set[str] = set()
+        self.pending_starts: list[tuple[worker_mod.Run, int, int]] = []
+        self.epoch = 0
+        for number in range(workers):
+            self.add_runner(f'w{number}')
+        self.take_over()
+
+    def add_runner(self, runner_id, born_ms=1, rate=1.0):
+        runner = runner_mod.RunnerStandin(runner_id, born_ms, rate)
+        self.runner_by_id[runner_id] = runner
+        return runner
+
+    def entry(self, runner, is_draining=False, remaining_ms=None):
+        return worker_mod.WorkerEntry(
+            runner.runner_id,
+            'address',
+            runner.born_ms,
+            SERVICE,
+            'domain',
+            is_draining,
+            self.capacity,
+            ('a', 'r1'),
+            0,
+            remaining_ms,
+        )
+
+    def log(self, what, **fields):
+        self.lines.append((what, fields))
+
+    def take_over(self, is_holding=True):
+        """Let a new leader take the cell from the store's records."""
+        self.epoch += 10
+        self.pending_starts = []
+        self.cell = cell_mod.Cell(self.epoch, LEASE_MS, self.log)
+        now_ms = self.clock.now()
+        for runner in self.runner_by_id.values():
+            self.cell.take_worker(self.entry(runner), now_ms)
+        self.cell.tick(now_ms, now_ms)
+        self.cell.load(self.view, now_ms, now_ms)
+        if is_holding:
+            self.hold_all()
+
+    def submit(self, submission):
+        self.view.submission_by_id[submission.job_id] = submission
+        now_ms = self.clock.now()
+        self.cell.submit(self.view, submission.job_id, now_ms, now_ms)
+
+    def cancel(self, job_id):
+        self.view.cancelled_ids.add(job_id)
+        now_ms = self.clock.now()
+        self.cell.submit(self.view, job_id, now_ms, now_ms)
+
+    def worker(self, runner_id):
+        runner = self.runner_by_id[runner_id]
+        return self.cell.worker_by_key.get((runner_id, runner.born_ms))
+
+    def hold(self, runner_id):
+        runner = self.runner_by_id[runner_id]
+        worker = self.worker(runner_id)
+        if worker is None or not runner.is_up:
+            return
+        now_ms = self.clock.now()
+        deadline_ms = None
+        if worker.is_adopted:
+            deadline_ms = worker.next_deadline(now_ms, LEASE_MS)
+        answer = runner.hold(self.epoch, worker.ack_number, deadline_ms)
+        self.clock.advance(1)
+        if answer is not None:
+            now_ms = self.clock.now()
+            self.cell.take_hold(worker, answer, now_ms - 1, now_ms, now_ms)
+
+    def hold_all(self):
+        for runner_id in list(self.runner_by_id):
+            self.hold(runner_id)
+
+    def plan(self, is_stored=True, is_sent=True):
+        """Plan, store the batch and send the starts."""
+        now_ms = self.clock.now()
+        self.cell.tick(now_ms, now_ms)
+        self.cell.sweep(now_ms, now_ms)
+        self.cell.plan(now_ms, now_ms)
+        self.send_stops()
+        batch = self.cell.take_batch(now_ms)
+        if not is_stored:
+            return
+        for job_id, record in batch.records_by_id.items():
+            stored = records.encode(record)
+            self.view.take_state(job_id, stored)
+        for run in self.cell.commit(batch):
+            deadline_ms = run.worker.next_deadline(now_ms, LEASE_MS)
+            self.pending_starts.append((run, self.epoch, deadline_ms))
+        if is_sent:
+            self.send_starts()
+
+    def send_starts(self, is_answered=True):
+        """Carry out all starts under way."""
+        starts, self.pending_starts = self.pending_starts, []
+        for run, epoch, deadline_ms in starts:
+            outcome = self.carry_out(run, epoch, deadline_ms)
+            if not is_answered or outcome is None:
+                outcome = cell_mod.StartOutcome(False, False, 'lost')
+            self.cell.take_start(run, outcome, self.clock.now())
+
+    def carry_out(self, run, epoch, deadline_ms):
+        runner = self.runner_by_id.get(run.worker.worker_id)
+        if runner is None or not runner.is_up:
+            return None
+        name = run.task.name
+        return runner.start(
+            epoch,
+            name,
+            run.run_id,
+            deadline_ms,
+            self.work_ms,
+            self.fails(name),
+        )
+
+    def send_stops(self):
+        stops = list(self.cell.stops)
+        self.cell.stops.clear()
+        for order in stops:
+            runner = self.runner_by_id.get(order.worker.worker_id)
+            is_answered = False
+            if runner is not None and runner.is_up:
+                is_answered = runner.stop(
+                    self.epoch, order.task_name, order.run_id
+                )
+            if order.run is not None:
+                self.clock.advance(1)
+                self.cell.take_stop(order.run, is_answered, self.clock.now())
+
+    def advance(self, ms):
+        self.clock.advance(ms)
+        for runner in self.runner_by_id.values():
+            if runner.is_up:
+                runner.advance(ms)
+
+    def turn(self, ms=100):
+        """One round of time, holds and planning."""
+        self.advance(ms)
+        self.hold_all()
+        self.plan()
+
+    def run_until(self, job_id, phase, limit_ms=60_000):
+        until_ms = self.clock.now() + limit_ms
+        while self.view.phase(job_id) is not phase:
+            assert self.clock.now() < until_ms, (
+                f'{job_id} is {self.view.phase(job_id)} after {limit_ms} ms'
+            )
+            self.turn()
+
+    def running(self):
+        """Return the runners that run each task."""
+        found = collections.defaultdict(list)
+        for runner in self.runner_by_id.values():
+            if runner.is_up:
+                for task in runner.running:
+                    found[task].append(runner.runner_id)
+        return found
+
+    def check(self):
+        """Assert what must always hold at the runners."""
+        for task, runner_ids in self.running().items():
+            assert len(runner_ids) == 1, f'{task} runs at {runner_ids}'
+        for runner in self.runner_by_id.values():
+            used = resources.ZERO
+            for task in runner.running:
+                used = used.plus(self._size(task))
+            assert used.fits_in(self.capacity), (
+                f'{runner.runner_id} uses {used}'
+            )
+
+    def _size(self, task):
+        job_id, _, number, _ = task.split('.')
+        steps = self.view.submission_by_id[job_id].spec.steps
+        return steps[int(number)].size
--- /dev/null
+++ b/features/steps/cell_steps.py
@@ -0,0 +1,234 @@
+"""Steps on one cell, its leaders and in-memory runners."""
+
+from behave import given
+from behave import then
+from behave import when
+
+from carawaymast_core.cell import records
+from features import cell_world
+
+
+@given('a cell of {count:d} workers')
+def make_cell(context, count):
+    context.world = cell_world.CellWorld(count)
+
+
+@given('a job "{job_id}" of {first:d} tasks and then {second:d} tasks')
+def submit_job(context, job_id, first, second):
+    context.world.submit(
+        cell_world.job(
+            job_id,
+            cell_world.step(first),
+            cell_world.step(second, after=(0,)),
+        )
+    )
+
+
+@given('a gang "{job_id}" of {count:d} tasks of {cpu:d} processors')
+def submit_gang(context, job_id, count, cpu):
+    step = cell_world.gang(count, cpu * 1_000)
+    context.world.submit(cell_world.job(job_id, step))
+
+
+@given('a gang "{job_id}" of {count:d} tasks, at most {limit:d} on a worker')
+def submit_spread_gang(context, job_id, count, limit):
+    step = cell_world.gang(count, max_per_worker=limit)
+    context.world.submit(cell_world.job(job_id, step))
+
+
+@given('tasks that take {seconds:d} s')
+def slow_tasks(context, seconds):
+    context.world.work_ms = seconds * 1_000
+
+
+@given('the leader has started them')
+def started(context):
+    context.world.plan()
+    assert context.world.running()
+
+
+@given('the leader has written but not sent their starts')
+def written(context):
+    world = context.world
+    world.plan(is_sent=False)
+    context.late = list(world.pending_starts)
+    assert context.late
+
+
+@given('every run of task "{task}" fails')
+def task_fails(context, task):
+    context.world.fails = lambda name: name == task
+
+
+@given('the first run of "{job_id}" fails in two members')
+def gang_fails_once(context, job_id):
+    world = context.world
+    world.plan()
+    members = sorted(world.running())
+    for number, task in enumerate(members):
+        runner = world.runner_by_id[world.running()[task][0]]
+        runner.break_run(task, 'failed' if number < 2 else 'broken')
+
+
+@when('the leader plans')
+def plan(context):
+    context.world.plan()
+
+
+@when('time passes until "{job_id}" is {phase}')
+def run_until(context, job_id, phase):
+    context.world.run_until(job_id, records.JobPhase(phase))
+
+
+@when('another leader takes over')
+def take_over(context):
+    context.world.take_over()
+
+
+@when('the late starts arrive')
+@when('the lost starts arrive late')
+def late_starts(context):
+    world = context.world
+    for run, epoch, deadline_ms in context.late:
+        world.carry_out(run, epoch, deadline_ms)
+        world.check()
+
+
+@when('the starts are lost on their way')
+def lose_starts(context):
+    world = context.world
+    world.plan(is_sent=False)
+    context.late = list(world.pending_starts)
+    for runner in world.runner_by_id.values():
+        runner.is_up = False
+    world.send_starts()
+    for runner in world.runner_by_id.values():
+        runner.is_up = True
+
+
+@when('the leader has seen that they are not there')
+def see_absent(context):
+    world = context.world
+    world.turn()
+    world.turn()
+    assert world.running()
+
+
+@when('a worker is cut off for {seconds:d} s')
+def cut_off(context, seconds):
+    world = context.world
+    context.cut = world.runner_by_id.pop('w0')
+    context.cut_tasks = set(context.cut.running)
+    assert context.cut_tasks
+    pass_time(context, seconds)
+
+
+@when('it stays cut off for {seconds:d} s more')
+def stay_cut_off(context, seconds):
+    pass_time(context, seconds)
+
+
+@when('a worker starts anew under the same id')
+def start_anew(context):
+    world = context.world
+    runner = world.add_runner('w0', born_ms=2)
+    world.cell.take_worker(world.entry(runner), world.clock.now())
+
+
+@when('{seconds:d} s pass')
+def pass_time(context, seconds):
+    world = context.world
+    for _ in range(seconds * 10):
+        cut = getattr(context, 'cut', None)
+        if cut is not None:
+            cut.advance(100)
+        world.turn(100)
+        world.check()
+
+
+@when('"{job_id}" is cancelled')
+def cancel(context, job_id):
+    context.world.cancel(job_id)
+
+
+@when('its submission arrives once more at a new leader')
+def submit_again(context):
+    world = context.world
+    world.take_over()
+    submission = world.view.submission_by_id['j1']
+    world.view.take_intake('j1', records.encode(submission))
+    now_ms = world.clock.now()
+    world.cell.submit(world.view, 'j1', now_ms, now_ms)
+
+
+@then('no task of the second step began before the first was done')
+def in_order(context):
+    done = set()
+    for what, fields in context.world.lines:
+        if what == 'run_ended' and fields['how'] == 'done':
+            task = fields['task']
+            if '.0.1.' in task:
+                assert len(done) == 4, f'{task} ended after {done} only'
+            else:
+                done.add(task)
+
+
+@then('all members of "{job_id}" run under one number')
+def whole(context, job_id):
+    numbers = set()
+    total = 0
+    for runner in context.world.runner_by_id.values():
+        for task, run in runner.running.items():
+            assert task.startswith(job_id)
+            numbers.add(run.run_id)
+            total += 1
+    assert total == 6, total
+    assert len(numbers) == 1, numbers
+
+
+@then('nothing runs')
+@then('nothing is left at the workers')
+def nothing_runs(context):
+    world = context.world
+    for _ in range(3):
+        world.turn()
+    assert not world.running(), dict(world.running())
+    assert all(not w.run_by_task for w in world.cell.worker_by_key.values())
+
+
+@then('each task was started once')
+def started_once(context):
+    started = _started(context)
+    assert len(started) == len(set(started)), started
+
+
+@then('no task ran in two places at once')
+def one_place(context):
+    context.world.check()
+
+
+@then('its tasks are nowhere else')
+def nowhere_else(context):
+    elsewhere = context.cut_tasks & set(context.world.running())
+    assert not elsewhere, elsewhere
+
+
+@then('its tasks run elsewhere')
+def elsewhere(context):
+    assert not context.cut.running, context.cut.running
+    missing = context.cut_tasks - set(context.world.running())
+    assert not missing, missing
+
+
+@then('task "{task}" was started {count:d} times')
+def started_times(context, task, count):
+    names = [name for name, _ in _started(context)]
+    assert names.count(task) == count, names.count(task)
+
+
+def _started(context):
+    return [
+        pair
+        for runner in context.world.runner_by_id.values()
+        for pair in runner.started
+    ]
--- /dev/null
+++ b/standins/runner.py
@@ -0,0 +1,132 @@
+"""A worker of the users' platform, by its published protocol, in memory.
+
+It keeps the highest epoch it has seen, runs tasks under one lease, numbers
+its ends and lists them until they are acknowledged. Time is its own steady
+clock, moved by ``advance``.
+"""
+
+from carawaymast_core.cell import cell as cell_mod
+from carawaymast_core.cell import worker as worker_mod
+
+__all__ = ['RunnerStandin']
+
+MAX_LEASE_MS = 10_000
+STOP_MS = 900
+GANG_TIMEOUT_MS = 3_000
+
+
+class _Running:
+    """A run on the runner; ``left_ms`` is the work it still needs."""
+
+    def __init__(self, run_id: int, left_ms: int, fails: bool):
+        self.run_id = run_id
+        self.left_ms = left_ms
+        self.fails = fails
+        self.stops_at_ms: int | None = None
+
+
+class RunnerStandin:
+    """One life of a runner."""
+
+    def __init__(self, runner_id: str, born_ms: int = 1, rate: float = 1.0):
+        self.runner_id = runner_id
+        self.born_ms = born_ms
+        self.rate = rate
+        self.clock_ms = 0.0
+        self.epoch = 0
+        self.lease_until_ms = 0.0
+        self.is_up = True
+        self.started: list[tuple[str, int]] = []
+        self.running: dict[str, _Running] = {}
+        self.ended: list[worker_mod.End] = []
+        self._end_number = 0
+        self._highest_ended: dict[str, int] = {}
+
+    def hold(
+        self, epoch: int, ack_number: int, deadline_ms: int | None
+    ) -> worker_mod.HoldAnswer | None:
+        """Renew the lease and answer both lists; None for a lower epoch."""
+        if epoch < self.epoch:
+            return None
+        self.epoch = epoch
+        self._extend(deadline_ms)
+        self.ended = [e for e in self.ended if e.number > ack_number]
+        running = tuple(
+            worker_mod.Listed(task, run.run_id, '', 100)
+            for task, run in self.running.items()
+        )
+        return worker_mod.HoldAnswer(
+            int(self.clock_ms), self.born_ms, running, tuple(self.ended)
+        )
+
+    def start(
+        self,
+        epoch: int,
+        task: str,
+        run_id: int,
+        deadline_ms: int,
+        work_ms: int,
+        fails: bool = False,
+    ) -> cell_mod.StartOutcome:
+        """Start a run unless the protocol forbids it."""
+        if epoch < self.epoch:
+            return cell_mod.StartOutcome(True, False, 'fence')
+        self.epoch = epoch
+        if deadline_ms <= self.clock_ms:
+            return cell_mod.StartOutcome(True, False, 'late')
+        self._extend(deadline_ms)
+        here = self.running.get(task)
+        if here is not None and here.run_id == run_id:
+            return cell_mod.StartOutcome(True, True, '')
+        if here is not None or run_id <= self._highest_ended.get(task, 0):
+            return cell_mod.StartOutcome(True, False, 'old')
+        self.running[task] = _Running(run_id, work_ms, fails)
+        self.started.append((task, run_id))
+        return cell_mod.StartOutcome(True, True, '')
+
+    def stop(self, epoch: int, task: str, run_id: int) -> bool:
+        """Begin a stop; refuse this run and lower ones from now on."""
+        if epoch < self.epoch:
+            return False
+        self.epoch = epoch
+        highest = self._highest_ended.get(task, 0)
+        self._highest_ended[task] = max(highest, run_id)
+        run = self.running.get(task)
+        if run is not None and run.run_id <= run_id:
+            run.stops_at_ms = run.stops_at_ms or self.clock_ms + STOP_MS
+        return True
+
+    def advance(self, ms: int) -> None:
+        """Let time pass: runs end, stops take effect, the lease lapses."""
+        self.clock_ms += ms * self.rate
+        for task, run in list(self.running.items()):
+            run.left_ms -= ms
+            if run.stops_at_ms is not None:
+                if self.clock_ms >= run.stops_at_ms:
+                    self._end(task, 'stopped')
+            elif run.left_ms <= 0:
+                self._end(task, 'failed' if run.fails else 'done')
+        if self.clock_ms >= self.lease_until_ms:
+            for task in list(self.running):
+                self._end(task, 'lapsed')
+
+    def break_run(self, task: str, how: str) -> None:
+        """End a run at once, as ``broken``, ``alone`` or ``failed``."""
+        self._end(task, how)
+
+    def _extend(self, deadline_ms: int | None) -> None:
+        if deadline_ms is None:
+            return
+        longest_ms = self.clock_ms + MAX_LEASE_MS
+        self.lease_until_ms = max(
+            self.lease_until_ms, min(longest_ms, deadline_ms)
+        )
+
+    def _end(self, task: str, how: str) -> None:
+        run = self.running.pop(task)
+        self._end_number += 1
+        highest = self._highest_ended.get(task, 0)
+        self._highest_ended[task] = max(highest, run.run_id)
+        self.ended.append(
+            worker_mod.End(self._end_number, task, run.run_id, how, '')
+        )
