A hypothesis machine for the cell: random failures, healed at the end

Cause: takeover, late orders, lost answers and new lives of workers had scenarios only.

Change: CellMachine, run by the suite with 10,000 steps.

--- /dev/null
+++ b/features/cell_machine.py
@@ -0,0 +1,197 @@
+"""Random work and failures at one cell, checked at the runners.
+
+Each step does one thing: jobs come and are cancelled, time passes, starts are
+lost or come late, answers are lost, runners are cut off and return or start
+anew, leaders change with starts still under way. No task may ever run in two
+places, no runner may be over its capacity, no task may start again after a
+noted end as done. At the end all is healed and every job must end.
+"""
+
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from carawaymast_core.cell import records
+from features import cell_world
+
+__all__ = ['CellMachine']
+
+WHICH = st.integers(0, 1_000)
+MAX_JOBS = 8
+HEAL_TURNS = 700
+
+
+class CellMachine(stateful.RuleBasedStateMachine):
+    """One cell of three runners."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = cell_world.CellWorld(3)
+        self.world.work_ms = 1_500
+        self.late: list = []
+        self.cut: dict = {}
+        self.jobs = 0
+        self.cancelled: set[str] = set()
+        self.ended_done: dict[str, int] = {}
+
+    @stateful.precondition(lambda self: self.jobs < MAX_JOBS)
+    @stateful.rule(
+        count=st.integers(1, 5),
+        cpu=st.sampled_from([500, 4_500, 9_000]),
+        is_gang=st.booleans(),
+        limit=st.sampled_from([0, 0, 2]),
+    )
+    def submit(self, count, cpu, is_gang, limit):
+        self.jobs += 1
+        if is_gang and cpu > cell_world.CAPACITY.cpu_millis // 2:
+            # One on each runner; more would never fit.
+            count = min(count, 3)
+        first = cell_world.step(
+            count, cpu, is_gang=is_gang, max_per_worker=limit
+        )
+        second = cell_world.step(1, cpu, after=(0,))
+        job_id = f'j{self.jobs}'
+        self.world.submit(cell_world.job(job_id, first, second))
+
+    @stateful.precondition(lambda self: self.jobs)
+    @stateful.rule(which=WHICH)
+    def cancel(self, which):
+        job_id = f'j{which % self.jobs + 1}'
+        self.cancelled.add(job_id)
+        self.world.cancel(job_id)
+
+    @stateful.rule(ms=st.sampled_from([10, 100, 700]))
+    def turn(self, ms):
+        self._advance(ms)
+        self.world.hold_all()
+        self.world.plan()
+
+    @stateful.rule(ms=st.sampled_from([1_000, 3_000, 7_000]))
+    def pass_time_unheld(self, ms):
+        self._advance(ms)
+
+    @stateful.rule()
+    def plan_with_lost_starts(self):
+        self.world.plan(is_sent=False)
+        self._keep_late()
+        starts, self.world.pending_starts = self.world.pending_starts, []
+        for run, _, _ in starts:
+            outcome = cell_world.LOST
+            self.world.cell.take_start(run, outcome, self.world.clock.now())
+
+    @stateful.rule()
+    def plan_with_lost_answers(self):
+        self.world.plan(is_sent=False)
+        self.world.send_starts(is_answered=False)
+
+    @stateful.precondition(lambda self: self.late)
+    @stateful.rule(which=WHICH)
+    def late_start(self, which):
+        life, start = self.late.pop(which % len(self.late))
+        # An order that waits at a worker ends with the worker's life.
+        if self.world.runner_by_id.get(life.runner_id) is life:
+            self.world.carry_out(*start)
+
+    @stateful.rule(is_stored=st.booleans(), is_sent=st.booleans())
+    def change_leader(self, is_stored, is_sent):
+        self.world.plan(is_stored=is_stored, is_sent=False)
+        if is_sent:
+            self.world.send_starts(is_answered=False)
+        self._keep_late()
+        self.world.take_over(listed=self.cut.values())
+
+    @stateful.precondition(lambda self: len(self.cut) < 2)
+    @stateful.rule(which=WHICH)
+    def cut_off(self, which):
+        names = sorted(self.world.runner_by_id)
+        name = names[which % len(names)]
+        self.cut[name] = self.world.runner_by_id.pop(name)
+
+    @stateful.precondition(lambda self: self.cut)
+    @stateful.rule()
+    def reconnect(self):
+        name, runner = self.cut.popitem()
+        self._return(runner)
+
+    @stateful.rule(which=WHICH, is_told=st.booleans())
+    def start_anew(self, which, is_told):
+        names = sorted(self.world.runner_by_id)
+        name = names[which % len(names)]
+        former = self.world.runner_by_id[name]
+        runner = self.world.add_runner(name, former.born_ms + 1)
+        if is_told:
+            self._return(runner)
+
+    @stateful.rule(which=WHICH)
+    def fail_a_run(self, which):
+        runners = [r for r in self.world.runner_by_id.values() if r.running]
+        if runners:
+            runner = runners[which % len(runners)]
+            runner.break_run(sorted(runner.running)[0], 'failed')
+
+    @stateful.invariant()
+    def runners_are_sound(self):
+        world = self.world
+        runners = {**world.runner_by_id, **self.cut}
+        places: dict[str, str] = {}
+        for name, runner in runners.items():
+            for task in runner.running:
+                assert task not in places, (
+                    f'{task} runs at {places[task]} and {name}'
+                )
+                places[task] = name
+        world.check()
+
+    def teardown(self):
+        """Heal everything; each job must come to an end."""
+        world = self.world
+        self._heal()
+        open_ids = self._open_ids()
+        for _ in range(HEAL_TURNS):
+            if not open_ids:
+                break
+            world.turn(100)
+            self.runners_are_sound()
+            open_ids = self._open_ids()
+        assert not open_ids, f'{open_ids} never end'
+        for job_id in self.cancelled:
+            assert world.view.phase(job_id).is_final
+        for _ in range(20):
+            world.turn(100)
+        assert not world.running(), dict(world.running())
+
+    def _keep_late(self):
+        """Keep the starts under way, each with the life it was sent to."""
+        runners = {**self.world.runner_by_id, **self.cut}
+        self.late += [
+            (runners[start[0].worker.worker_id], start)
+            for start in self.world.pending_starts
+        ]
+
+    def _return(self, runner):
+        """Let a runner be reached and listed."""
+        self.world.runner_by_id[runner.runner_id] = runner
+        now_ms = self.world.clock.now()
+        self.world.cell.take_worker(self.world.entry(runner), now_ms)
+
+    def _heal(self):
+        for runner in [*self.cut.values(), *self.world.runner_by_id.values()]:
+            self._return(runner)
+        self.cut = {}
+        self.late = []
+
+    def _open_ids(self):
+        return [
+            f'j{number + 1}'
+            for number in range(self.jobs)
+            if self.world.view.phase(f'j{number + 1}')
+            not in (
+                records.JobPhase.COMPLETED,
+                records.JobPhase.FAILED,
+                records.JobPhase.CANCELED,
+            )
+        ]
+
+    def _advance(self, ms):
+        self.world.advance(ms)
+        for runner in self.cut.values():
+            runner.advance(ms)
--- a/features/cell_world.py
+++ b/features/cell_world.py
@@ -17,11 +17,12 @@
 from carawaymast_core.cell import worker as worker_mod
 from standins import runner as runner_mod
 
-__all__ = ['CAPACITY', 'CellWorld', 'gang', 'job', 'queue', 'step']
+__all__ = ['CAPACITY', 'LOST', 'CellWorld', 'gang', 'job', 'queue', 'step']
 
 LEASE_MS = 6_000
 CAPACITY = resources.Resources(16_000, 65_536, 0)
 SERVICE = 'desk'
+LOST = cell_mod.StartOutcome(False, False, 'lost')
 
 
 def queue(rank=1, attempts=2, advice=None, name='renewals'):
@@ -84,18 +85,20 @@
     def log(self, what, **fields):
         self.lines.append((what, fields))
 
-    def take_over(self, is_holding=True):
-        """Let a new leader take the cell from the store's records."""
+    def take_over(self, listed=()):
+        """Let a new leader take the cell from the store's records.
+
+        ``listed`` are runners that are listed but cannot be reached.
+        """
         self.epoch += 10
         self.pending_starts = []
         self.cell = cell_mod.Cell(self.epoch, LEASE_MS, self.log)
         now_ms = self.clock.now()
-        for runner in self.runner_by_id.values():
+        for runner in [*self.runner_by_id.values(), *listed]:
             self.cell.take_worker(self.entry(runner), now_ms)
         self.cell.tick(now_ms, now_ms)
         self.cell.load(self.view, now_ms, now_ms)
-        if is_holding:
-            self.hold_all()
+        self.hold_all()
 
     def submit(self, submission):
         self.view.submission_by_id[submission.job_id] = submission
@@ -108,8 +111,13 @@
         self.cell.submit(self.view, job_id, now_ms, now_ms)
 
     def worker(self, runner_id):
-        runner = self.runner_by_id[runner_id]
-        return self.cell.worker_by_key.get((runner_id, runner.born_ms))
+        """Return the life of a worker that the leader knows, the latest."""
+        lives = [
+            worker
+            for worker in self.cell.worker_by_key.values()
+            if worker.worker_id == runner_id
+        ]
+        return max(lives, key=lambda w: w.born_ms, default=None)
 
     def hold(self, runner_id):
         runner = self.runner_by_id[runner_id]
@@ -155,7 +163,7 @@
         for run, epoch, deadline_ms in starts:
             outcome = self.carry_out(run, epoch, deadline_ms)
             if not is_answered or outcome is None:
-                outcome = cell_mod.StartOutcome(False, False, 'lost')
+                outcome = LOST
             self.cell.take_start(run, outcome, self.clock.now())
 
     def carry_out(self, run, epoch, deadline_ms):
--- a/features/randomised.feature
+++ b/features/randomised.feature
@@ -6,6 +6,7 @@
 
     Examples:
       | machine | steps |
+      | cell    | 10000 |
       | queue   | 10000 |
       | replica | 10000 |
       | book    | 10000 |
