Short waits at workers for 5 s after an answer was lost

Change: after any unanswered call, holds wait 200 ms instead of 1 s for 5 s.

Ruled out: want of room (the wait for a start is short), restarts (1 in 20).

--- a/packages/carawaymast-node/carawaymast_node/cells/leader.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/leader.py
@@ -23,6 +23,10 @@
 # runs at a worker that is lost waits that long.
 LEASE_MS = 4_500
 HOLD_WAIT_MS = 1_000
+# An answer that is lost hides all ends of a worker until the call times out.
+# For so long after a loss, calls to all workers wait only briefly.
+LOSSY_HOLD_WAIT_MS = 200
+LOSSY_MS = 5_000
 # Ends that follow each other closely are taken in one look at the worker.
 HOLD_PAUSE_MS = 30
 HOLD_RETRY_MS = 250
@@ -73,6 +77,7 @@
             context.state_tail,
             epoch,
         )
+        self._lossy_until_ms = 0
         self._wake = asyncio.Event()
         self._committed = asyncio.Event()
         self._commit: asyncio.Task | None = None
@@ -249,6 +254,8 @@
             waited_ms=self._clock.wall() - job.submission.accepted_at_ms,
         )
         outcome = await self._workers.start(run, self.epoch, deadline_ms)
+        if not outcome.is_known:
+            self._lossy_until_ms = self._clock.now() + LOSSY_MS
         self.cell.take_start(run, outcome, self._clock.now())
         self._metrics.record_ms('start_call', self._clock.now() - now_ms)
         self._wake.set()
@@ -294,6 +301,7 @@
             except ports.WorkerError as error:
                 self._metrics.count('hold_errors_total')
                 worker.is_doubtful = True
+                self._lossy_until_ms = self._clock.now() + LOSSY_MS
                 self._log.note(
                     'hold_failed', worker=worker.worker_id, error=str(error)
                 )
@@ -306,7 +314,8 @@
         if worker.is_adopted:
             deadline_ms = worker.next_deadline(sent_at_ms, self._lease_ms)
             if worker.ack_number >= worker.seen_number:
-                wait_ms = HOLD_WAIT_MS
+                is_lossy = sent_at_ms < self._lossy_until_ms
+                wait_ms = LOSSY_HOLD_WAIT_MS if is_lossy else HOLD_WAIT_MS
         seen_before = worker.seen_number
         was_adopted = worker.is_adopted
         self._metrics.count('holds_total')
