--- a/packages/carawaymast-node/carawaymast_node/cells/election.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/election.py
@@ -5,6 +5,7 @@
 all readers. The others judge a leader's silence on their own steady clocks.
 """
 
+import asyncio
 import typing
 
 from carawaymast_core import clock as clock_mod
@@ -41,6 +42,8 @@
         self._boot_id = boot_id
         self._part = part
         self._on_change = on_change
+        # Appends of one process must not race each other for the same end.
+        self._appending = asyncio.Lock()
         self.end_offset = 0
         self.epoch: int | None = None
         self.record: records.LeaderRecord | None = None
@@ -98,7 +101,8 @@
         record = records.LeaderRecord(
             self._node_id, self._boot_id, CLAIM_EPOCH, False, ()
         )
-        return await self._append(record, max(end_offset, self.end_offset))
+        self.end_offset = max(end_offset, self.end_offset)
+        return await self._append(record)
 
     async def renew(
         self, epoch: int, loads: tuple[records.QueueLoad, ...]
@@ -107,20 +111,26 @@
         record = records.LeaderRecord(
             self._node_id, self._boot_id, epoch, False, loads
         )
-        return await self._append(record, self.end_offset)
+        return await self._append(record)
 
     async def release(self, epoch: int) -> bool:
         """Give the leadership up, so that others need not wait."""
         record = records.LeaderRecord(
             self._node_id, self._boot_id, epoch, True, ()
         )
-        return await self._append(record, self.end_offset)
+        return await self._append(record)
 
-    async def _append(self, record: records.LeaderRecord, at: int) -> bool:
+    async def _append(self, record: records.LeaderRecord) -> bool:
+        async with self._appending:
+            return await self._append_alone(record)
+
+    async def _append_alone(self, record: records.LeaderRecord) -> bool:
         sent_at_ms = self._clock.now()
         item = ports.KeyValue(KEY, records.encode(record))
         try:
-            appended = await self._store.append(TOPIC, self._part, [item], at)
+            appended = await self._store.append(
+                TOPIC, self._part, [item], self.end_offset
+            )
         except ports.ConflictError:
             return False
         if self.end_offset <= appended.offset:
--- a/packages/carawaymast-node/carawaymast_node/cells/service.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/service.py
@@ -46,12 +46,19 @@
 # Members and configuration change rarely; a silent long poll is noticed
 # within its wait and a second.
 RARE_WAIT_MS = 1_000
+# The leader's silence has to be shown by a read that was sent after it.
+LEAD_WAIT_MS = 450
 CLAIM_POLL_MS = 60
 CLAIM_JITTER_MS = 120
 MEMBER_RETRY_MS = 500
 # The balancer takes a node out after two looks, a second apart.
 DRAIN_SERVE_MS = 2_600
+DRAIN_POLL_MS = 20
+# The hand-over waits so long for a write under way and for its own record.
 FINISH_MS = 300
+RELEASE_MS = 800
+# Closing connections and the interpreter's end, before SIGKILL.
+EXIT_MS = 1_000
 
 
 class CellNode(circuits.BaseComponent):
@@ -152,7 +159,9 @@
             settings.declarations_topic, self._take_declared
         )
 
-    def _tail(self, topic, apply, pause_ms=lambda: 0) -> tail_mod.Tail:
+    def _tail(
+        self, topic, apply, pause_ms=lambda: 0, wait_ms=RARE_WAIT_MS
+    ) -> tail_mod.Tail:
         return tail_mod.Tail(
             self.store,
             self.clock,
@@ -160,7 +169,7 @@
             topic,
             PART,
             apply,
-            RARE_WAIT_MS,
+            wait_ms,
             pause_ms,
             lambda: self.route.is_direct,
         )
@@ -319,7 +328,7 @@
             leader = self.leader
             now_ms = self.clock.now()
             try:
-                if leader is not None:
+                if leader is not None and not self.is_draining:
                     if now_ms - renewed_at_ms >= election_mod.RENEW_MS:
                         renewed_at_ms = now_ms
                         await self.election.renew(leader.epoch, ())
@@ -400,25 +409,31 @@
 
     async def _drain(self) -> None:
         """Hand over, go on answering until the balancer has noticed."""
+        began_ms = self.clock.now()
+        until_ms = began_ms + self.settings.grace_ms - EXIT_MS
         self.is_draining = True
         self.front.is_draining = True
         self.log.note('draining', in_flight=self.front.in_flight)
-        leader = self.leader
-        if leader is not None:
-            await leader.finish(FINISH_MS)
-            try:
-                await self.election.release(leader.epoch)
-            except ports.StoreError as error:
-                self.log.note('release_failed', error=str(error))
-            self._end_leading('handed over')
-        await asyncio.sleep(
-            min(DRAIN_SERVE_MS, self.settings.grace_ms // 2) / 1000
-        )
-        until_ms = self.clock.now() + self.settings.grace_ms // 3
+        await self._hand_over()
+        served_ms = self.clock.now() - began_ms
+        await asyncio.sleep(max(0, DRAIN_SERVE_MS - served_ms) / 1000)
         while self.front.in_flight and self.clock.now() < until_ms:
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(DRAIN_POLL_MS / 1000)
         self.log.note('stopped', in_flight=self.front.in_flight)
 
+    async def _hand_over(self) -> None:
+        """Give up the leadership, so that another node claims it at once."""
+        leader = self.leader
+        if leader is None:
+            return
+        await leader.finish(FINISH_MS)
+        try:
+            async with asyncio.timeout(RELEASE_MS / 1000):
+                await self.election.release(leader.epoch)
+        except (ports.StoreError, TimeoutError) as error:
+            self.log.note('release_failed', error=repr(error))
+        self._end_leading('handed over')
+
 
 async def serve(
     connect: typing.Callable[
@@ -446,7 +461,10 @@
 
 
 def _on_fault(node: CellNode, context: dict) -> None:
-    """Log a fault that nothing handled, and stop."""
+    """Log a fault that nothing handled, and stop.
+
+    Without an exception it is a warning, say of a channel closed late.
+    """
     error = context.get('exception')
     node.log.note('fault', message=context['message'], error=repr(error))
     if error is not None:
