The leader stores new jobs itself, in the same append as their placement

A takeover read its four topics one after the other.

Change: a node hands a new job to the leader, which stores it with the next batch, placement included; only where the leader does not answer does the node store it in the intake. The takeover reads side by side. A leader that a worker refuses for its epoch steps down at once.

Ruled out: intake over several partitions (each reader would pay for each).

--- a/features/cell_machine.py
+++ b/features/cell_machine.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies as st
 
 from carawaymast_core.cell import records
+from carawaymast_core.cell import worker as worker_mod
 from features import cell_world
 
 __all__ = ['CellMachine']
@@ -126,7 +127,9 @@
         runners = [r for r in self.world.runner_by_id.values() if r.running]
         if runners:
             runner = runners[which % len(runners)]
-            runner.break_run(sorted(runner.running)[0], 'failed')
+            runner.break_run(
+                sorted(runner.running)[0], worker_mod.EndKind.FAILED
+            )
 
     @stateful.invariant()
     def runners_are_sound(self):
--- a/features/cell_world.py
+++ b/features/cell_world.py
@@ -22,7 +22,7 @@
 LEASE_MS = 6_000
 CAPACITY = resources.Resources(16_000, 65_536, 0)
 SERVICE = 'desk'
-LOST = cell_mod.StartOutcome(False, False, 'lost')
+LOST = worker_mod.StartOutcome(False)
 
 
 def queue(rank=1, attempts=2, advice=None, name='renewals'):
@@ -148,6 +148,8 @@
         batch = self.cell.take_batch(now_ms)
         if not is_stored:
             return
+        for job_id, submission in batch.submission_by_id.items():
+            self.view.submission_by_id.setdefault(job_id, submission)
         for job_id, record in batch.records_by_id.items():
             stored = records.encode(record)
             self.view.take_state(job_id, stored)
--- a/features/steps/cell_steps.py
+++ b/features/steps/cell_steps.py
@@ -5,8 +5,12 @@
 from behave import when
 
 from carawaymast_core.cell import records
+from carawaymast_core.cell import worker as worker_mod
 from features import cell_world
 
+FAILED = worker_mod.EndKind.FAILED
+BROKEN = worker_mod.EndKind.BROKEN
+
 
 @given('a cell of {count:d} workers')
 def make_cell(context, count):
@@ -67,7 +71,8 @@
     members = sorted(world.running())
     for number, task in enumerate(members):
         runner = world.runner_by_id[world.running()[task][0]]
-        runner.break_run(task, 'failed' if number < 2 else 'broken')
+        how = FAILED if number < 2 else BROKEN
+        runner.break_run(task, how)
 
 
 @when('the leader plans')
--- a/packages/carawaymast-core/carawaymast_core/cell/cell.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/cell.py
@@ -14,10 +14,11 @@
 from carawaymast_core.cell import jobs
 from carawaymast_core.cell import planner
 from carawaymast_core.cell import records
+from carawaymast_core.cell import spec as spec_mod
 from carawaymast_core.cell import view as view_mod
 from carawaymast_core.cell import worker as worker_mod
 
-__all__ = ['Batch', 'Cell', 'StartOutcome', 'StopOrder']
+__all__ = ['Batch', 'Cell', 'StopOrder']
 
 # The longest a worker that the leader never reached may hold runs: the old
 # leader's last renewal, its grace without the store and the lease itself.
@@ -27,14 +28,6 @@
 LEAVE_MARGIN_MS = 1_300
 
 
-class StartOutcome(typing.NamedTuple):
-    """A worker's answer to a start; ``reason`` is '' if it runs."""
-
-    is_known: bool
-    is_running: bool
-    reason: str
-
-
 class StopOrder(typing.NamedTuple):
     """A run that a worker shall stop."""
 
@@ -47,6 +40,7 @@
 class Batch(typing.NamedTuple):
     """What one append writes, and what may follow once it is stored."""
 
+    submission_by_id: dict[str, spec_mod.Submission]
     records_by_id: dict[str, records.JobRecord]
     starts: list[worker_mod.Run]
     acks: dict[tuple[str, int], int]
@@ -54,7 +48,12 @@
     @property
     def is_empty(self) -> bool:
         """Whether there is nothing to write or to acknowledge."""
-        return not (self.records_by_id or self.starts or self.acks)
+        return not (
+            self.submission_by_id
+            or self.records_by_id
+            or self.starts
+            or self.acks
+        )
 
 
 Log = typing.Callable[..., None]
@@ -73,6 +72,7 @@
         self.timed_steps: dict[str, jobs.StepState] = {}
         self.stops: list[StopOrder] = []
         self._wall_offset_ms = 0
+        self._new_by_id: dict[str, spec_mod.Submission] = {}
         self._dirty: set[str] = set()
         self._starts: list[worker_mod.Run] = []
         self._acks: dict[tuple[str, int], int] = {}
@@ -87,6 +87,21 @@
             if record.phase.is_final and record.tasks:
                 self.submit(view, job_id, now_ms, wall_ms)
 
+    def accept(
+        self, submission: spec_mod.Submission, now_ms: int, wall_ms: int
+    ) -> None:
+        """Take in a job that is not stored yet; the next batch stores it.
+
+        It may be placed at once: its placement is in the same batch or a
+        later one.
+        """
+        if submission.job_id in self.job_by_id:
+            return
+        job = jobs.Job(submission, wall_ms)
+        self.job_by_id[submission.job_id] = job
+        self._new_by_id[submission.job_id] = submission
+        self._refresh(job, now_ms, wall_ms)
+
     def submit(
         self,
         view: view_mod.JobView,
@@ -95,10 +110,10 @@
         wall_ms: int,
     ) -> None:
         """Take a job from the view, or its cancelling."""
+        job = self.job_by_id.get(job_id)
         submission = view.submission_by_id.get(job_id)
-        if submission is None:
+        if submission is None and job is None:
             return
-        job = self.job_by_id.get(job_id)
         record = view.record_by_id.get(job_id)
         if job is None:
             if record is not None and not record.tasks:
@@ -256,7 +271,7 @@
         self._log('worker_gone', worker=worker.worker_id, why=why)
         self.worker_by_key.pop(worker.key, None)
         for run in list(worker.run_by_task.values()):
-            ends.apply(self, run, 'lapsed', '', now_ms)
+            ends.apply(self, run, worker_mod.EndKind.LAPSED, '', now_ms)
 
     def _inherit(
         self,
@@ -324,7 +339,7 @@
             if name in listed or name in ended_names:
                 continue
             if self._is_absence_certain(run, sent_at_ms):
-                ends.apply(self, run, 'absent', '', now_ms)
+                ends.apply(self, run, worker_mod.EndKind.ABSENT, '', now_ms)
 
     def _take_running(self, worker, running, now_ms: int) -> set:
         listed = set()
@@ -359,7 +374,10 @@
         ends.apply_unplaced(self, end, now_ms)
 
     def take_start(
-        self, run: worker_mod.Run, outcome: StartOutcome, now_ms: int
+        self,
+        run: worker_mod.Run,
+        outcome: worker_mod.StartOutcome,
+        now_ms: int,
     ) -> None:
         """Learn from the answer to a start, or from its absence."""
         if run.worker.run_by_task.get(run.task.name) is not run:
@@ -374,19 +392,23 @@
             run_id=run.run_id,
             worker=run.worker.worker_id,
             known=outcome.is_known,
-            reason=outcome.reason,
+            refusal=outcome.refusal,
+            detail=outcome.detail,
         )
         if not outcome.is_known:
             run.worker.is_doubtful = True
             self.stop(run, 'start not answered')
             return
         advice = run.task.step.advice
-        if outcome.reason == 'ticket' and advice is not None:
+        if (
+            outcome.refusal is worker_mod.StartRefusal.TICKET
+            and advice is not None
+        ):
             advice.drop(run.worker.worker_id)
-        if outcome.reason == 'old':
+        if outcome.refusal is worker_mod.StartRefusal.STALE_RUN:
             run.known_at_ms = now_ms
             return
-        ends.apply(self, run, 'refused', '', now_ms)
+        ends.apply(self, run, worker_mod.EndKind.REFUSED, '', now_ms)
 
     def take_stop(
         self, run: worker_mod.Run, is_answered: bool, now_ms: int
@@ -434,7 +456,7 @@
         )
         worker.is_adopted = False
         for run in list(worker.run_by_task.values()):
-            ends.apply(self, run, 'lapsed', '', now_ms)
+            ends.apply(self, run, worker_mod.EndKind.LAPSED, '', now_ms)
 
     def _evacuate(self, worker: worker_mod.Worker) -> None:
         """Stop what cannot end before its worker leaves."""
@@ -532,7 +554,8 @@
             records_by_id[job_id] = job.record()
             if job.phase.is_final and not any(job.runs()):
                 del self.job_by_id[job_id]
-        batch = Batch(records_by_id, self._starts, self._acks)
+        batch = Batch(self._new_by_id, records_by_id, self._starts, self._acks)
+        self._new_by_id = {}
         self._dirty = set()
         self._starts = []
         self._acks = {}
@@ -551,7 +574,13 @@
             run.state = worker_mod.RunState.ORDERED
             if run.stop_reason or run.task.step.job.phase.is_final:
                 # It was never ordered, so it cannot be there.
-                ends.apply(self, run, 'withdrawn', '', run.placed_at_ms)
+                ends.apply(
+                    self,
+                    run,
+                    worker_mod.EndKind.WITHDRAWN,
+                    '',
+                    run.placed_at_ms,
+                )
                 continue
             starts.append(run)
         return starts
--- a/packages/carawaymast-core/carawaymast_core/cell/ends.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/ends.py
@@ -14,7 +14,6 @@
 # Failures of a worker's runs in a row after which it gets nothing for a while.
 SUSPECT_AFTER_FAILURES = 3
 SUSPECT_MS = 4_000
-QUIET_ENDS = ('done', 'stopped', 'withdrawn')
 
 
 def unlisted_entry(key: tuple[str, int]) -> worker_mod.WorkerEntry:
@@ -28,7 +27,7 @@
 def apply(
     cell: 'cell_mod.Cell',
     run: worker_mod.Run,
-    how: str,
+    how: worker_mod.EndKind,
     checkpoint: str,
     now_ms: int,
 ) -> None:
@@ -60,7 +59,11 @@
     """
     job_id, _, rest = end.task.partition('.')
     job = cell.job_by_id.get(job_id)
-    if job is None or end.how != 'done' or job.phase.is_final:
+    if (
+        job is None
+        or end.how is not worker_mod.EndKind.DONE
+        or job.phase.is_final
+    ):
         return
     occurrence, number, index = (int(part) for part in rest.split('.'))
     task = job.steps_by_occurrence[occurrence][number].tasks[index]
@@ -70,13 +73,15 @@
     _settle(cell, task, end.run_id, end.how, now_ms)
 
 
-def _settle(cell, task: 'jobs.Task', run_id: int, how: str, now_ms) -> None:
+def _settle(
+    cell, task: 'jobs.Task', run_id: int, how: worker_mod.EndKind, now_ms
+) -> None:
     step = task.step
-    if how == 'done' and not step.spec.is_service:
+    if how is worker_mod.EndKind.DONE and not step.spec.is_service:
         _finish(cell, task)
-    elif how == 'failed':
+    elif how is worker_mod.EndKind.FAILED:
         _count_failure(cell, task, run_id)
-    if step.spec.is_gang and how != 'done':
+    if step.spec.is_gang and how is not worker_mod.EndKind.DONE:
         _break_gang(cell, task, run_id)
     cell.settle(step.job, now_ms)
 
@@ -120,12 +125,14 @@
                 cell.stop(run, 'its gang has lost a member')
 
 
-def _judge_worker(cell, run: worker_mod.Run, how: str, now_ms: int) -> None:
+def _judge_worker(
+    cell, run: worker_mod.Run, how: worker_mod.EndKind, now_ms: int
+) -> None:
     """Leave out a worker that fails all that it starts."""
     worker = run.worker
-    if how == 'done':
+    if how is worker_mod.EndKind.DONE:
         worker.failures_in_row = 0
-    elif how == 'failed':
+    elif how is worker_mod.EndKind.FAILED:
         worker.failures_in_row += 1
     if worker.failures_in_row >= SUSPECT_AFTER_FAILURES:
         worker.failures_in_row = SUSPECT_AFTER_FAILURES - 1
--- a/packages/carawaymast-core/carawaymast_core/cell/records.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/records.py
@@ -1,7 +1,8 @@
 """What a cell keeps in the platform's store, and its encoding.
 
 An intake record holds a submission, under the job's id, or the wish to
-cancel it. A state record holds all that the leader decided about one job.
+cancel it. A state record holds all that the leader decided about one job, or
+a submission that the leader took in itself.
 """
 
 import enum
@@ -17,12 +18,15 @@
     'JobRecord',
     'LeaderRecord',
     'RunRecord',
+    'SUBMISSION_SUFFIX',
     'TaskRecord',
     'decode',
     'encode',
 ]
 
 CANCEL_SUFFIX = '/cancel'
+# A submission that the leader itself stored, beside the job's state.
+SUBMISSION_SUFFIX = '/job'
 
 
 class JobPhase(enum.StrEnum):
--- a/packages/carawaymast-core/carawaymast_core/cell/view.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/view.py
@@ -41,11 +41,17 @@
         self.submission_by_id[key] = submission
         return key
 
-    def take_state(self, job_id: str, value: bytes) -> None:
+    def take_state(self, key: str, value: bytes) -> None:
         """Apply a state record.
 
         Raises ``ValueError`` if the record cannot be read.
         """
+        if key.endswith(records.SUBMISSION_SUFFIX):
+            self.take_intake(
+                key.removesuffix(records.SUBMISSION_SUFFIX), value
+            )
+            return
+        job_id = key
         if not value:
             self.record_by_id.pop(job_id, None)
             return
--- a/packages/carawaymast-core/carawaymast_core/cell/worker.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/worker.py
@@ -9,12 +9,74 @@
 if typing.TYPE_CHECKING:
     from carawaymast_core.cell import jobs
 
-__all__ = ['End', 'HoldAnswer', 'Listed', 'Run', 'RunState', 'Worker']
+__all__ = [
+    'End',
+    'EndKind',
+    'HoldAnswer',
+    'Listed',
+    'Run',
+    'RunState',
+    'StartOutcome',
+    'StartRefusal',
+    'Worker',
+    'WorkerEntry',
+]
 
 # The platform's contract: a worker's steady clock may be 2% slow.
 CLOCK_RATE_MIN = 0.98
 
 
+class EndKind(enum.StrEnum):
+    """How a run ended, or why it is certain that it never ran."""
+
+    DONE = 'done'
+    FAILED = 'failed'
+    STOPPED = 'stopped'
+    # The worker's lease ended, or the worker's life did.
+    LAPSED = 'lapsed'
+    # Another member of its gang ended.
+    BROKEN = 'broken'
+    # It waited in vain for the other members of its gang.
+    ALONE = 'alone'
+    # A list of the worker, later than every order, does not have it.
+    ABSENT = 'absent'
+    # The worker refused the start.
+    REFUSED = 'refused'
+    # It was placed, but its start was never sent.
+    WITHDRAWN = 'withdrawn'
+
+
+class StartRefusal(enum.StrEnum):
+    """Why a worker refused a start."""
+
+    # The worker obeys a leader with a higher epoch.
+    FENCED = 'fenced'
+    # It has seen this run, or a later one, end.
+    STALE_RUN = 'stale-run'
+    # The start's deadline had passed.
+    LATE = 'late'
+    NO_ROOM = 'no-room'
+    TICKET = 'ticket'
+    UNHEALTHY = 'unhealthy'
+
+
+class StartOutcome(typing.NamedTuple):
+    """A worker's answer to a start; ``refusal`` is None if it runs.
+
+    If ``is_known`` is false there was no answer, and it may run or not;
+    ``detail`` says more for people.
+    """
+
+    is_known: bool
+    refusal: StartRefusal | None = None
+    detail: str = ''
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the run is certainly there."""
+        return self.is_known and self.refusal is None
+
+
 class Listed(typing.NamedTuple):
     """A run that a worker says is running; ``percent`` is its pace."""
 
@@ -30,7 +92,7 @@
     number: int
     task: str
     run_id: int
-    how: str
+    how: EndKind
     checkpoint: str
 
 
--- a/packages/carawaymast-node/carawaymast_node/cells/fabric.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/fabric.py
@@ -139,6 +139,10 @@
         """Ask the advice service for the leader."""
         await self._answer('Advise', stream)
 
+    async def Submit(self, stream: server.Stream) -> None:  # noqa: N802
+        """Store a job for another node."""
+        await self._answer('Submit', stream)
+
     async def Deliver(self, stream: server.Stream) -> None:  # noqa: N802
         """Take stored intake records."""
         await self._answer('Deliver', stream)
--- a/packages/carawaymast-node/carawaymast_node/cells/front.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/front.py
@@ -14,6 +14,7 @@
 from carawaymast_node import background
 from carawaymast_node import guard as guard_mod
 from carawaymast_node.cells import intake as intake_mod
+from carawaymast_node.cells import leader_calls as leader_calls_mod
 from carawaymast_node.cells import ports
 from carawaymast_node.cells import routing
 from carawaymast_node.cells import tail as tail_mod
@@ -43,9 +44,7 @@
     view: view_mod.JobView
     intake: intake_mod.Intake
     intake_tail: tail_mod.Tail
-    ask_leader: typing.Callable[
-        [str], typing.Awaitable[records.JobPhase | None]
-    ]
+    leader_calls: leader_calls_mod.LeaderCalls
 
 
 class Answer(typing.NamedTuple):
@@ -144,9 +143,11 @@
         submission = spec_mod.Submission(
             job_id, queue.policy, spec, parts.clock.wall()
         )
-        await parts.intake.store(
-            ports.KeyValue(job_id, records.encode(submission))
-        )
+        by_leader = await parts.leader_calls.submit(submission)
+        if not by_leader:
+            await parts.intake.store(
+                ports.KeyValue(job_id, records.encode(submission))
+            )
         parts.metrics.count('jobs_accepted_total')
         parts.log.note(
             'job_accepted',
@@ -154,6 +155,7 @@
             queue=queue.policy.name,
             tasks=sum(step.count for step in spec.steps),
             version=parts.routes.version,
+            by_leader=by_leader,
         )
         return Answer(200, {})
 
@@ -179,7 +181,7 @@
         phase = self._parts.view.phase(job_id)
         if phase is not None and phase.is_final:
             return phase
-        phase = await self._parts.ask_leader(job_id) or phase
+        phase = await self._parts.leader_calls.phase(job_id) or phase
         if phase is not None:
             return phase
         now_ms = self._parts.clock.now()
--- a/packages/carawaymast-node/carawaymast_node/cells/journal.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/journal.py
@@ -36,6 +36,8 @@
         self._tail = tail
         self._epoch = epoch
         self._sequence = 0
+        # Whether the last answer of the store was none, or an error.
+        self.is_failing = False
 
     async def open(self) -> None:
         """Fence former leaders and read all that they wrote.
@@ -58,6 +60,12 @@
         Raises ``FencedError`` once another leader has fenced this one.
         """
         items = [
+            ports.KeyValue(
+                job_id + records.SUBMISSION_SUFFIX, records.encode(submission)
+            )
+            for job_id, submission in batch.submission_by_id.items()
+        ]
+        items += [
             ports.KeyValue(job_id, records.encode(record))
             for job_id, record in batch.records_by_id.items()
         ]
@@ -72,6 +80,8 @@
             self._tail.offset = max(
                 self._tail.offset or 0, appended.end_offset
             )
+        for job_id, submission in batch.submission_by_id.items():
+            self._view.submission_by_id.setdefault(job_id, submission)
         self._view.record_by_id.update(batch.records_by_id)
 
     async def _append(
@@ -92,7 +102,9 @@
                 continue
             except ports.StoreError:
                 self._metrics.count('journal_errors_total')
+                self.is_failing = True
                 await asyncio.sleep(RETRY_MS / 1000)
                 continue
             self._sequence += 1
+            self.is_failing = False
             return appended
--- a/packages/carawaymast-node/carawaymast_node/cells/leader.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/leader.py
@@ -5,6 +5,7 @@
 
 from carawaymast_core import clock as clock_mod
 from carawaymast_core.cell import cell as cell_mod
+from carawaymast_core.cell import spec as spec_mod
 from carawaymast_core.cell import view as view_mod
 from carawaymast_core.cell import worker as worker_mod
 from carawaymast_node import background
@@ -101,6 +102,8 @@
             self._take_worker_item,
         )
         self.is_open = False
+        self._is_over = False
+        self._fenced_by = ''
 
     async def run(self) -> None:
         """Lead until fenced or cancelled.
@@ -121,10 +124,13 @@
             self._metrics.record_ms('takeover', self._clock.now() - started_ms)
             self._tasks.spawn(self._worker_tail.run())
             await self._keep_planning()
-        except ports.FencedError as error:
-            self._log.note('fenced', epoch=self.epoch, error=str(error))
+        except* ports.FencedError as group:
+            error = str(group.exceptions[0])
+            self._log.note('fenced', epoch=self.epoch, error=error)
         finally:
             self.is_open = False
+            self._is_over = True
+            self._committed.set()
             self._context.state_tail.is_suspended = False
             self._tasks.cancel()
             if self._advice is not None:
@@ -141,6 +147,26 @@
         )
         self._wake.set()
 
+    async def accept(self, submission: spec_mod.Submission) -> bool:
+        """Store a job; False if it has to be stored without the leader.
+
+        Not answered, or cancelled, it may still come to be stored.
+        """
+        if not self.is_open or self._journal.is_failing:
+            return False
+        job_id = submission.job_id
+        if job_id in self._context.view.submission_by_id:
+            return True
+        self.cell.accept(submission, self._clock.now(), self._clock.wall())
+        if job_id in self._context.view.cancelled_ids:
+            self.take_job(job_id)
+        self._wake.set()
+        while job_id not in self._context.view.submission_by_id:
+            if self._is_over:
+                return False
+            await self._committed.wait()
+        return True
+
     async def finish(self, timeout_ms: int) -> None:
         """Wait until what was decided is written, before a hand-over."""
         self.is_open = False
@@ -150,9 +176,11 @@
     # -- taking over -------------------------------------------------------
 
     async def _open(self) -> None:
-        await self._journal.open()
-        await self._catch_up(self._context.intake_tail)
-        await self._catch_up(self._worker_tail)
+        # Side by side: on a slow store each call takes a quarter second.
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._journal.open())
+            group.create_task(self._catch_up(self._context.intake_tail))
+            group.create_task(self._catch_up(self._worker_tail))
         now_ms = self._clock.now()
         wall_ms = self._clock.wall()
         self.cell.tick(now_ms, wall_ms)
@@ -167,7 +195,9 @@
         while True:
             try:
                 if tail.offset is None:
+                    # The newest record of each key, as of now.
                     await tail.catch_up(0)
+                    return
                 answer = await self._context.store.read(
                     tail.topic, tail.part, tail.offset, 0
                 )
@@ -191,6 +221,11 @@
                 self._tasks.spawn(self._keep_holding(worker))
         self._wake.set()
 
+    def _end_fenced(self, why: str) -> None:
+        """Stop leading: another node has a higher epoch."""
+        self._fenced_by = why
+        self._wake.set()
+
     # -- planning ----------------------------------------------------------
 
     async def _keep_planning(self) -> typing.NoReturn:
@@ -201,6 +236,8 @@
             except asyncio.TimeoutError:
                 self._metrics.count('idle_plans_total')
             self._wake.clear()
+            if self._fenced_by:
+                raise ports.FencedError(self._fenced_by)
             self._plan()
 
     def _plan(self) -> None:
@@ -256,6 +293,8 @@
         outcome = await self._workers.start(run, self.epoch, deadline_ms)
         if not outcome.is_known:
             self._lossy_until_ms = self._clock.now() + LOSSY_MS
+        if outcome.refusal is worker_mod.StartRefusal.FENCED:
+            self._end_fenced(f'{run.worker.worker_id} refused a start')
         self.cell.take_start(run, outcome, self._clock.now())
         self._metrics.record_ms('start_call', self._clock.now() - now_ms)
         self._wake.set()
@@ -297,7 +336,8 @@
                 self._wake.set()
             except ports.WorkerFencedError:
                 self._log.note('worker_fenced', worker=worker.worker_id)
-                await asyncio.sleep(HOLD_RETRY_MS / 1000)
+                self._end_fenced(f'{worker.worker_id} obeys another leader')
+                return
             except ports.WorkerError as error:
                 self._metrics.count('hold_errors_total')
                 worker.is_doubtful = True
--- a/packages/carawaymast-node/carawaymast_node/cells/leader_calls.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/leader_calls.py
@@ -1,15 +1,18 @@
 """Calls between a node and the leader of the cell.
 
-They only make things faster: whatever is delivered or shown here is in the
-store too, and a call that fails falls back on it.
+They only make things faster: what they do can be done through the store too,
+and a call that fails falls back on it.
 """
 
+import asyncio
 import typing
 
 from carawaymast_core.cell import records
+from carawaymast_core.cell import spec as spec_mod
 from carawaymast_node import fabric_pb2
 from carawaymast_node.cells import election as election_mod
 from carawaymast_node.cells import fabric
+from carawaymast_node.cells import leader as leader_mod
 from carawaymast_node.cells import ports
 
 __all__ = ['LeaderCalls']
@@ -17,6 +20,9 @@
 # A leader that is well answers within some ms; callers should not wait for
 # one that is not.
 CALL_TIMEOUT_MS = 300
+# A job is stored within some ms; on a slow store the leader's write takes
+# half a second. Later the caller's node stores it by itself.
+SUBMIT_TIMEOUT_MS = 1_200
 
 
 class LeaderCalls:
@@ -29,14 +35,60 @@
         peers: fabric.Peers,
         take: typing.Callable[[str, bytes], None],
         show: typing.Callable[[str], records.JobPhase | None],
-        is_leading: typing.Callable[[], bool],
+        leader: typing.Callable[[], leader_mod.Leader | None],
     ):
         self._node_id = node_id
         self._election = election
         self._peers = peers
         self._take = take
         self._show = show
-        self._is_leading = is_leading
+        self._own_leader = leader
+
+    async def submit(self, submission: spec_mod.Submission) -> bool:
+        """Let the leader store a job; False if it did not answer so.
+
+        Then the job may be stored or not; storing it again does no harm.
+        """
+        try:
+            async with asyncio.timeout(SUBMIT_TIMEOUT_MS / 1000):
+                own = self._own_leader()
+                if own is not None:
+                    return await own.accept(submission)
+                return await self._submit_to_peer(submission)
+        except TimeoutError:
+            return False
+
+    async def _submit_to_peer(self, submission) -> bool:
+        leader = self._leader()
+        if leader is None:
+            return False
+        message = fabric_pb2.SubmitCall(
+            record=fabric_pb2.Record(
+                key=submission.job_id, value=records.encode(submission)
+            )
+        )
+        try:
+            answer = await self._peers.call(
+                leader, 'Submit', message, SUBMIT_TIMEOUT_MS
+            )
+        except fabric.PeerError:
+            return False
+        return answer.stored
+
+    async def answer_submit(
+        self, message: fabric_pb2.SubmitCall
+    ) -> fabric_pb2.SubmitAnswer:
+        """Store a job for another node."""
+        own = self._own_leader()
+        if own is None:
+            return fabric_pb2.SubmitAnswer(stored=False)
+        submission = records.decode(spec_mod.Submission, message.record.value)
+        try:
+            async with asyncio.timeout(SUBMIT_TIMEOUT_MS / 1000):
+                stored = await own.accept(submission)
+        except TimeoutError:
+            stored = False
+        return fabric_pb2.SubmitAnswer(stored=stored)
 
     async def deliver(self, items: typing.Sequence[ports.KeyValue]) -> None:
         """Hand records that are stored to the leader."""
@@ -97,6 +149,10 @@
         text = phase.value if phase is not None else ''
         return fabric_pb2.ShowAnswer(is_leader=True, phase=text)
 
+    def _is_leading(self) -> bool:
+        own = self._own_leader()
+        return own is not None and own.is_open
+
     def _leader(self) -> records.MemberRecord | None:
         record = self._election.record
         if record is None or record.is_released:
--- a/packages/carawaymast-node/carawaymast_node/cells/ports.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/ports.py
@@ -188,7 +188,7 @@
 
     async def start(
         self, run: worker_mod.Run, epoch: int, deadline_ms: int
-    ) -> cell_mod.StartOutcome:
+    ) -> worker_mod.StartOutcome:
         """Start a run."""
 
     async def stop(self, order: cell_mod.StopOrder, epoch: int) -> bool:
--- a/packages/carawaymast-node/carawaymast_node/cells/service.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/service.py
@@ -138,7 +138,7 @@
             self.peers,
             self._take_delivered,
             self.view.phase,
-            lambda: self.leader is not None and self.leader.is_open,
+            lambda: self.leader,
         )
         self.intake = intake_mod.Intake(
             self.store, self.metrics, PART, self.leader_calls.deliver
@@ -185,6 +185,7 @@
             {
                 'CallStore': self.route.answer,
                 'Advise': advice_desk.answer_peer(self.platform.advise),
+                'Submit': self.leader_calls.answer_submit,
                 'Deliver': self.leader_calls.answer_deliver,
                 'ShowJob': self.leader_calls.answer_show,
             }
@@ -211,7 +212,7 @@
             self.view,
             self.intake,
             self._intake_tail,
-            self.leader_calls.phase,
+            self.leader_calls,
         )
         self.front = front_mod.Front(self.guard, parts).register(self)
         self._open_pages(
--- a/packages/carawaymast-node/carawaymast_node/fabric_grpc.py
+++ b/packages/carawaymast-node/carawaymast_node/fabric_grpc.py
@@ -22,6 +22,10 @@
     async def Advise(self, stream: 'grpclib.server.Stream[carawaymast_node.fabric_pb2.AdviceCall, carawaymast_node.fabric_pb2.AdviceAnswer]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Submit(self, stream: 'grpclib.server.Stream[carawaymast_node.fabric_pb2.SubmitCall, carawaymast_node.fabric_pb2.SubmitAnswer]') -> None:
+        pass
+
     @abc.abstractmethod
     async def Deliver(self, stream: 'grpclib.server.Stream[carawaymast_node.fabric_pb2.DeliverCall, carawaymast_node.fabric_pb2.DeliverAnswer]') -> None:
         pass
@@ -44,6 +48,12 @@
                 carawaymast_node.fabric_pb2.AdviceCall,
                 carawaymast_node.fabric_pb2.AdviceAnswer,
             ),
+            '/carawaymast.fabric.Fabric/Submit': grpclib.const.Handler(
+                self.Submit,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                carawaymast_node.fabric_pb2.SubmitCall,
+                carawaymast_node.fabric_pb2.SubmitAnswer,
+            ),
             '/carawaymast.fabric.Fabric/Deliver': grpclib.const.Handler(
                 self.Deliver,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -74,6 +84,12 @@
             carawaymast_node.fabric_pb2.AdviceCall,
             carawaymast_node.fabric_pb2.AdviceAnswer,
         )
+        self.Submit = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/carawaymast.fabric.Fabric/Submit',
+            carawaymast_node.fabric_pb2.SubmitCall,
+            carawaymast_node.fabric_pb2.SubmitAnswer,
+        )
         self.Deliver = grpclib.client.UnaryUnaryMethod(
             channel,
             '/carawaymast.fabric.Fabric/Deliver',
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -5,14 +5,15 @@
 clock, moved by ``advance``.
 """
 
-from carawaymast_core.cell import cell as cell_mod
 from carawaymast_core.cell import worker as worker_mod
 
 __all__ = ['RunnerStandin']
 
 MAX_LEASE_MS = 10_000
 STOP_MS = 900
-GANG_TIMEOUT_MS = 3_000
+FENCED = worker_mod.StartRefusal.FENCED
+LATE = worker_mod.StartRefusal.LATE
+STALE_RUN = worker_mod.StartRefusal.STALE_RUN
 
 
 class _Running:
@@ -67,22 +68,22 @@
         deadline_ms: int,
         work_ms: int,
         fails: bool = False,
-    ) -> cell_mod.StartOutcome:
+    ) -> worker_mod.StartOutcome:
         """Start a run unless the protocol forbids it."""
         if epoch < self.epoch:
-            return cell_mod.StartOutcome(True, False, 'fence')
+            return worker_mod.StartOutcome(True, FENCED)
         self.epoch = epoch
         if deadline_ms <= self.clock_ms:
-            return cell_mod.StartOutcome(True, False, 'late')
+            return worker_mod.StartOutcome(True, LATE)
         self._extend(deadline_ms)
         here = self.running.get(task)
         if here is not None and here.run_id == run_id:
-            return cell_mod.StartOutcome(True, True, '')
+            return worker_mod.StartOutcome(True)
         if here is not None or run_id <= self._highest_ended.get(task, 0):
-            return cell_mod.StartOutcome(True, False, 'old')
+            return worker_mod.StartOutcome(True, STALE_RUN)
         self.running[task] = _Running(run_id, work_ms, fails)
         self.started.append((task, run_id))
-        return cell_mod.StartOutcome(True, True, '')
+        return worker_mod.StartOutcome(True)
 
     def stop(self, epoch: int, task: str, run_id: int) -> bool:
         """Begin a stop; refuse this run and lower ones from now on."""
@@ -103,15 +104,20 @@
             run.left_ms -= ms
             if run.stops_at_ms is not None:
                 if self.clock_ms >= run.stops_at_ms:
-                    self._end(task, 'stopped')
+                    self._end(task, worker_mod.EndKind.STOPPED)
             elif run.left_ms <= 0:
-                self._end(task, 'failed' if run.fails else 'done')
+                self._end(
+                    task,
+                    worker_mod.EndKind.FAILED
+                    if run.fails
+                    else worker_mod.EndKind.DONE,
+                )
         if self.clock_ms >= self.lease_until_ms:
             for task in list(self.running):
-                self._end(task, 'lapsed')
+                self._end(task, worker_mod.EndKind.LAPSED)
 
-    def break_run(self, task: str, how: str) -> None:
-        """End a run at once, as ``broken``, ``alone`` or ``failed``."""
+    def break_run(self, task: str, how: worker_mod.EndKind) -> None:
+        """End a run at once, as broken, alone or failed."""
         self._end(task, how)
 
     def _extend(self, deadline_ms: int | None) -> None:
@@ -122,7 +128,7 @@
             self.lease_until_ms, min(longest_ms, deadline_ms)
         )
 
-    def _end(self, task: str, how: str) -> None:
+    def _end(self, task: str, how: worker_mod.EndKind) -> None:
         run = self.running.pop(task)
         self._end_number += 1
         highest = self._highest_ended.get(task, 0)
