Scenarios of the adapter and the agreement over an in-memory store

Change: the store by its published protocol in memory behind the real adapter (conditional appends, epochs, repeats, newest pages, lost and late writes, dropped history), 26 scenarios.

--- /dev/null
+++ b/features/platform.feature
@@ -0,0 +1,116 @@
+Feature: The adapter and the agreement of nodes over the platform's store
+
+  Scenario: The newest records are read page by page
+    Given the platform's store
+    When 8 records with keys are appended
+    Then the newest of each key are returned with the end offset
+
+  Scenario: A conditional append fails once somebody else has appended
+    Given the platform's store
+    When two nodes append at the same end
+    Then one of them is told the end and nothing is stored of it
+
+  Scenario: One of two claimants leads, with the offset as epoch
+    Given the platform's store
+    And two nodes that follow the lead topic
+    When both claim the leadership
+    Then both see the same leader and epoch
+
+  Scenario: A silent leader is replaced, a renewing one is not
+    Given the platform's store
+    And two nodes that follow the lead topic
+    And the first node leads
+    When the nodes follow for 1 s and the leader renews
+    And the nodes follow for 1 s
+    Then the second node sees no vacancy
+    When the nodes follow for 2 s
+    Then the second node sees a vacancy
+
+  Scenario: A leader gets time to renew after an outage of the store
+    Given the platform's store
+    And two nodes that follow the lead topic
+    And the first node leads
+    When the store is away for 4 s
+    Then the second node sees no vacancy
+
+  Scenario: A release is not lost to a renewal sent at the same time
+    Given the platform's store
+    And two nodes that follow the lead topic
+    And the first node leads
+    When it renews and releases at the same time
+    Then the second node sees a vacancy
+
+  Scenario: A write whose answer is lost is stored once
+    Given the platform's store
+    And a journal of epoch 5
+    When a batch is written and 2 answers are lost
+    Then the state topic holds it once
+
+  Scenario: A write that comes late does not come twice
+    Given the platform's store
+    And a journal of epoch 5
+    When a batch is written late and another follows
+    Then the state topic holds both once and in order
+
+  Scenario: A former leader's late write is refused
+    Given the platform's store
+    And a journal of epoch 5
+    When a journal of epoch 9 is opened
+    And the first journal writes a batch
+    Then the write is fenced
+
+  Scenario: A follower that missed dropped history reads the newest again
+    Given the platform's store
+    And a follower of a topic
+    When records are written and the history is dropped
+    Then the follower has the newest of each key
+
+  Scenario: A node that the store turns away goes through a peer
+    Given the platform's store
+    And a node that the store turns away, with a peer
+    When it appends a record
+    Then the record is stored and the peer has sent it
+
+  Scenario: A node uses the store again soon after it came back
+    Given the platform's store
+    And a node that the store turns away, with a peer
+    When the store serves it again
+    Then the node reaches the store by itself
+
+  Scenario: Nothing is stored while the store is down, and callers are told
+    Given the platform's store
+    When the store is down and a job is handed in
+    Then the caller is told that it was not stored
+
+  Scenario: A write of unknown fate is never called "not run"
+    Given the platform's store
+    When answers are lost and a job is handed in
+    Then the caller is told that the outcome is unknown
+
+  Scenario Outline: A malformed job is refused with its reason
+    When a job "<body>" is decoded
+    Then it is refused and the reason names "<reason>"
+
+    Examples:
+      | body                                        | reason        |
+      | {"phases":[]}                               | phases        |
+      | {"phases":[{"count":0}]}                    | count         |
+      | {"phases":[{"count":1,"after":[3]}]}        | after         |
+      | {"phases":[{"count":1,"after":[0]}]}        | cycle         |
+      | {"phases":[{"count":"x"}]}                  | count         |
+      | {"phases":[{"count":1,"cpu":-5}]}           | size          |
+      | {"phases":[{"count":1}],"repeats":-1}       | repeats       |
+      | [1,2]                                       | object        |
+      | {"phases                                    | truncated     |
+
+  Scenario: Entries of other writers name no worker and change nothing
+    When entries with missing, mistyped and unreadable fields are decoded
+    Then none of them names a worker
+
+  Scenario: A configuration never goes back
+    When versions 3, 7 and 5 are put in force
+    Then version 7 stays in force and its queues are found by longest prefix
+
+  Scenario: A wrong settings file is refused with one clear reason
+    When a settings file without its internal ports is read
+    Then the reason names "internal_port_range"
--- /dev/null
+++ b/features/steps/platform_steps.py
@@ -0,0 +1,484 @@
+"""Steps on the adapter and the nodes' agreement, over an in-memory store."""
+
+import asyncio
+
+from behave import given
+from behave import then
+from behave import when
+
+from carawaymast_core import clock as clock_mod
+from carawaymast_core import errors
+from carawaymast_core.cell import cell as cell_mod
+from carawaymast_core.cell import records
+from carawaymast_core.cell import view as view_mod
+from carawaymast_node import fabric_pb2
+from carawaymast_node import settings as settings_mod
+from carawaymast_node.cells import election as election_mod
+from carawaymast_node.cells import intake as intake_mod
+from carawaymast_node.cells import journal as journal_mod
+from carawaymast_node.cells import ports
+from carawaymast_node.cells import relay
+from carawaymast_node.cells import routing
+from carawaymast_node.cells import tail as tail_mod
+from carawaymast_node.cells import telemetry
+from carawaymast_platform import adapter
+from carawaymast_platform import ingress
+from carawaymast_platform import store as store_mod
+from features import cell_world
+from standins import keyed_log
+
+TICK_MS = 50
+POLL_S = 0.02
+MAX_POLLS = 500
+
+
+class Node:
+    """A node's view of the lead topic."""
+
+    def __init__(self, context, name):
+        self.store = store_mod.Store(context.log.transport(name))
+        self.election = election_mod.Election(
+            self.store, context.clock, name, f'boot-{name}', 0, lambda: None
+        )
+        self.tail = tail_mod.Tail(
+            self.store,
+            context.clock,
+            quiet(context.clock),
+            election_mod.TOPIC,
+            0,
+            self.election.take,
+        )
+
+    async def follow(self):
+        try:
+            await self.tail._step(is_waiting=False)
+        except ports.StoreError as error:
+            self.tail._note_lost(error)
+
+
+def quiet(clock):
+    return telemetry.Telemetry(clock, telemetry.Metrics())
+
+
+def batch(job_id):
+    record = records.JobRecord(records.JobPhase.RUNNING, '', True, 0, ())
+    return cell_mod.Batch({}, {job_id: record}, [], {})
+
+
+def state_keys(context):
+    part = context.log._part('keyed.state', 0)
+    return [raw[1 : 1 + raw[0]].decode() for raw in part.records]
+
+
+@given("the platform's store")
+def make_store(context):
+    context.log = keyed_log.KeyedLog()
+    context.clock = clock_mod.ManualClock(100_000)
+    context.store = store_mod.Store(context.log.transport('n1'))
+
+
+@when('{count:d} records with keys are appended')
+def append_records(context, count):
+    context.items = [ports.KeyValue(f'k{n}', b'%d' % n) for n in range(count)]
+    asyncio.run(context.store.append('t', 0, context.items))
+
+
+@then('the newest of each key are returned with the end offset')
+def newest(context):
+    found = asyncio.run(context.store.newest('t', 0))
+    assert found.end_offset == len(context.items)
+    pairs = {(item.key, item.value) for item in found.items}
+    assert pairs == set(context.items), pairs
+
+
+@when('two nodes append at the same end')
+def append_twice(context):
+    item = ports.KeyValue('k', b'v')
+    asyncio.run(context.store.append('t', 0, [item], at=0))
+    context.conflict = None
+    try:
+        asyncio.run(context.store.append('t', 0, [item], at=0))
+    except ports.ConflictError as error:
+        context.conflict = error
+
+
+@then('one of them is told the end and nothing is stored of it')
+def told_end(context):
+    assert context.conflict.end_offset == 1
+    assert asyncio.run(context.store.read('t', 0, 0, 0)).end_offset == 1
+
+
+@given('two nodes that follow the lead topic')
+def two_nodes(context):
+    context.nodes = [Node(context, 'n1'), Node(context, 'n2')]
+    follow_all(context)
+
+
+def follow_all(context):
+    for node in context.nodes:
+        asyncio.run(node.follow())
+
+
+@when('both claim the leadership')
+def both_claim(context):
+    for node in context.nodes:
+        assert node.election.is_vacant(node.tail)
+        asyncio.run(node.election.claim(0))
+    follow_all(context)
+
+
+@then('both see the same leader and epoch')
+def same_leader(context):
+    first, second = (node.election for node in context.nodes)
+    assert first.epoch == second.epoch == 0
+    assert first.record == second.record
+    assert first.is_own and not second.is_own
+
+
+@given('the first node leads')
+def first_leads(context):
+    asyncio.run(context.nodes[0].election.claim(0))
+    follow_all(context)
+    assert context.nodes[1].election.record.node_id == 'n1'
+
+
+@when('the nodes follow for {seconds:d} s and the leader renews')
+def pass_and_renew(context, seconds):
+    pass_time(context, seconds)
+    asyncio.run(context.nodes[0].election.renew(0, ()))
+    follow_all(context)
+
+
+@when('the nodes follow for {seconds:d} s')
+def pass_time(context, seconds):
+    for _ in range(seconds * 1_000 // TICK_MS):
+        context.clock.advance(TICK_MS)
+        follow_all(context)
+
+
+@when('the store is away for {seconds:d} s')
+def store_away(context, seconds):
+    context.log.is_down = True
+    pass_time(context, seconds)
+    context.log.is_down = False
+    follow_all(context)
+
+
+@then('the second node sees no vacancy')
+def no_vacancy(context):
+    node = context.nodes[1]
+    assert not node.election.is_vacant(node.tail)
+
+
+@then('the second node sees a vacancy')
+def vacancy(context):
+    node = context.nodes[1]
+    follow_all(context)
+    assert node.election.is_vacant(node.tail)
+
+
+@when('it renews and releases at the same time')
+def renew_and_release(context):
+    election = context.nodes[0].election
+
+    async def both():
+        await asyncio.gather(election.renew(0, ()), election.release(0))
+
+    asyncio.run(both())
+
+
+def open_journal(context, epoch):
+    view = view_mod.JobView()
+    tail = tail_mod.Tail(
+        context.store,
+        context.clock,
+        quiet(context.clock),
+        'state',
+        0,
+        lambda item: None,
+    )
+    journal = journal_mod.Journal(
+        context.store, context.clock, telemetry.Metrics(), view, tail, epoch
+    )
+    asyncio.run(journal.open())
+    return journal
+
+
+@given('a journal of epoch {epoch:d}')
+def make_journal(context, epoch):
+    context.journal = open_journal(context, epoch)
+
+
+@when('a journal of epoch {epoch:d} is opened')
+def other_journal(context, epoch):
+    open_journal(context, epoch)
+
+
+@when('a batch is written and {count:d} answers are lost')
+def write_lost(context, count):
+    context.log.lose_answers = count
+    asyncio.run(context.journal.write(batch('j1')))
+
+
+@then('the state topic holds it once')
+def held_once(context):
+    assert state_keys(context) == ['j1'], state_keys(context)
+
+
+@when('a batch is written late and another follows')
+def write_late(context):
+    context.log.delay_writes = 1
+    asyncio.run(context.journal.write(batch('j1')))
+    asyncio.run(context.journal.write(batch('j2')))
+    context.log.carry_out_late()
+
+
+@then('the state topic holds both once and in order')
+def held_both(context):
+    assert state_keys(context) == ['j1', 'j2'], state_keys(context)
+
+
+@when('the first journal writes a batch')
+def write_fenced(context):
+    context.error = None
+    try:
+        asyncio.run(context.journal.write(batch('j1')))
+    except ports.FencedError as error:
+        context.error = error
+
+
+@then('the write is fenced')
+def is_fenced(context):
+    assert context.error is not None
+    assert not state_keys(context)
+
+
+@given('a follower of a topic')
+def make_follower(context):
+    context.seen = {}
+    context.tail = tail_mod.Tail(
+        context.store,
+        context.clock,
+        quiet(context.clock),
+        't',
+        0,
+        lambda item: context.seen.update({item.key: item.value}),
+    )
+    asyncio.run(context.tail._step(is_waiting=False))
+
+
+@when('records are written and the history is dropped')
+def write_and_drop(context):
+    for value in (b'1', b'2'):
+        item = ports.KeyValue('k', value)
+        asyncio.run(context.store.append('t', 0, [item]))
+    context.log.drop_history()
+    asyncio.run(context.tail.catch_up(2))
+
+
+@then('the follower has the newest of each key')
+def has_newest(context):
+    assert context.seen == {'k': b'2'}, context.seen
+
+
+class OnePeer:
+    """A peer whose route sends to the store directly."""
+
+    def __init__(self, context):
+        self.member = records.MemberRecord('n2', 'host', 1, 'domain', 'b')
+        self.route = route_of(context, 'n2', None)
+        self.answered = 0
+
+    def candidates(self):
+        return [self.member]
+
+    def avoid(self, member):
+        raise AssertionError('the peer reaches the store')
+
+    async def call(self, member, method, message, timeout_ms):
+        assert method == 'CallStore'
+        assert isinstance(message, fabric_pb2.StoreCall)
+        self.answered += 1
+        return await self.route.answer(message)
+
+
+def route_of(context, name, peers):
+    return relay.StoreRoute(
+        context.log.transport(name),
+        peers,
+        context.clock,
+        quiet(context.clock),
+        telemetry.Metrics(),
+    )
+
+
+@given('a node that the store turns away, with a peer')
+def turned_away(context):
+    context.log.refused.add('n1')
+    context.peer = OnePeer(context)
+    context.route = route_of(context, 'n1', context.peer)
+    context.relayed = store_mod.Store(context.route.send)
+
+
+@when('it appends a record')
+def append_relayed(context):
+    item = ports.KeyValue('k', b'v')
+    asyncio.run(context.relayed.append('t', 0, [item]))
+
+
+@then('the record is stored and the peer has sent it')
+def relayed(context):
+    assert context.log._part('keyed.t', 0).end == 1
+    assert context.peer.answered == 1
+    assert not context.route.is_direct
+
+
+@when('the store serves it again')
+def serve_again(context):
+    append_relayed(context)
+    direct = store_mod.Store(context.route.send_direct)
+
+    async def come_back():
+        probing = asyncio.create_task(
+            context.route.keep_probing(lambda: direct.read('t', 0, 0, 0))
+        )
+        await asyncio.sleep(0)
+        context.log.refused.clear()
+        for _ in range(MAX_POLLS):
+            if context.route.is_direct:
+                break
+            await asyncio.sleep(POLL_S)
+        probing.cancel()
+
+    asyncio.run(come_back())
+
+
+@then('the node reaches the store by itself')
+def direct_again(context):
+    assert context.route.is_direct
+
+
+def hand_in(context):
+    async def deliver(items):
+        return None
+
+    async def store():
+        intake = intake_mod.Intake(
+            context.store, telemetry.Metrics(), 0, deliver
+        )
+        running = asyncio.create_task(intake.run())
+        try:
+            await intake.store(ports.KeyValue('j1', b'x'))
+        except errors.SchedulerError as error:
+            return error
+        finally:
+            running.cancel()
+        return None
+
+    context.error = asyncio.run(store())
+
+
+@when('the store is down and a job is handed in')
+def hand_in_down(context):
+    context.log.is_down = True
+    hand_in(context)
+
+
+@when('answers are lost and a job is handed in')
+def hand_in_lost(context):
+    context.log.lose_answers = intake_mod.MAX_TRIES
+    hand_in(context)
+
+
+@then('the caller is told that it was not stored')
+def told_not_stored(context):
+    assert context.error.kind is errors.ErrorKind.LOG_UNAVAILABLE
+    assert context.error.answer.ran is errors.Ran.NO
+    assert not context.log._part('keyed.intake', 0).end
+
+
+@then('the caller is told that the outcome is unknown')
+def told_unknown(context):
+    assert context.error.kind is errors.ErrorKind.OUTCOME_UNKNOWN
+    assert context.error.answer.ran is errors.Ran.UNKNOWN
+
+
+@when('a job "{body}" is decoded')
+def decode_job(context, body):
+    context.error = None
+    try:
+        ingress.decode_job(body.encode())
+    except errors.SchedulerError as error:
+        context.error = error
+
+
+@then('it is refused and the reason names "{reason}"')
+def refused(context, reason):
+    assert context.error is not None
+    assert context.error.kind is errors.ErrorKind.BAD_REQUEST
+    assert reason in context.error.detail, context.error.detail
+
+
+@when('entries with missing, mistyped and unreadable fields are decoded')
+def decode_entries(context):
+    values = (
+        b'\xff\xfe',
+        b'[]',
+        b'{"service":"s"}',
+        b'{"service":1,"address":"a:1","state":"ready","capacity":{}}',
+        b'{"service":"s","address":"a:1","state":"odd","capacity":{}}',
+        b'{"service":"s","address":"a","state":"ready","capacity":{}}',
+    )
+    context.decoded = [
+        ingress.decode_worker(ports.StoredItem(0, 'i-1', value))
+        for value in values
+    ]
+
+
+@then('none of them names a worker')
+def no_worker(context):
+    assert context.decoded == [None] * len(context.decoded), context.decoded
+
+
+@when('versions 3, 7 and 5 are put in force')
+def put_versions(context):
+    context.routes = routing.Routes(quiet(clock_mod.ManualClock()))
+    for version in (3, 7, 5):
+        queues = tuple(
+            ports.Queue(
+                'h', prefix, cell_world.queue(name=f'{prefix}@{version}')
+            )
+            for prefix in ('/a/', '/a/b/')
+        )
+        context.routes.take(ports.Declarations(version, queues))
+
+
+@then('version 7 stays in force and its queues are found by longest prefix')
+def version_in_force(context):
+    assert context.routes.version == 7
+    queue, job_id = context.routes.find('h:80', '/a/b/0123')
+    assert (queue.policy.name, job_id) == ('/a/b/@7', '0123')
+    queue, job_id = context.routes.find('h', '/a/')
+    assert (queue.policy.name, job_id) == ('/a/@7', '')
+
+
+@when('a settings file without its internal ports is read')
+def read_wrong_settings(context):
+    document = {
+        'node_name': 'n',
+        'ip': '10.0.0.1',
+        'zone': 'z',
+        'listen': {'front': '10.0.0.1:1', 'ready': '10.0.0.1:2'},
+        'bounds': {'hold_max_ms': 6_000, 'drain_ms': 2_000, 'grace_s': 6},
+        'limits': {'max_fds': 4_000},
+    }
+    context.error = None
+    try:
+        adapter.read_settings(document)
+    except settings_mod.SettingError as error:
+        context.error = error
+
+
+@then('the reason names "{text}"')
+def reason_names(context, text):
+    assert text in str(context.error), context.error
