Refusals by predicted wait, and explain: from an id to its cause

Cause: under a flood every job was accepted, also those that would end long after they were of use; and a failed request's lines had to be searched by hand, a line a start, of which bursts dropped half.

Change: the leader refuses a job at once if the work of its rank and more urgent ones would let it start too late for three times its objective (429, Retry-After by the predicted wait, spread), and one that no worker could hold (422). One line for each step that starts, each with the node's id. 'carawaymast explain ID LOG...' prints an id's lines and the cause. Callers that poll a known job with a short deadline are answered from what the node knows after 80 ms.

--- /dev/null
+++ b/packages/carawaymast-cli/carawaymast_cli/explain.py
@@ -0,0 +1,165 @@
+"""Gathers the log lines of one id and says in a sentence what happened.
+
+The lines are those that ``carawaymastd`` writes to stdout, one JSON object
+each; whatever stands before the first brace of a line, say a collector's own
+stamp, is ignored.
+"""
+
+import json
+import pathlib
+import typing
+
+__all__ = ['Line', 'cause', 'find', 'read_files']
+
+PREFIX = 'carawaymast:'
+# Fields that name a request, job, step or task.
+ID_FIELDS = ('job', 'task', 'step', 'path')
+# Fields that are in each line and shown apart.
+COMMON_FIELDS = ('timestamp', 'message_type', 'at_node', 'at_ms')
+
+
+class Line(typing.NamedTuple):
+    """One log line; ``at_s`` is the node's time of day."""
+
+    at_s: float
+    node: str
+    what: str
+    fields: dict[str, typing.Any]
+
+    def text(self, start_s: float) -> str:
+        """Return the line for people, with seconds since ``start_s``."""
+        fields = ' '.join(f'{k}={v}' for k, v in self.fields.items())
+        return f'{self.at_s - start_s:9.3f} {self.node} {self.what} {fields}'
+
+
+def read_files(paths: typing.Iterable[str]) -> typing.Iterator[Line]:
+    """Yield the lines of log files; what is no log line is passed over."""
+    for path in paths:
+        with pathlib.Path(path).open(errors='replace') as file:
+            for raw in file:
+                line = _parse(raw)
+                if line is not None:
+                    yield line
+
+
+def find(lines: typing.Iterable[Line], wanted: str) -> list[Line]:
+    """Return the lines about an id in the order of their times."""
+    found = [line for line in lines if _is_about(line, wanted)]
+    return sorted(found, key=lambda line: line.at_s)
+
+
+def cause(lines: typing.Sequence[Line], wanted: str) -> str:
+    """Say in a sentence what became of a request, by its lines."""
+    ended = _last(lines, 'job_ended')
+    if ended is not None and ended.fields['phase'] == 'failed':
+        return _why_failed(lines, ended, wanted)
+    if ended is not None and ended.fields['phase'] == 'completed':
+        return _why_late(lines, ended, wanted)
+    if ended is not None:
+        phase = ended.fields['phase']
+        return f'{wanted} was {phase} {ended.fields["cause"]}.'
+    refused = _last(lines, 'request_refused')
+    accepted = _last(lines, 'job_accepted')
+    if accepted is None and refused is not None:
+        fields = refused.fields
+        return (
+            f'{wanted} was refused with {fields["status"]} and did not run: '
+            f'{fields["detail"]}; told to come back after '
+            f'{fields["retry_after_s"]} s.'
+        )
+    if accepted is None and _last(lines, 'request_timed_out') is not None:
+        return f'{wanted} was not answered in time; it may have been stored.'
+    if accepted is not None:
+        return f'{wanted} was accepted and has not ended in these logs.'
+    return f'no line mentions {wanted}; were its lines dropped?'
+
+
+def _why_failed(lines, ended: Line, wanted: str) -> str:
+    runs = [
+        f'run {line.fields["run_id"]} at {line.fields["worker"]}'
+        for line in lines
+        if line.what == 'run_ended' and line.fields['how'] == 'failed'
+    ]
+    where = ', '.join(runs) or 'its runs are not in these logs'
+    return f'{wanted} failed: {ended.fields["cause"]} ({where}).'
+
+
+def _why_late(lines, ended: Line, wanted: str) -> str:
+    took_ms = ended.fields['took_ms']
+    objective_ms = ended.fields['objective_ms']
+    outcome = 'in time' if took_ms <= objective_ms else 'late'
+    reasons = [f'waited {w} ms for a start' for w in _first_wait(lines)]
+    reasons += [
+        f'{line.fields["task"]} had to run again after it {verb} at '
+        f'{line.fields["worker"]}, {line.fields["ran_ms"]} ms in'
+        for line in lines
+        if line.what == 'run_ended'
+        for verb in [VERB_BY_HOW.get(line.fields['how'])]
+        if verb is not None and not line.fields['why'].startswith('job ')
+    ]
+    longest = max(
+        (
+            line
+            for line in lines
+            if line.what == 'run_ended' and line.fields['how'] == 'done'
+        ),
+        key=lambda line: line.fields['ran_ms'],
+        default=None,
+    )
+    if longest is not None:
+        ran_ms = longest.fields['ran_ms']
+        reasons.append(f'its longest run took {ran_ms} ms')
+    return (
+        f'{wanted} was completed {outcome}, after {took_ms} ms of '
+        f'{objective_ms} ms: {"; ".join(reasons)}.'
+    )
+
+
+VERB_BY_HOW: typing.Final[dict[str, str]] = {
+    'failed': 'failed',
+    'lapsed': 'was lost with its lease',
+    'absent': 'did not arrive',
+    'refused': 'was refused',
+    'broken': 'lost a member of its gang',
+    'alone': 'waited in vain for its gang',
+    'stopped': 'was stopped',
+}
+
+
+def _first_wait(lines) -> list[int]:
+    waits = [
+        line.fields['waited_ms']
+        for line in lines
+        if line.what == 'started_step'
+    ]
+    return waits[:1]
+
+
+def _last(lines: typing.Sequence[Line], what: str) -> Line | None:
+    found = [line for line in lines if line.what == what]
+    return found[-1] if found else None
+
+
+def _parse(raw: str) -> Line | None:
+    start = raw.find('{')
+    if start < 0:
+        return None
+    try:
+        fields = json.loads(raw[start:])
+    except ValueError:
+        return None
+    what = fields.get('message_type', '')
+    if not what.startswith(PREFIX):
+        return None
+    at_s = float(fields.get('timestamp', 0))
+    node = fields.get('at_node', '')
+    rest = {k: v for k, v in fields.items() if k not in COMMON_FIELDS}
+    return Line(at_s, node, what.removeprefix(PREFIX), rest)
+
+
+def _is_about(line: Line, wanted: str) -> bool:
+    return any(
+        wanted in str(line.fields[name])
+        for name in ID_FIELDS
+        if name in line.fields
+    )
--- a/packages/carawaymast-cli/carawaymast_cli/main.py
+++ b/packages/carawaymast-cli/carawaymast_cli/main.py
@@ -12,6 +12,7 @@
     carawaymast job show ID
     carawaymast job cancel ID
     carawaymast account [--from=DAY] [--to=DAY]
+    carawaymast explain ID LOG...
 """
 
 import datetime
@@ -24,6 +25,7 @@
 
 from carawaymast_cli import accounts
 from carawaymast_cli import client as client_mod
+from carawaymast_cli import explain
 from carawaymast_cli import output
 from carawaymast_cli import tables
 from carawaymast_core import errors
@@ -149,6 +151,18 @@
     return 0
 
 
+def explain_id(
+    out: output.Output, wanted: str, paths: typing.Sequence[str]
+) -> int:
+    """Print the log lines of an id and the cause; status 1 without lines."""
+    lines = explain.find(explain.read_files(paths), wanted)
+    cause = explain.cause(lines, wanted)
+    texts = [line.text(lines[0].at_s) for line in lines]
+    body = {'lines': [line._asdict() for line in lines], 'cause': cause}
+    out.line('\n'.join([*texts, cause]), body)
+    return 0 if lines else EXIT_FAILED
+
+
 def dispatch(words: typing.Sequence[str], values: flags.FlagValues) -> int:
     """Run the command that ``words`` spell; return the exit status."""
     client = client_mod.Client(values.nodes)
@@ -175,6 +189,8 @@
         case ['account']:
             first_day, last_day = values['from'].value, values['to'].value
             return accounts.show(client, out, first_day, last_day)
+        case ['explain', wanted, *paths] if paths:
+            return explain_id(out, wanted, paths)
     raise UsageError(f'unknown command {" ".join(words)!r}\n{__doc__}')
 
 
--- /dev/null
+++ b/packages/carawaymast-core/carawaymast_core/cell/admission.py
@@ -0,0 +1,122 @@
+"""Whether a new job is worth taking, by the work ahead of it.
+
+A job that would end later than three times its objective is worth nothing to
+its caller any more. It is refused at once, with the time after which a new
+try is likely to be in time, so that the caller can plan.
+"""
+
+import math
+import random
+import typing
+
+from carawaymast_core import resources
+from carawaymast_core.cell import spec as spec_mod
+
+if typing.TYPE_CHECKING:
+    from carawaymast_core.cell import jobs
+    from carawaymast_core.cell import worker as worker_mod
+
+__all__ = ['Backlog', 'Refusal', 'backlog', 'judge']
+
+# The users' rule: up to three times its objective a job is late, then lost.
+WORTHLESS_AFTER_OBJECTIVES = 3
+# Steps pack with gaps: what first fit leaves idle in bench.placement.
+USABLE_SHARE = 0.9
+MIN_RETRY_AFTER_S = 1
+MAX_RETRY_AFTER_S = 30
+# Returns spread over so much of the predicted time, or all came back at once.
+RETRY_SPREAD = 0.5
+
+
+class Backlog(typing.NamedTuple):
+    """Work that waits: ms of the whole service's time, by service and rank."""
+
+    ms_by_place: dict[tuple[str, int], float]
+    largest_by_service: dict[str, resources.Resources]
+
+    def ahead_ms(self, service: str, rank: int) -> float:
+        """Return how long the work of this rank and more urgent ones takes."""
+        return sum(
+            ms
+            for (name, other), ms in self.ms_by_place.items()
+            if name == service and other <= rank
+        )
+
+
+class Refusal(typing.NamedTuple):
+    """Why a job is not taken; ``retry_after_s`` is 0 if it never can be."""
+
+    reason: str
+    wait_ms: int
+    retry_after_s: int
+
+
+def backlog(
+    steps: typing.Iterable['jobs.StepState'],
+    workers: typing.Iterable['worker_mod.Worker'],
+) -> Backlog:
+    """Return the waiting work in terms of the workers' whole capacity."""
+    total_by_service: dict[str, resources.Resources] = {}
+    largest: dict[str, resources.Resources] = {}
+    for worker in workers:
+        name = worker.entry.service
+        capacity = worker.entry.capacity
+        total = total_by_service.get(name, resources.ZERO)
+        total_by_service[name] = total.plus(capacity)
+        here = largest.get(name, resources.ZERO)
+        largest[name] = resources.Resources(
+            *(max(pair) for pair in zip(here, capacity, strict=True))
+        )
+    ms_by_place: dict[tuple[str, int], float] = {}
+    for step in steps:
+        queue = step.job.submission.queue
+        total = total_by_service.get(queue.service)
+        if total is None:
+            continue
+        share = _share(step.spec.size, total) * len(step.waiting())
+        place = (queue.service, queue.rank)
+        ms_by_place[place] = (
+            ms_by_place.get(place, 0.0) + share * step.spec.estimate_ms
+        )
+    return Backlog(ms_by_place, largest)
+
+
+def judge(submission: spec_mod.Submission, known: Backlog) -> Refusal | None:
+    """Return why a job should not be taken, or None."""
+    queue = submission.queue
+    steps = submission.spec.steps
+    largest = known.largest_by_service.get(queue.service)
+    if largest is not None:
+        for number, step in enumerate(steps):
+            if not step.size.fits_in(largest):
+                reason = f'step {number} needs {step.size}, workers have'
+                return Refusal(f'{reason} at most {largest}', 0, 0)
+    if submission.spec.occurrences or any(s.is_service for s in steps):
+        return None
+    chain = spec_mod.chain_ms(steps)
+    objective_ms = queue.stretch_factor * chain + queue.target_ms
+    wait_ms = known.ahead_ms(queue.service, queue.rank) / USABLE_SHARE
+    bound_ms = WORTHLESS_AFTER_OBJECTIVES * objective_ms - chain
+    if wait_ms <= bound_ms:
+        return None
+    in_time_ms = wait_ms - max(0.0, objective_ms - chain)
+    return Refusal(
+        f'a start is predicted in {int(wait_ms)} ms, of use until '
+        f'{int(bound_ms)} ms',
+        int(wait_ms),
+        _retry_after_s(in_time_ms),
+    )
+
+
+def _share(size: resources.Resources, total: resources.Resources) -> float:
+    """Return the share of the scarcest resource that a task takes."""
+    return max(
+        need / have if have else 0.0
+        for need, have in zip(size, total, strict=True)
+    )
+
+
+def _retry_after_s(ms: float) -> int:
+    spread = 1 + random.uniform(0, RETRY_SPREAD)
+    seconds = math.ceil(ms * spread / 1_000)
+    return max(MIN_RETRY_AFTER_S, min(MAX_RETRY_AFTER_S, seconds))
--- a/packages/carawaymast-core/carawaymast_core/cell/cell.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/cell.py
@@ -9,6 +9,7 @@
 import typing
 
 from carawaymast_core import errors
+from carawaymast_core.cell import admission
 from carawaymast_core.cell import advice as advice_mod
 from carawaymast_core.cell import ends
 from carawaymast_core.cell import jobs
@@ -72,6 +73,7 @@
         self.timed_steps: dict[str, jobs.StepState] = {}
         self.stops: list[StopOrder] = []
         self._wall_offset_ms = 0
+        self._backlog = admission.Backlog({}, {})
         self._new_by_id: dict[str, spec_mod.Submission] = {}
         self._dirty: set[str] = set()
         self._starts: list[worker_mod.Run] = []
@@ -87,6 +89,14 @@
             if record.phase.is_final and record.tasks:
                 self.submit(view, job_id, now_ms, wall_ms)
 
+    def judge(
+        self, submission: spec_mod.Submission
+    ) -> admission.Refusal | None:
+        """Return why a new job should not be taken, by the last plan."""
+        if submission.job_id in self.job_by_id:
+            return None
+        return admission.judge(submission, self._backlog)
+
     def accept(
         self, submission: spec_mod.Submission, now_ms: int, wall_ms: int
     ) -> None:
@@ -177,10 +187,15 @@
     def _end_job(self, job: jobs.Job, phase, cause: str, wall_ms: int) -> None:
         """Give a job its final state and stop what still runs of it."""
         if not job.phase.is_final:
+            job.changed_at_ms = wall_ms
             self._log(
-                'job_ended', job=job.job_id, phase=phase.value, cause=cause
+                'job_ended',
+                job=job.job_id,
+                phase=phase.value,
+                cause=cause,
+                took_ms=wall_ms - job.submission.accepted_at_ms,
+                objective_ms=job.objective_ms,
             )
-            job.changed_at_ms = wall_ms
         job.phase = phase
         job.cause = cause
         self._mark(job)
@@ -485,6 +500,7 @@
         planner.plan(ordered, workers, now_ms, place)
         for job in touched.values():
             self._refresh(job, now_ms, wall_ms)
+        self._backlog = admission.backlog(self.ready_by_name.values(), workers)
 
     def advice_wanted(
         self, now_ms: int, wall_ms: int
@@ -595,20 +611,19 @@
 
     def settle(self, job: jobs.Job, now_ms: int) -> None:
         """Find out what a job's changed tasks mean for it."""
-        wall_ms = job.changed_at_ms
+        wall_ms = self.wall_of(now_ms)
         if job.phase.is_final:
             self._drop_if_over(job)
         elif job.is_complete:
             self._end_job(job, records.JobPhase.COMPLETED, '', wall_ms)
         else:
-            self._refresh(job, now_ms, self.wall_of(now_ms))
+            self._refresh(job, now_ms, wall_ms)
 
-    def fail_job(self, job: jobs.Job, cause: str) -> None:
+    def fail_job(self, job: jobs.Job, cause: str, now_ms: int) -> None:
         """End a job whose task has failed too often."""
         if not job.phase.is_final:
-            self._end_job(
-                job, records.JobPhase.FAILED, cause, job.changed_at_ms
-            )
+            wall_ms = self.wall_of(now_ms)
+            self._end_job(job, records.JobPhase.FAILED, cause, wall_ms)
 
     def note(self, what: str, **fields) -> None:
         """Log a decision about a run."""
--- a/packages/carawaymast-core/carawaymast_core/cell/ends.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/ends.py
@@ -80,7 +80,7 @@
     if how is worker_mod.EndKind.DONE and not step.spec.is_service:
         _finish(cell, task)
     elif how is worker_mod.EndKind.FAILED:
-        _count_failure(cell, task, run_id)
+        _count_failure(cell, task, run_id, now_ms)
     if step.spec.is_gang and how is not worker_mod.EndKind.DONE:
         _break_gang(cell, task, run_id)
     cell.settle(step.job, now_ms)
@@ -96,7 +96,7 @@
             cell.stop(other, 'another copy is done')
 
 
-def _count_failure(cell, task: 'jobs.Task', run_id: int) -> None:
+def _count_failure(cell, task: 'jobs.Task', run_id: int, now_ms: int) -> None:
     """Count a failed attempt, once for all members of a gang's run."""
     step = task.step
     if step.spec.is_service or task.is_done:
@@ -111,7 +111,9 @@
     limit = step.job.submission.queue.max_attempts
     if task.failures >= limit:
         cell.fail_job(
-            step.job, f'task {task.name} failed {task.failures} times'
+            step.job,
+            f'task {task.name} failed {task.failures} times',
+            now_ms,
         )
 
 
--- a/packages/carawaymast-core/carawaymast_core/errors.py
+++ b/packages/carawaymast-core/carawaymast_core/errors.py
@@ -91,13 +91,15 @@
 class SchedulerError(Exception):
     """An error of one kind with a detail for people.
 
-    ``detail`` names the argument and the value that was refused.
+    ``detail`` names the argument and the value that was refused;
+    ``retry_after_s`` is 0 unless it is known when a new try is worth while.
     """
 
-    def __init__(self, kind: ErrorKind, detail: str):
+    def __init__(self, kind: ErrorKind, detail: str, retry_after_s: int = 0):
         super().__init__(f'{kind}: {detail}')
         self.kind = kind
         self.detail = detail
+        self.retry_after_s = retry_after_s
 
     @property
     def answer(self) -> Answer:
--- a/packages/carawaymast-node/carawaymast_node/cells/front.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/front.py
@@ -24,8 +24,13 @@
 
 # Callers wait so long unless they say otherwise.
 DEFAULT_DEADLINE_MS = 3_000
-# An answer needs some ms on its way back to be in time.
+# An answer needs some ms on its way back to be in time: 150 ms, which also
+# covers a slow node, but at most a fifth of a short deadline.
 ANSWER_MARGIN_MS = 150
+MARGIN_SHARE = 5
+# A caller that polls a known job is answered within this, also while the
+# leader changes.
+NEWS_TIMEOUT_MS = 80
 # How long a look-up of an unknown job waits for a fresh read of the store.
 FRESH_READ_MS = 900
 # A caller comes back after so long when the store is away; outages of some
@@ -80,9 +85,7 @@
         method = request.method
         deadline_ms = _deadline_ms(request, self._parts.ingress)
         try:
-            async with asyncio.timeout(
-                max(50, deadline_ms - ANSWER_MARGIN_MS) / 1000
-            ):
+            async with asyncio.timeout(_time_left_s(deadline_ms)):
                 answer = await self._dispatch(method, request)
         except errors.SchedulerError as error:
             answer = _error_answer(error)
@@ -181,7 +184,7 @@
         phase = self._parts.view.phase(job_id)
         if phase is not None and phase.is_final:
             return phase
-        phase = await self._parts.leader_calls.phase(job_id) or phase
+        phase = await self._ask_leader(job_id, phase) or phase
         if phase is not None:
             return phase
         now_ms = self._parts.clock.now()
@@ -195,6 +198,18 @@
             ) from None
         return self._parts.view.phase(job_id)
 
+    async def _ask_leader(
+        self, job_id: str, known: records.JobPhase | None
+    ) -> records.JobPhase | None:
+        """Ask for news; what is known already must not wait long for it."""
+        if known is None:
+            return await self._parts.leader_calls.phase(job_id)
+        try:
+            async with asyncio.timeout(NEWS_TIMEOUT_MS / 1000):
+                return await self._parts.leader_calls.phase(job_id)
+        except TimeoutError:
+            return None
+
     def _send(self, response, answer: Answer) -> None:
         if not self._guard.is_open(response.request.sock):
             return
@@ -236,8 +251,15 @@
     return int(text) if text.isdigit() else DEFAULT_DEADLINE_MS
 
 
+def _time_left_s(deadline_ms: int) -> float:
+    margin_ms = min(ANSWER_MARGIN_MS, deadline_ms // MARGIN_SHARE)
+    return (deadline_ms - margin_ms) / 1000
+
+
 def _error_answer(error: errors.SchedulerError) -> Answer:
     status = error.answer.status
-    retry_after_s = RETRY_AFTER_S if status in (429, 503) else 0
+    retry_after_s = error.retry_after_s
+    if status in (429, 503) and not retry_after_s:
+        retry_after_s = RETRY_AFTER_S
     body = errors.error_body(error, '')
     return Answer(status, body, retry_after_s)
--- a/packages/carawaymast-node/carawaymast_node/cells/leader.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/leader.py
@@ -4,6 +4,8 @@
 import typing
 
 from carawaymast_core import clock as clock_mod
+from carawaymast_core import errors
+from carawaymast_core.cell import admission
 from carawaymast_core.cell import cell as cell_mod
 from carawaymast_core.cell import spec as spec_mod
 from carawaymast_core.cell import view as view_mod
@@ -150,13 +152,17 @@
     async def accept(self, submission: spec_mod.Submission) -> bool:
         """Store a job; False if it has to be stored without the leader.
 
-        Not answered, or cancelled, it may still come to be stored.
+        Not answered, or cancelled, it may still come to be stored. Raises
+        ``SchedulerError`` if the job is refused; then it never runs.
         """
         if not self.is_open or self._journal.is_failing:
             return False
         job_id = submission.job_id
         if job_id in self._context.view.submission_by_id:
             return True
+        refusal = self.cell.judge(submission)
+        if refusal is not None:
+            raise _refused(refusal)
         self.cell.accept(submission, self._clock.now(), self._clock.wall())
         if job_id in self._context.view.cancelled_ids:
             self.take_job(job_id)
@@ -269,7 +275,10 @@
 
     async def _write(self, batch: cell_mod.Batch) -> None:
         await self._journal.write(batch)
-        for run in self.cell.commit(batch):
+        starts = self.cell.commit(batch)
+        for line in start_lines(starts, self._clock.wall()):
+            self._log.note('started_step', epoch=self.epoch, **line)
+        for run in starts:
             self._tasks.spawn(self._start(run))
         committed = self._committed
         self._committed = asyncio.Event()
@@ -280,16 +289,6 @@
     async def _start(self, run: worker_mod.Run) -> None:
         now_ms = self._clock.now()
         deadline_ms = run.worker.next_deadline(now_ms, self._lease_ms)
-        job = run.task.step.job
-        self._log.note(
-            'start_ordered',
-            task=run.task.name,
-            run_id=run.run_id,
-            worker=run.worker.worker_id,
-            epoch=self.epoch,
-            free_cpu=run.worker.free.cpu_millis,
-            waited_ms=self._clock.wall() - job.submission.accepted_at_ms,
-        )
         outcome = await self._workers.start(run, self.epoch, deadline_ms)
         if not outcome.is_known:
             self._lossy_until_ms = self._clock.now() + LOSSY_MS
@@ -383,3 +382,45 @@
                 await asyncio.wait_for(self._committed.wait(), left_ms / 1000)
             except asyncio.TimeoutError:
                 return
+
+
+def start_lines(
+    starts: typing.Iterable[worker_mod.Run], wall_ms: int
+) -> list[dict[str, typing.Any]]:
+    """Return the fields of one log line for each step that starts."""
+    runs_by_step: dict[str, list[worker_mod.Run]] = {}
+    for run in starts:
+        runs_by_step.setdefault(run.task.step.name, []).append(run)
+    lines = []
+    for name, runs in runs_by_step.items():
+        first = runs[0]
+        job = first.task.step.job
+        lines.append(
+            {
+                'step': name,
+                'waited_ms': wall_ms - job.submission.accepted_at_ms,
+                # Task, run, worker and the processors left there.
+                'runs': [
+                    (
+                        run.task.index,
+                        run.run_id,
+                        run.worker.worker_id,
+                        run.worker.free.cpu_millis,
+                    )
+                    for run in runs
+                ],
+                'heard_ms_ago': first.placed_at_ms
+                - first.worker.last_answer_at_ms,
+                'has_ticket': bool(first.ticket),
+            }
+        )
+    return lines
+
+
+def _refused(refusal: admission.Refusal) -> errors.SchedulerError:
+    if not refusal.retry_after_s:
+        kind = errors.ErrorKind.IMPOSSIBLE_JOB
+        return errors.SchedulerError(kind, refusal.reason)
+    return errors.SchedulerError(
+        errors.ErrorKind.OVERLOADED, refusal.reason, refusal.retry_after_s
+    )
--- a/packages/carawaymast-node/carawaymast_node/cells/leader_calls.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/leader_calls.py
@@ -7,6 +7,7 @@
 import asyncio
 import typing
 
+from carawaymast_core import errors
 from carawaymast_core.cell import records
 from carawaymast_core.cell import spec as spec_mod
 from carawaymast_node import fabric_pb2
@@ -48,6 +49,7 @@
         """Let the leader store a job; False if it did not answer so.
 
         Then the job may be stored or not; storing it again does no harm.
+        Raises ``SchedulerError`` if the leader refuses the job.
         """
         try:
             async with asyncio.timeout(SUBMIT_TIMEOUT_MS / 1000):
@@ -73,6 +75,13 @@
             )
         except fabric.PeerError:
             return False
+        if answer.refusal:
+            kind = errors.ErrorKind.IMPOSSIBLE_JOB
+            if answer.retry_after_s:
+                kind = errors.ErrorKind.OVERLOADED
+            raise errors.SchedulerError(
+                kind, answer.refusal, answer.retry_after_s
+            )
         return answer.stored
 
     async def answer_submit(
@@ -88,6 +97,12 @@
                 stored = await own.accept(submission)
         except TimeoutError:
             stored = False
+        except errors.SchedulerError as error:
+            return fabric_pb2.SubmitAnswer(
+                stored=False,
+                refusal=error.detail,
+                retry_after_s=error.retry_after_s,
+            )
         return fabric_pb2.SubmitAnswer(stored=stored)
 
     async def deliver(self, items: typing.Sequence[ports.KeyValue]) -> None:
--- a/packages/carawaymast-node/carawaymast_node/cells/service.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/service.py
@@ -75,7 +75,9 @@
         self.clock = clock
         self.boot_id = uuid.uuid4().hex[:12]
         self.metrics = telemetry_mod.Metrics()
-        self.log = telemetry_mod.Telemetry(clock, self.metrics)
+        self.log = telemetry_mod.Telemetry(
+            clock, self.metrics, self.settings.node_id
+        )
         self._stack = contextlib.AsyncExitStack()
         self._stop = asyncio.Event()
         self._failure: BaseException | None = None
--- a/packages/carawaymast-node/carawaymast_node/cells/telemetry.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/telemetry.py
@@ -21,8 +21,8 @@
 
 # Lines of one kind a second, and in a burst: the busiest decision is a task
 # start, 180 a second at the size to design for, spread over some leaders.
-LINES_PER_S = 60
-BURST_LINES = 240
+LINES_PER_S = 120
+BURST_LINES = 500
 # Bytes that wait for a reader of stdout before lines are dropped.
 MAX_BUFFERED_BYTES = 512 * 1024
 FLUSH_INTERVAL_S = 0.05
@@ -81,7 +81,13 @@
 class Telemetry:
     """Writes decision lines; counts all of them, also those not written."""
 
-    def __init__(self, clock: clock_mod.Clock, metrics: 'Metrics'):
+    def __init__(
+        self,
+        clock: clock_mod.Clock,
+        metrics: 'Metrics',
+        node_id: str = '',
+    ):
+        self._node_id = node_id
         self._clock = clock
         self._metrics = metrics
         self._bucket_by_kind: dict[str, _Bucket] = {}
@@ -107,7 +113,10 @@
             fields['lines_dropped'] = bucket.dropped
             bucket.dropped = 0
         eliot.log_message(
-            message_type=f'carawaymast:{what}', at_ms=now_ms, **fields
+            message_type=f'carawaymast:{what}',
+            at_node=self._node_id,
+            at_ms=now_ms,
+            **fields,
         )
 
 
