Room of foreign runs counts; "not run" only if neither way may have stored

Change: (1) a run in the records belongs to the latest life of its worker; what a worker lists and this leader did not place counts until it is listed no more. (2) the leader's answer is yes, no or unknown; after unknown the caller is told that the outcome is unknown.

Ruled out: (1) the harness (two shrunk examples, each now a scenario).

--- a/features/cell.feature
+++ b/features/cell.feature
@@ -114,3 +114,22 @@
     When its submission arrives once more at a new leader
     And 2 s pass
     Then nothing is left at the workers
+
+  Scenario: A new leader finds a start that reached a worker's next life
+    Given a cell of 1 workers
+    And a job "j1" of 1 tasks and then 1 tasks
+    And tasks that take 60 s
+    And the leader has written but not sent their starts
+    When a worker starts anew under the same id, unseen
+    And the late starts arrive
+    And another leader takes over
+    Then the leader counts what runs there
+    And each task was started once
+
+  Scenario: What a leader did not place counts until it has stopped
+    Given a cell of 1 workers
+    And a job "j1" of 3 tasks and then 1 tasks
+    And tasks that take 60 s
+    And the leader has started them
+    When a leader takes over that does not know of their placement
+    Then the leader counts what runs there
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -87,6 +87,16 @@
     When answers are lost and a job is handed in
     Then the caller is told that the outcome is unknown
 
+  Scenario Outline: What the leader may have stored is never called "not run"
+    Given the platform's store
+    When the store is down and the leader answers "<answer>" to a job
+    Then the caller is told "<kind>"
+
+    Examples:
+      | answer  | kind            |
+      | no      | log-unavailable |
+      | unknown | outcome-unknown |
+
   Scenario Outline: A malformed job is refused with its reason
     When a job "<body>" is decoded
     Then it is refused and the reason names "<reason>"
--- a/features/steps/cell_steps.py
+++ b/features/steps/cell_steps.py
@@ -141,6 +141,29 @@
     lives.take_worker(world.cell, world.entry(runner), world.clock.now())
 
 
+@when('a worker starts anew under the same id, unseen')
+def start_anew_unseen(context):
+    context.world.add_runner('w0', born_ms=2)
+
+
+@when('a leader takes over that does not know of their placement')
+def take_over_blind(context):
+    world = context.world
+    for job_id in list(world.view.record_by_id):
+        del world.view.record_by_id[job_id]
+    world.take_over()
+
+
+@then('the leader counts what runs there')
+def counts_running(context):
+    world = context.world
+    worker = world.worker('w0')
+    used = world.capacity.minus(worker.free)
+    running = len(world.runner_by_id['w0'].running)
+    assert running > 0
+    assert used.cpu_millis >= running * 1_000, (used, running)
+
+
 @when('{seconds:d} s pass')
 def pass_time(context, seconds):
     world = context.world
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -358,17 +358,21 @@
     assert context.route.is_direct
 
 
-def hand_in(context):
+def hand_in(context, answer=ports.Taken.NO):
     async def deliver(items):
         return None
 
+    async def submit(submission):
+        return answer
+
     async def store():
         intake = intake_mod.Intake(
             context.store, telemetry.Metrics(), 0, deliver
         )
         running = asyncio.create_task(intake.run())
+        submission = cell_world.job('j1', cell_world.step())
         try:
-            await intake.store(ports.KeyValue('j1', b'x'))
+            await intake_mod.store_job(submission, submit, intake)
         except errors.SchedulerError as error:
             return error
         finally:
@@ -378,6 +382,17 @@
     context.error = asyncio.run(store())
 
 
+@when('the store is down and the leader answers "{answer}" to a job')
+def hand_in_after(context, answer):
+    context.log.is_down = True
+    hand_in(context, ports.Taken(answer))
+
+
+@then('the caller is told "{kind}"')
+def told_kind(context, kind):
+    assert context.error.kind.value == kind, context.error
+
+
 @when('the store is down and a job is handed in')
 def hand_in_down(context):
     context.log.is_down = True
--- a/packages/carawaymast-core/carawaymast_core/cell/answers.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/answers.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from carawaymast_core import resources
 from carawaymast_core.cell import ends
 from carawaymast_core.cell import lives
 from carawaymast_core.cell import worker as worker_mod
@@ -56,10 +57,12 @@
 
 def _take_running(cell: 'cell_mod.Cell', worker, running, now_ms: int) -> set:
     listed = set()
+    worker.foreign = resources.ZERO
     for row in running:
         listed.add((row.task, row.run_id))
         run = worker.run_by_task.get(row.task)
         if run is None or run.run_id != row.run_id:
+            worker.foreign = worker.foreign.plus(_size_of(cell, worker, row))
             cell.stops.append(
                 worker_mod.StopOrder(worker, row.task, row.run_id, None)
             )
@@ -72,6 +75,18 @@
     return listed
 
 
+def _size_of(
+    cell: 'cell_mod.Cell', worker, row: worker_mod.Listed
+) -> resources.Resources:
+    """Return the room of a run by its name; a whole worker if unknown."""
+    job_id, _, rest = row.task.partition('.')
+    job = cell.job_by_id.get(job_id)
+    if job is None:
+        return worker.entry.capacity
+    number = int(rest.split('.')[1])
+    return job.submission.spec.steps[number].size
+
+
 def _is_absence_certain(cell: 'cell_mod.Cell', run, sent_at_ms: int) -> bool:
     if run.state is worker_mod.RunState.PLACED:
         return False
--- a/packages/carawaymast-core/carawaymast_core/cell/takeover.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/takeover.py
@@ -47,9 +47,7 @@
     task.checkpoint = row.checkpoint
     for run_row in row.runs:
         key = (run_row.worker_id, run_row.born_ms)
-        worker = cell.worker_by_key.get(key)
-        if worker is None:
-            worker = _add_unlisted(cell, key, now_ms)
+        worker = _latest_life(cell, key) or _add_unlisted(cell, key, now_ms)
         run = worker_mod.Run(task, run_row.run_id, worker, now_ms)
         run.state = worker_mod.RunState.ORDERED
         # The first hold with the new epoch shows whether it is there:
@@ -59,6 +57,23 @@
         task.runs.append(run)
 
 
+def _latest_life(
+    cell: 'cell_mod.Cell', key: tuple[str, int]
+) -> worker_mod.Worker | None:
+    """Return the life that a run may be in: its own or a later one.
+
+    A start that was sent to the life before may have reached the next, which
+    has the same id.
+    """
+    worker_id, born_ms = key
+    lives_there = [
+        worker
+        for worker in cell.worker_by_key.values()
+        if worker.worker_id == worker_id and worker.born_ms >= born_ms
+    ]
+    return max(lives_there, key=lambda w: w.born_ms, default=None)
+
+
 def _add_unlisted(
     cell: 'cell_mod.Cell', key, now_ms: int
 ) -> worker_mod.Worker:
--- a/packages/carawaymast-core/carawaymast_core/cell/worker.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/worker.py
@@ -179,6 +179,9 @@
         self.born_ms = entry.born_ms
         self.run_by_task: dict[str, Run] = {}
         self.used = resources.ZERO
+        # Room of listed runs that this leader did not place here; they are
+        # being stopped and count until they are listed no more.
+        self.foreign = resources.ZERO
         self.is_adopted = False
         self.is_gone = False
         self.is_listed = True
@@ -202,7 +205,7 @@
     @property
     def free(self) -> resources.Resources:
         """The room that no run may be using."""
-        return self.entry.capacity.minus(self.used)
+        return self.entry.capacity.minus(self.used).minus(self.foreign)
 
     @property
     def rack(self) -> str:
--- a/packages/carawaymast-node/carawaymast_node/cells/front.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/front.py
@@ -146,11 +146,9 @@
         submission = spec_mod.Submission(
             job_id, queue.policy, spec, parts.clock.wall()
         )
-        by_leader = await parts.leader_calls.submit(submission)
-        if not by_leader:
-            await parts.intake.store(
-                ports.KeyValue(job_id, records.encode(submission))
-            )
+        taken = await intake_mod.store_job(
+            submission, parts.leader_calls.submit, parts.intake
+        )
         parts.metrics.count('jobs_accepted_total')
         parts.log.note(
             'job_accepted',
@@ -158,7 +156,7 @@
             queue=queue.policy.name,
             tasks=sum(step.count for step in spec.steps),
             version=parts.routes.version,
-            by_leader=by_leader,
+            by_leader=taken.value,
         )
         return Answer(200, {})
 
--- a/packages/carawaymast-node/carawaymast_node/cells/intake.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/intake.py
@@ -4,11 +4,13 @@
 import typing
 
 from carawaymast_core import errors
+from carawaymast_core.cell import records
+from carawaymast_core.cell import spec as spec_mod
 from carawaymast_node import background
 from carawaymast_node.cells import ports
 from carawaymast_node.cells import telemetry
 
-__all__ = ['Intake', 'TOPIC']
+__all__ = ['Intake', 'TOPIC', 'store_job']
 
 TOPIC = 'intake'
 # A store that answers nothing keeps a caller waiting for at most two tries.
@@ -105,3 +107,30 @@
         if is_unknown:
             kind = errors.ErrorKind.OUTCOME_UNKNOWN
         return errors.SchedulerError(kind, detail)
+
+
+async def store_job(
+    submission: spec_mod.Submission,
+    submit: typing.Callable[
+        [spec_mod.Submission], typing.Awaitable[ports.Taken]
+    ],
+    intake: Intake,
+) -> ports.Taken:
+    """Store a job by the leader, or without it; return the leader's answer.
+
+    Raises ``SchedulerError``. That the job is not stored, and never runs, is
+    said only if neither way may have stored it.
+    """
+    taken = await submit(submission)
+    if taken is ports.Taken.YES:
+        return taken
+    item = ports.KeyValue(submission.job_id, records.encode(submission))
+    try:
+        await intake.store(item)
+    except errors.SchedulerError as error:
+        if taken is ports.Taken.NO:
+            raise
+        raise errors.SchedulerError(
+            errors.ErrorKind.OUTCOME_UNKNOWN, error.detail
+        ) from None
+    return taken
--- a/packages/carawaymast-node/carawaymast_node/cells/leader.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/leader.py
@@ -145,17 +145,19 @@
         )
         self._wake.set()
 
-    async def accept(self, submission: spec_mod.Submission) -> bool:
-        """Store a job; False if it has to be stored without the leader.
+    async def accept(self, submission: spec_mod.Submission) -> ports.Taken:
+        """Store a job and say whether that is certain.
 
-        Not answered, or cancelled, it may still come to be stored. Raises
-        ``SchedulerError`` if the job is refused; then it never runs.
+        Cancelled, it may still come to be stored. Raises ``SchedulerError``
+        if the job is refused; then it never runs.
         """
-        if not self.is_open or self._journal.is_failing:
-            return False
         job_id = submission.job_id
         if job_id in self._context.view.submission_by_id:
-            return True
+            return ports.Taken.YES
+        if not self.is_open or self._journal.is_failing:
+            # Unless an earlier try of the same job is under way.
+            is_new = job_id not in self.cell.job_by_id
+            return ports.Taken.NO if is_new else ports.Taken.UNKNOWN
         refusal = self.cell.judge(submission)
         if refusal is not None:
             raise _refused(refusal)
@@ -165,9 +167,9 @@
         self._wake.set()
         while job_id not in self._context.view.submission_by_id:
             if self._is_over:
-                return False
+                return ports.Taken.UNKNOWN
             await self._committed.wait()
-        return True
+        return ports.Taken.YES
 
     async def finish(self, timeout_ms: int) -> None:
         """Wait until what was decided is written, before a hand-over."""
--- a/packages/carawaymast-node/carawaymast_node/cells/leader_calls.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/leader_calls.py
@@ -45,11 +45,11 @@
         self._show = show
         self._own_leader = leader
 
-    async def submit(self, submission: spec_mod.Submission) -> bool:
-        """Let the leader store a job; False if it did not answer so.
+    async def submit(self, submission: spec_mod.Submission) -> ports.Taken:
+        """Let the leader store a job.
 
-        Then the job may be stored or not; storing it again does no harm.
-        Raises ``SchedulerError`` if the leader refuses the job.
+        Storing it again does no harm, whatever the answer. Raises
+        ``SchedulerError`` if the leader refuses the job.
         """
         try:
             async with asyncio.timeout(SUBMIT_TIMEOUT_MS / 1000):
@@ -58,12 +58,12 @@
                     return await own.accept(submission)
                 return await self._submit_to_peer(submission)
         except TimeoutError:
-            return False
+            return ports.Taken.UNKNOWN
 
-    async def _submit_to_peer(self, submission) -> bool:
+    async def _submit_to_peer(self, submission) -> ports.Taken:
         leader = self._leader()
         if leader is None:
-            return False
+            return ports.Taken.NO
         message = fabric_pb2.SubmitCall(
             record=fabric_pb2.Record(
                 key=submission.job_id, value=records.encode(submission)
@@ -74,7 +74,7 @@
                 leader, 'Submit', message, SUBMIT_TIMEOUT_MS
             )
         except fabric.PeerError:
-            return False
+            return ports.Taken.UNKNOWN
         if answer.refusal:
             kind = errors.ErrorKind.IMPOSSIBLE_JOB
             if answer.retry_after_s:
@@ -82,7 +82,7 @@
             raise errors.SchedulerError(
                 kind, answer.refusal, answer.retry_after_s
             )
-        return answer.stored
+        return ports.Taken(answer.taken)
 
     async def answer_submit(
         self, message: fabric_pb2.SubmitCall
@@ -90,20 +90,20 @@
         """Store a job for another node."""
         own = self._own_leader()
         if own is None:
-            return fabric_pb2.SubmitAnswer(stored=False)
+            return fabric_pb2.SubmitAnswer(taken=ports.Taken.NO.value)
         submission = records.decode(spec_mod.Submission, message.record.value)
         try:
             async with asyncio.timeout(SUBMIT_TIMEOUT_MS / 1000):
-                stored = await own.accept(submission)
+                taken = await own.accept(submission)
         except TimeoutError:
-            stored = False
+            taken = ports.Taken.UNKNOWN
         except errors.SchedulerError as error:
             return fabric_pb2.SubmitAnswer(
-                stored=False,
+                taken=ports.Taken.NO.value,
                 refusal=error.detail,
                 retry_after_s=error.retry_after_s,
             )
-        return fabric_pb2.SubmitAnswer(stored=stored)
+        return fabric_pb2.SubmitAnswer(taken=taken.value)
 
     async def deliver(self, items: typing.Sequence[ports.KeyValue]) -> None:
         """Hand records that are stored to the leader."""
--- a/packages/carawaymast-node/carawaymast_node/cells/ports.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/ports.py
@@ -4,6 +4,7 @@
 names. Times are whole milliseconds.
 """
 
+import enum
 import typing
 
 from carawaymast_core.cell import spec as spec_mod
@@ -30,6 +31,7 @@
     'StorePort',
     'StoreSend',
     'StoredItem',
+    'Taken',
     'TrimmedError',
     'WorkerError',
     'WorkerFencedError',
@@ -39,6 +41,16 @@
 ]
 
 
+class Taken(enum.Enum):
+    """Whether the leader stored a job that it was given."""
+
+    YES = 'yes'
+    # It certainly did not, and will not.
+    NO = 'no'
+    # It did not say so; it may have, or may do so yet.
+    UNKNOWN = 'unknown'
+
+
 class StoreError(Exception):
     """A call to the store failed; ``is_unknown`` if it may have run."""
 
