A leader whose own process is too slow steps aside

Change: the loop's lag is measured; half a second of turns 60 ms late or more make the leader release the cell and leave it to others for 6 s, at most once in 3 s and only with peers in reach.

--- a/features/cell.feature
+++ b/features/cell.feature
@@ -133,3 +133,14 @@
     And the leader has started them
     When a leader takes over that does not know of their placement
     Then the leader counts what runs there
+
+  Scenario Outline: A leader knows that its own process is too slow
+    When the turns of a loop come <late> ms late for <turns> turns
+    Then the node counts as slow: <slow>
+
+    Examples:
+      | late | turns | slow |
+      | 5    | 200   | no   |
+      | 4000 | 1     | no   |
+      | 120  | 4     | no   |
+      | 120  | 20    | yes  |
--- a/features/steps/cell_steps.py
+++ b/features/steps/cell_steps.py
@@ -4,6 +4,7 @@
 from behave import then
 from behave import when
 
+from carawaymast_core.cell import lag
 from carawaymast_core.cell import lives
 from carawaymast_core.cell import records
 from carawaymast_core.cell import worker as worker_mod
@@ -261,3 +262,15 @@
         for runner in context.world.runner_by_id.values()
         for pair in runner.started
     ]
+
+
+@when('the turns of a loop come {late:d} ms late for {turns:d} turns')
+def late_turns(context, late, turns):
+    context.meter = lag.LagMeter()
+    for _ in range(turns):
+        context.meter.note(late)
+
+
+@then('the node counts as slow: {answer}')
+def counts_as_slow(context, answer):
+    assert context.meter.is_slow == (answer == 'yes'), context.meter.average_ms
--- a/packages/carawaymast-node/carawaymast_node/cells/leadership.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/leadership.py
@@ -4,6 +4,7 @@
 import random
 import typing
 
+from carawaymast_core.cell import lag
 from carawaymast_node.cells import election as election_mod
 from carawaymast_node.cells import leader as leader_mod
 from carawaymast_node.cells import ports
@@ -17,6 +18,12 @@
 # The hand-over waits so long for a write under way and for its own record.
 FINISH_MS = 300
 RELEASE_MS = 800
+# A slow leader steps aside at most once in this time, so that a fleet of slow
+# nodes does not pass the leadership round.
+LEAST_TERM_MS = 3_000
+# It then leaves the leadership to others for so long; the users' slow phases
+# last 5 s and more.
+ASIDE_MS = 6_000
 
 
 class Leadership:
@@ -35,6 +42,10 @@
         self._tail = tail
         self._fail = fail
         self._is_handing_over = False
+        self._lag = lag.LagMeter()
+        self._began_at_ms = 0
+        self._renewed_at_ms = 0
+        self._no_claim_until_ms = 0
         self._leader_task: asyncio.Task | None = None
         self.leader: leader_mod.Leader | None = None
 
@@ -59,6 +70,7 @@
         self.leader = leader_mod.Leader(self._context, epoch)
         self._leader_task = asyncio.ensure_future(self._lead(self.leader))
         self._context.intake_tail.hurry()
+        self._began_at_ms = self._clock.now()
 
     async def _lead(self, leader: leader_mod.Leader) -> None:
         try:
@@ -81,22 +93,52 @@
 
     async def keep_electing(self) -> typing.NoReturn:
         """Renew while leading, claim while nobody leads."""
-        renewed_at_ms = 0
         while True:
+            slept_at_ms = self._clock.now()
             await asyncio.sleep(CLAIM_POLL_MS / 1000)
-            leader = self.leader
             now_ms = self._clock.now()
+            self._lag.note(now_ms - slept_at_ms - CLAIM_POLL_MS)
+            if self._is_handing_over:
+                continue
             try:
-                if leader is not None and not self._is_handing_over:
-                    if now_ms - renewed_at_ms >= election_mod.RENEW_MS:
-                        renewed_at_ms = now_ms
-                        await self._election.renew(leader.epoch, ())
-                elif not self._is_handing_over:
-                    await self._claim_if_vacant()
+                await self._elect(now_ms)
             except ports.StoreError as error:
                 self._log.note('election_call_failed', error=str(error))
 
+    async def _elect(self, now_ms: int) -> None:
+        leader = self.leader
+        if leader is None:
+            await self._claim_if_vacant()
+        elif self._is_better_elsewhere(now_ms):
+            await self._step_aside(leader, now_ms)
+        elif now_ms - self._renewed_at_ms >= election_mod.RENEW_MS:
+            self._renewed_at_ms = now_ms
+            await self._election.renew(leader.epoch, ())
+
+    def _is_better_elsewhere(self, now_ms: int) -> bool:
+        """Whether this node is too slow and another could lead."""
+        return (
+            self._lag.is_slow
+            and now_ms - self._began_at_ms > LEAST_TERM_MS
+            and bool(self._context.peers.candidates())
+        )
+
+    async def _step_aside(
+        self, leader: leader_mod.Leader, now_ms: int
+    ) -> None:
+        """Let another node lead; this one claims nothing for a while."""
+        self._log.note(
+            'leader_too_slow',
+            epoch=leader.epoch,
+            lag_ms=round(self._lag.average_ms),
+        )
+        self._lag.reset()
+        self._no_claim_until_ms = now_ms + ASIDE_MS
+        await self._release(leader)
+
     async def _claim_if_vacant(self) -> None:
+        if self._clock.now() < self._no_claim_until_ms:
+            return
         if not self._election.is_vacant(self._tail):
             return
         await asyncio.sleep(random.uniform(0, CLAIM_JITTER_MS) / 1000)
@@ -107,9 +149,10 @@
     async def hand_over(self) -> None:
         """Give up the leadership, so that another node claims it at once."""
         self._is_handing_over = True
-        leader = self.leader
-        if leader is None:
-            return
+        if self.leader is not None:
+            await self._release(self.leader)
+
+    async def _release(self, leader: leader_mod.Leader) -> None:
         await leader.finish(FINISH_MS)
         try:
             async with asyncio.timeout(RELEASE_MS / 1000):
