--- a/features/steps/operating_steps.py
+++ b/features/steps/operating_steps.py
@@ -1,5 +1,6 @@
 """Steps that hold the operators' page against the program."""
 
+import json
 import os
 import pathlib
 import re
@@ -18,11 +19,34 @@
 PAGE = deployment.ROOT / 'docs' / 'OPERATIONS.md'
 COMMAND = re.compile(r'^    carawaymast (.+)$', re.MULTILINE)
 ROW = re.compile(r'^    ([a-z-]+,.+)$', re.MULTILINE)
-# What a node on the platform writes of a job, for the command that reads it.
-LOG_LINE = (
-    '{"message_type":"carawaymast:job_accepted","timestamp":1.0,'
-    '"at_node":"node-0","at_ms":1,"job":"%s"}\n'
-)
+# The page's third failure, as nodes of a bench run wrote it.
+EXPLAINED = '69fefad8ae7952c3'
+LOG_LINES = [
+    {'message_type': 'job_accepted', 'job': EXPLAINED, 'tasks': 9},
+    *(
+        {
+            'message_type': 'run_ended',
+            'task': f'{EXPLAINED}.0.0.0',
+            'run_id': run_id,
+            'worker': worker,
+            'how': 'failed',
+            'ran_ms': ran_ms,
+            'why': '',
+        }
+        for run_id, worker, ran_ms in (
+            (1, 'i-4c2afe2916', 576),
+            (2, 'i-65a9ddb128', 538),
+        )
+    ),
+    {
+        'message_type': 'job_ended',
+        'job': EXPLAINED,
+        'phase': 'failed',
+        'cause': f'task {EXPLAINED}.0.0.0 failed 2 times',
+        'took_ms': 2014,
+        'objective_ms': 4440,
+    },
+]
 COUNTER = re.compile(r'`([a-z]+\.[a-z_]+|refusals)`')
 
 
@@ -32,6 +56,12 @@
         context.stack.enter_context(tempfile.TemporaryDirectory())
     )
     shutil.copy(deployment.ROOT / 'standins' / 'table.csv', directory)
+    lines = [
+        {**line, 'message_type': f'carawaymast:{line["message_type"]}'}
+        for line in LOG_LINES
+    ]
+    text = '\n'.join(json.dumps(line) for line in lines)
+    (directory / 'node.log').write_text(text)
     raw = path_steps.job_raw(False, 1, 100, 10, 0, 60_000)
     (directory / 'job.json').write_text(raw)
     urls = context.running.url_by_name
@@ -50,7 +80,6 @@
         context.endings[words] = ended
         if words.startswith('job submit'):
             job_id = ended.stdout.strip()
-            (directory / 'node.log').write_text(LOG_LINE % job_id)
 
 
 @then('each ended as the page says')
@@ -58,6 +87,9 @@
     assert len(context.endings) >= 10, list(context.endings)
     for words, ended in context.endings.items():
         assert ended.returncode == 0, (words, ended)
+    words = f'explain {EXPLAINED} node.log'
+    cause = context.endings[words].stdout.splitlines()[-1]
+    assert cause in ' '.join(PAGE.read_text().split()), cause
 
 
 @then('docs/OPERATIONS.md has the generated table of settings')
--- a/packages/carawaymast-cli/carawaymast_cli/explain.py
+++ b/packages/carawaymast-cli/carawaymast_cli/explain.py
@@ -75,13 +75,16 @@
 
 
 def _why_failed(lines, ended: Line, wanted: str) -> str:
+    reason = ended.fields['cause']
     runs = [
         f'run {line.fields["run_id"]} at {line.fields["worker"]}'
         for line in lines
-        if line.what == 'run_ended' and line.fields['how'] == 'failed'
+        if line.what == 'run_ended'
+        and line.fields['how'] == 'failed'
+        and f'{line.fields["task"]} ' in reason
     ]
     where = ', '.join(runs) or 'its runs are not in these logs'
-    return f'{wanted} failed: {ended.fields["cause"]} ({where}).'
+    return f'{wanted} failed: {reason} ({where}).'
 
 
 def _why_late(lines, ended: Line, wanted: str) -> str:
