--- a/features/model.feature
+++ b/features/model.feature
@@ -9,6 +9,7 @@
       | model     | depth |
       | ownership | 12    |
       | claims    | 9     |
+      | cells     | 9     |
 
   Scenario Outline: A rule left out is found
     Given the <model> model with <rule> as <value>
@@ -24,3 +25,9 @@
       | claims    | waits_for_read_back    | False | 9     |
       | claims    | checks_versions        | False | 9     |
       | claims    | snapshot_never_reverts | False | 9     |
+      | cells     | fences_store           | False | 9     |
+      | cells     | writes_ahead           | False | 9     |
+      | cells     | holds_before_release   | False | 9     |
+      | cells     | settles_own_orders     | False | 9     |
+      | cells     | workers_check_epoch    | False | 9     |
+      | cells     | waits_for_old_leader   | False | 9     |
--- a/features/steps/model_steps.py
+++ b/features/steps/model_steps.py
@@ -5,11 +5,16 @@
 from behave import given
 from behave import then
 
+from spec import cells
 from spec import checking
 from spec import claims
 from spec import ownership
 
-MODULE_BY_NAME = {'ownership': ownership, 'claims': claims}
+MODULE_BY_NAME = {
+    'ownership': ownership,
+    'claims': claims,
+    'cells': cells,
+}
 
 
 @given('the {name} model')
--- /dev/null
+++ b/spec/cells.py
@@ -0,0 +1,243 @@
+"""A cell's task under two leaders in turn, the store and two workers.
+
+Leader 1 is replaced by leader 2 at any moment; its orders may be under way
+and it may go on sending for a while. Orders may be delivered late or never,
+workers may end runs or lose their leases. What must hold: the task runs at
+one worker at most.
+"""
+
+import functools
+import typing
+
+import z3
+
+from spec import checking
+
+__all__ = ['Rules', 'model']
+
+LEADERS = (1, 2)
+WORKERS = (1, 2)
+
+
+class Rules(typing.NamedTuple):
+    """Which rules of the protocol are in force."""
+
+    fences_store: bool = True
+    writes_ahead: bool = True
+    holds_before_release: bool = True
+    settles_own_orders: bool = True
+    workers_check_epoch: bool = True
+    waits_for_old_leader: bool = True
+
+
+ALL_RULES = Rules()
+
+
+def variables() -> dict[str, z3.SortRef]:
+    """Return the variables of a state.
+
+    ``record`` is the worker that the store names, ``view`` the one that a
+    leader believes in, 0 for none.
+    """
+    number, flag = z3.IntSort(), z3.BoolSort()
+    found = {
+        'store_epoch': number,
+        'record': number,
+        'view1': number,
+        'view2': number,
+        'silent1': flag,
+    }
+    for worker in WORKERS:
+        found[f'runs{worker}'] = flag
+        found[f'epoch{worker}'] = number
+        for leader in LEADERS:
+            found[f'order{leader}{worker}'] = flag
+    return found
+
+
+def first(s) -> z3.BoolRef:
+    """Return the first state: leader 1 leads and nothing is placed."""
+    flags = [
+        z3.Not(value) for value in s.values() if value.sort() == z3.BoolSort()
+    ]
+    numbers = [
+        value == (1 if name == 'store_epoch' else 0)
+        for name, value in s.items()
+        if value.sort() == z3.IntSort()
+    ]
+    return z3.And(flags + numbers)
+
+
+def leads(rules, leader, s) -> z3.BoolRef:
+    """Whether the store takes what a leader appends."""
+    if leader == 1 and not rules.fences_store:
+        return z3.BoolVal(True)
+    return s['store_epoch'] == leader
+
+
+def place(rules, leader, worker, s, t):
+    """A leader writes where the task shall run."""
+    record = t['record'] == worker
+    if not rules.writes_ahead:
+        record = t['record'] == s['record']
+    return z3.And(
+        leads(rules, leader, s),
+        s[f'view{leader}'] == 0,
+        t[f'view{leader}'] == worker,
+        record,
+        checking.keep(s, t, 'record', f'view{leader}'),
+    )
+
+
+def send(leader, worker, s, t):
+    """A leader orders the start at the worker it believes in."""
+    may_send = s[f'view{leader}'] == worker
+    if leader == 1:
+        may_send = z3.And(may_send, z3.Not(s['silent1']))
+    name = f'order{leader}{worker}'
+    return z3.And(may_send, t[name], checking.keep(s, t, name))
+
+
+def is_obeyed(rules, leader, worker, s) -> z3.BoolRef:
+    """Whether a worker carries out what a leader orders."""
+    if not rules.workers_check_epoch:
+        return z3.BoolVal(True)
+    return s[f'epoch{worker}'] <= leader
+
+
+def deliver(rules, leader, worker, s, t):
+    """An order arrives, however late."""
+    obeyed = is_obeyed(rules, leader, worker, s)
+    order, runs, epoch = (
+        f'order{leader}{worker}',
+        f'runs{worker}',
+        f'epoch{worker}',
+    )
+    return z3.And(
+        s[order],
+        z3.Not(t[order]),
+        t[runs] == z3.Or(s[runs], obeyed),
+        t[epoch] == z3.If(obeyed, leader, s[epoch]),
+        checking.keep(s, t, order, runs, epoch),
+    )
+
+
+def end(worker, s, t):
+    """A run ends, in whatever way."""
+    name = f'runs{worker}'
+    return z3.And(s[name], z3.Not(t[name]), checking.keep(s, t, name))
+
+
+def take_over(s, t):
+    """Leader 2 fences the store and reads what leader 1 wrote."""
+    return z3.And(
+        s['store_epoch'] == 1,
+        t['store_epoch'] == 2,
+        t['view2'] == s['record'],
+        checking.keep(s, t, 'store_epoch', 'view2'),
+    )
+
+
+def hold(leader, worker, s, t):
+    """A leader renews a worker's lease; the worker obeys it from now on."""
+    name = f'epoch{worker}'
+    return z3.And(
+        s['store_epoch'] == leader,
+        s[name] <= leader,
+        t[name] == leader,
+        checking.keep(s, t, name),
+    )
+
+
+def release(rules, leader, worker, s, t):
+    """A leader has seen that the run is not there, and may place anew."""
+    parts = [
+        leads(rules, leader, s),
+        s[f'view{leader}'] == worker,
+        z3.Not(s[f'runs{worker}']),
+        t[f'view{leader}'] == 0,
+        t['record'] == 0,
+        checking.keep(s, t, 'record', f'view{leader}'),
+    ]
+    if rules.holds_before_release:
+        parts.append(s[f'epoch{worker}'] == leader)
+    if rules.settles_own_orders:
+        parts.append(z3.Not(s[f'order{leader}{worker}']))
+    return z3.And(parts)
+
+
+def fall_silent(s, t):
+    """Leader 1, not confirmed for too long, holds and sends no more."""
+    return z3.And(t['silent1'], checking.keep(s, t, 'silent1'))
+
+
+def write_off(rules, worker, s, t):
+    """The worker's lease, and the deadline of every order, have passed."""
+    parts = [
+        s['store_epoch'] == 2,
+        s['view2'] == worker,
+        t['view2'] == 0,
+        t['record'] == 0,
+        z3.Not(t[f'runs{worker}']),
+        z3.Not(t[f'order1{worker}']),
+        z3.Not(t[f'order2{worker}']),
+        checking.keep(
+            s,
+            t,
+            'record',
+            'view2',
+            f'runs{worker}',
+            f'order1{worker}',
+            f'order2{worker}',
+        ),
+    ]
+    if rules.waits_for_old_leader:
+        parts.append(s['silent1'])
+    return z3.And(parts)
+
+
+def safety(s) -> z3.BoolRef:
+    """What must hold: one place at once."""
+    return z3.Not(z3.And(s['runs1'], s['runs2']))
+
+
+def lemma(s) -> z3.BoolRef:
+    """Why it holds: what runs, or may come to run, is where the store says."""
+    parts = [
+        z3.Or(s['store_epoch'] == 1, s['store_epoch'] == 2),
+        z3.Implies(s['store_epoch'] == 1, s['view1'] == s['record']),
+        z3.Implies(s['store_epoch'] == 1, s['view2'] == 0),
+        z3.Implies(s['store_epoch'] == 2, s['view2'] == s['record']),
+    ]
+    for worker in WORKERS:
+        here = s['record'] == worker
+        epoch = s[f'epoch{worker}']
+        parts += [
+            z3.And(epoch >= 0, epoch <= s['store_epoch']),
+            z3.Implies(s[f'runs{worker}'], here),
+            z3.Implies(z3.And(s[f'order1{worker}'], epoch <= 1), here),
+            z3.Implies(s[f'order2{worker}'], here),
+            z3.Implies(s[f'order2{worker}'], s['store_epoch'] == 2),
+            z3.Implies(
+                z3.And(s['view1'] == worker, epoch <= 1, z3.Not(s['silent1'])),
+                here,
+            ),
+        ]
+    return z3.And(parts)
+
+
+def model(rules: Rules = ALL_RULES) -> checking.Model:
+    """Return the model under some rules."""
+    steps: list[checking.Formula] = [take_over, fall_silent]
+    for worker in WORKERS:
+        steps.append(functools.partial(end, worker))
+        steps.append(functools.partial(write_off, rules, worker))
+        for leader in LEADERS:
+            steps += [
+                functools.partial(place, rules, leader, worker),
+                functools.partial(send, leader, worker),
+                functools.partial(deliver, rules, leader, worker),
+                functools.partial(hold, leader, worker),
+                functools.partial(release, rules, leader, worker),
+            ]
+    return checking.Model(variables(), first, steps, safety, lemma)
