Node processes over a stand-in of the platform, with a killed leader

Change: store and runners by the published protocol over HTTP on loopback; one scenario: three carawaymastd by the adapter, eight jobs, the leader killed, all jobs completed, no run started twice, metrics, SIGTERM.

--- /dev/null
+++ b/features/platform_processes.feature
@@ -0,0 +1,10 @@
+Feature: Nodes as processes on a stand-in of the users' platform
+
+  Scenario: Jobs go on when the leader is killed
+    Given three nodes and four runners on the platform's stand-in
+    When 8 jobs are handed in at different nodes
+    And the leading node is killed
+    Then every job is shown as completed by the other nodes
+    And no task was started twice without need
+    And the metrics of a node name its store calls
+    And a stopped node ends with status 0
--- /dev/null
+++ b/standins/platform_http.py
@@ -0,0 +1,186 @@
+"""The users' platform on loopback: store and runners over HTTP.
+
+``python -m standins.platform_http STORE_PORT RUNNER_PORT...`` serves the
+in-memory store and one runner a port. Runners are listed from the start and
+do not expire. It prints ``ready`` once it listens.
+"""
+
+import asyncio
+import json
+import sys
+import time
+
+from aiohttp import web
+
+from standins import keyed_log
+from standins import runner as runner_mod
+
+__all__ = ['QUEUE_HOST', 'QUEUE_PREFIX', 'main']
+
+HOST = '127.0.0.1'
+SERVICE = 'desk'
+QUEUE_HOST = 'desk.example'
+QUEUE_PREFIX = '/jobs/'
+WORK_MS = 600
+TICK_S = 0.02
+POLL_S = 0.02
+CONFIG = {
+    'version': 1,
+    'routes': [
+        {
+            'name': 'jobs',
+            'host': QUEUE_HOST,
+            'path_prefix': QUEUE_PREFIX,
+            'service': SERVICE,
+            'priority': 1,
+            'max_attempts': 2,
+            'stretch_factor': 2.0,
+            'target_completion_ms': 1_000,
+        }
+    ],
+}
+
+
+class StoreServer:
+    """Answers the store's calls; long polls wait for records."""
+
+    def __init__(self) -> None:
+        self.log = keyed_log.KeyedLog()
+
+    async def handle(self, request: web.Request) -> web.Response:
+        """Carry out one call."""
+        body = await request.read()
+        target = request.path_qs
+        status, answer = self.log.send(request.method, target, body)
+        wait_ms = int(request.query.get('wait_ms', '0'))
+        until_s = time.monotonic() + wait_ms / 1_000
+        while status == 200 and _is_empty_read(request, answer):
+            if time.monotonic() >= until_s:
+                break
+            await asyncio.sleep(POLL_S)
+            status, answer = self.log.send(request.method, target, body)
+        return web.Response(status=status, body=answer)
+
+
+class RunnerServer:
+    """Answers the calls to one runner."""
+
+    def __init__(self, runner_id: str):
+        self.runner = runner_mod.RunnerStandin(runner_id)
+
+    async def keep_time(self) -> None:
+        """Let the runner's clock follow the real one."""
+        before_s = time.monotonic()
+        while True:
+            await asyncio.sleep(TICK_S)
+            now_s = time.monotonic()
+            self.runner.advance((now_s - before_s) * 1_000)
+            before_s = now_s
+
+    async def hold(self, request: web.Request) -> web.Response:
+        """Renew the lease; wait for an end if asked to."""
+        body = await request.json()
+        until_s = time.monotonic() + body.get('wait_ms', 0) / 1_000
+        answer = self.runner.hold(
+            body['fence'], body['ack_cursor'], body.get('deadline_ms')
+        )
+        while answer is not None and not answer.ended:
+            if time.monotonic() >= until_s:
+                break
+            await asyncio.sleep(POLL_S)
+            answer = self.runner.hold(body['fence'], body['ack_cursor'], None)
+        if answer is None:
+            return _json(409, {'reason': 'fence'})
+        return _json(
+            200,
+            {
+                'clock_ms': answer.clock_ms,
+                'born': answer.born_ms,
+                'running': [[*row, 0] for row in answer.running],
+                'ended': [list(row) for row in answer.ended],
+            },
+        )
+
+    async def start(self, request: web.Request) -> web.Response:
+        """Start a run."""
+        body = await request.json()
+        outcome = self.runner.start(
+            body['fence'],
+            body['task'],
+            body['run_id'],
+            body['deadline_ms'],
+            WORK_MS,
+        )
+        clock = {'clock_ms': int(self.runner.clock_ms)}
+        if outcome.is_running:
+            return _json(200, clock)
+        reason = {'fenced': 'fence', 'stale-run': 'old', 'late': 'late'}
+        return _json(409, {**clock, 'reason': reason[outcome.refusal]})
+
+    async def stop(self, request: web.Request) -> web.Response:
+        """Stop a run."""
+        body = await request.json()
+        is_done = self.runner.stop(body['fence'], body['task'], body['run_id'])
+        return _json(200 if is_done else 409, {})
+
+    async def show(self, request: web.Request) -> web.Response:
+        """Return all starts, for the test's own check."""
+        return _json(200, {'started': self.runner.started})
+
+
+def _is_empty_read(request: web.Request, answer: bytes) -> bool:
+    is_read = request.path == '/-/log-read'
+    return is_read and len(answer) == keyed_log.ENDS.size
+
+
+def _json(status: int, body) -> web.Response:
+    return web.Response(
+        status=status,
+        body=json.dumps(body).encode(),
+        content_type='application/json',
+    )
+
+
+async def _listen(app: web.Application, port: int) -> None:
+    site_runner = web.AppRunner(app)
+    await site_runner.setup()
+    await web.TCPSite(site_runner, HOST, port).start()
+
+
+async def main(store_port: int, runner_ports: list[int]) -> None:
+    """Serve until the process is ended."""
+    store = StoreServer()
+    store.log.put('keyed.op', 'config', json.dumps(CONFIG).encode())
+    tasks = []
+    for number, port in enumerate(runner_ports):
+        server = RunnerServer(f'i-{number}')
+        entry = {
+            'service': SERVICE,
+            'address': f'{HOST}:{port}',
+            'state': 'ready',
+            'born': server.runner.born_ms,
+            'capacity': {'cpu': 4_000, 'mem_mb': 8_000},
+            'labels': ['a', 'r1'],
+        }
+        store.log.put(
+            'keyed.servers',
+            server.runner.runner_id,
+            json.dumps(entry).encode(),
+        )
+        app = web.Application()
+        app.router.add_post('/-/hold', server.hold)
+        app.router.add_post('/-/run-start', server.start)
+        app.router.add_post('/-/run-stop', server.stop)
+        app.router.add_get('/started', server.show)
+        await _listen(app, port)
+        tasks.append(asyncio.create_task(server.keep_time()))
+    app = web.Application()
+    app.router.add_route('*', '/{tail:.*}', store.handle)
+    await _listen(app, store_port)
+    print('ready', flush=True)
+    await asyncio.gather(*tasks)
+
+
+if __name__ == '__main__':
+    ports = [int(argument) for argument in sys.argv[1:]]
+    asyncio.run(main(ports[0], ports[1:]))
