Patterns of load, each with the rule that carries it

Change: eight scenarios without a network: urgent work in a flood, late jobs behind those in time, a wide gang in a flood, a wave of cancellations, jobs and workers that always fail, lost answers, tickets.

With no share for the urgent rank, no penalty for late jobs and no gang that holds, the scenarios of the first two fail; the gang's passes also without a hold.

--- /dev/null
+++ b/features/load.feature
@@ -0,0 +1,56 @@
+Feature: Patterns of load, each with the rule that carries it
+
+  Scenario: Flood of the least urgent, an urgent task comes
+    Given a cell of 2 workers
+    And a flood of 80 tasks of rank 2
+    When the leader plans
+    And an urgent job of 1 processors comes
+    And the leader plans
+    Then the urgent task runs
+
+  Scenario: Flood of late jobs, one that can still be in time comes
+    Given a cell of 1 workers
+    And 30 jobs that are late already
+    When a job comes that can still be in time
+    And the leader plans
+    Then its task is among those that run
+
+  Scenario: Flood of small tasks, a wide gang waits
+    Given a cell of 3 workers
+    And a flood of 200 tasks of rank 2
+    When the leader plans
+    And a gang "g1" of 6 tasks of 5 processors comes
+    And time passes until "g1" is completed
+    Then the flood is not over yet
+
+  Scenario: Cancellations in a wave give the room back at once
+    Given a cell of 2 workers
+    And 20 jobs of which all that fit run
+    When all but one of them are cancelled
+    And 2 s pass
+    Then the one that is left runs or has ended
+
+  Scenario: Jobs that always fail do not hold up the others
+    Given a cell of 2 workers
+    And 10 jobs that fail each time
+    And a job "j1" of 4 tasks and then 2 tasks
+    When time passes until "j1" is completed
+    Then at least 8 of the failing jobs have failed
+
+  Scenario: A worker that fails all it starts is left out for a while
+    Given a cell of 2 workers
+    And every run at worker "w0" fails
+    And 20 jobs with 4 attempts each
+    When time passes until all of them have ended
+    Then at least 17 of them are completed
+
+  Scenario: Answers are lost, so looks at workers are short for a while
+    Given orders to a worker that loses the second of five answers
+    When its lease is renewed, the last time 6 s after the others
+    Then the waits were "0 1000 200 200 1000" ms
+
+  Scenario: Tickets of waiting steps are renewed, refusals are remembered
+    Given a step that was granted 2 of 4 workers for 2000 ms
+    Then after 500 ms nothing is asked
+    And after 1200 ms the 2 granted workers are asked about
+    And after 1900 ms no ticket is good for a start
--- /dev/null
+++ b/features/steps/load_steps.py
@@ -0,0 +1,232 @@
+"""Steps on patterns of load at one cell, without a network."""
+
+import asyncio
+
+from behave import given
+from behave import then
+from behave import when
+
+from carawaymast_core import clock as clock_mod
+from carawaymast_core.cell import advice
+from carawaymast_core.cell import cell as cell_mod
+from carawaymast_core.cell import records
+from carawaymast_core.cell import worker as worker_mod
+from carawaymast_node.cells import orders
+from carawaymast_node.cells import ports
+from carawaymast_node.cells import telemetry
+from features import cell_world
+
+VALID_MS = 2_000
+
+
+def submit(context, job_id, *steps, **more):
+    world = context.world
+    more.setdefault('accepted_at_ms', world.clock.now())
+    world.submit(cell_world.job(job_id, *steps, **more))
+
+
+def phases(context, prefix):
+    world = context.world
+    return [
+        world.view.phase(job_id)
+        for job_id in world.view.submission_by_id
+        if job_id.startswith(prefix)
+    ]
+
+
+@given('a flood of {count:d} tasks of rank 2')
+def flood(context, count):
+    policy = cell_world.queue(rank=2, name='flood')
+    step = cell_world.step(count, 1_000, 1_000)
+    submit(context, 'flood', step, policy=policy)
+
+
+@when('an urgent job of {cpu:d} processors comes')
+def urgent(context, cpu):
+    policy = cell_world.queue(rank=0, name='urgent')
+    submit(context, 'u1', cell_world.step(1, cpu * 1_000), policy=policy)
+
+
+@then('the urgent task runs')
+def urgent_runs(context):
+    assert 'u1.0.0.0' in context.world.running()
+
+
+@given('{count:d} jobs that are late already')
+def late_jobs(context, count):
+    # Late, but not for so long that age puts them first again.
+    long_ago_ms = context.world.clock.now() - 10_000
+    for number in range(count):
+        step = cell_world.step(1, 1_000)
+        submit(context, f'late{number}', step, accepted_at_ms=long_ago_ms)
+
+
+@when('a job comes that can still be in time')
+def job_in_time(context):
+    submit(context, 'fresh', cell_world.step(1, 1_000))
+
+
+@then('its task is among those that run')
+def fresh_runs(context):
+    running = context.world.running()
+    assert 'fresh.0.0.0' in running
+    assert len(running) < 31
+
+
+@when('a gang "{job_id}" of {count:d} tasks of {cpu:d} processors comes')
+def gang_comes(context, job_id, count, cpu):
+    submit(context, job_id, cell_world.gang(count, cpu * 1_000))
+
+
+@then('the flood is not over yet')
+def flood_goes_on(context):
+    assert not context.world.view.phase('flood').is_final
+
+
+@given('{count:d} jobs of which all that fit run')
+def running_jobs(context, count):
+    context.world.work_ms = 30_000
+    for number in range(count):
+        submit(context, f'j{number}', cell_world.step(4, 1_000))
+    context.world.plan()
+    context.count = count
+
+
+@when('all but one of them are cancelled')
+def cancel_wave(context):
+    for number in range(context.count - 1):
+        context.world.cancel(f'j{number}')
+
+
+@then('the one that is left runs or has ended')
+def last_runs(context):
+    last = f'j{context.count - 1}'
+    running = context.world.running()
+    assert len(running) == 4, running
+    assert all(task.startswith(f'{last}.') for task in running), running
+
+
+@given('{count:d} jobs that fail each time')
+def failing_jobs(context, count):
+    context.world.fails = lambda task: task.startswith('bad')
+    for number in range(count):
+        submit(context, f'bad{number}', cell_world.step(2, 1_000))
+
+
+@then('at least {count:d} of the failing jobs have failed')
+def have_failed(context, count):
+    for _ in range(30):
+        context.world.turn()
+    failed = phases(context, 'bad').count(records.JobPhase.FAILED)
+    assert failed >= count, failed
+
+
+@given('every run at worker "{name}" fails')
+def worker_fails(context, name):
+    runner = context.world.runner_by_id[name]
+    start = runner.start
+
+    def failing_start(epoch, task, run_id, deadline_ms, work_ms, fails):
+        return start(epoch, task, run_id, deadline_ms, 100, True)
+
+    runner.start = failing_start
+
+
+@given('{count:d} jobs with {attempts:d} attempts each')
+def jobs_with_attempts(context, count, attempts):
+    policy = cell_world.queue(attempts=attempts)
+    for number in range(count):
+        submit(context, f'a{number}', cell_world.step(2), policy=policy)
+
+
+@when('time passes until all of them have ended')
+def all_ended(context):
+    for _ in range(600):
+        if all(phase.is_final for phase in phases(context, 'a')):
+            return
+        context.world.turn()
+    raise AssertionError(phases(context, 'a'))
+
+
+@then('at least {count:d} of them are completed')
+def completed(context, count):
+    done = phases(context, 'a').count(records.JobPhase.COMPLETED)
+    assert done >= count, done
+
+
+class LossyWorkers:
+    """A worker port whose second renewal has no answer."""
+
+    def __init__(self, clock, waits):
+        self._clock = clock
+        self.waits = waits
+        # How long after each renewal the next one is sent, in ms.
+        self.pauses = [100, 100, 100, 6_000, 0]
+
+    async def hold(self, worker, epoch, deadline_ms, wait_ms):
+        self.waits.append(wait_ms)
+        number = len(self.waits)
+        self._clock.advance(self.pauses[number - 1])
+        worker.is_gone = number == len(self.pauses)
+        if number == 2:
+            raise ports.WorkerError('no answer')
+        return worker_mod.HoldAnswer(1_000 + number, 1, (), ())
+
+
+@given('orders to a worker that loses the second of five answers')
+def make_orders(context):
+    clock = clock_mod.ManualClock(10_000)
+    metrics = telemetry.Metrics()
+    cell = cell_mod.Cell(1, 4_500, lambda what, **fields: None)
+    context.waits = []
+    signals = orders.Signals(
+        lambda: None, lambda why: None, clock.now, asyncio.Event
+    )
+    context.orders = orders.Orders(
+        clock,
+        telemetry.Telemetry(clock, metrics),
+        metrics,
+        LossyWorkers(clock, context.waits),
+        cell,
+        signals,
+    )
+    entry = worker_mod.WorkerEntry(
+        'w0', 'a:1', 1, 's', 'd', False, cell_world.CAPACITY, (), 0, None
+    )
+    context.worker = worker_mod.Worker(entry)
+    cell.worker_by_key[context.worker.key] = context.worker
+
+
+@when('its lease is renewed, the last time 6 s after the others')
+def renew(context):
+    asyncio.run(context.orders.keep_holding(context.worker))
+
+
+@then('the waits were "{waits}" ms')
+def waits_were(context, waits):
+    assert context.waits == [int(w) for w in waits.split()], context.waits
+
+
+@given('a step that was granted {some:d} of {count:d} workers for {ms:d} ms')
+def granted(context, some, count, ms):
+    context.advice = advice.StepAdvice()
+    context.ids = [f'w{number}' for number in range(count)]
+    tickets = {worker_id: 't' for worker_id in context.ids[:some]}
+    context.advice.take(context.ids, tickets, 0, ms)
+
+
+@then('after {ms:d} ms nothing is asked')
+def nothing_asked(context, ms):
+    assert not context.advice.wanted(context.ids, ms, VALID_MS)
+
+
+@then('after {ms:d} ms the {count:d} granted workers are asked about')
+def granted_asked(context, ms, count):
+    wanted = context.advice.wanted(context.ids, ms, VALID_MS)
+    assert wanted == context.ids[:count], wanted
+
+
+@then('after {ms:d} ms no ticket is good for a start')
+def no_ticket(context, ms):
+    tickets = [context.advice.ticket(w, ms) for w in context.ids]
+    assert tickets == [None] * len(tickets), tickets
