An unused constant of the job view goes

Cause: the last read of the whole change found EMPTY, which nothing uses and whose comment spoke of a removal that is not built.

Change: the constant and its comment are gone.

Conclusion: behaviour is unchanged.

--- a/packages/carawaymast-core/carawaymast_core/cell/view.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/view.py
@@ -7,9 +7,6 @@
 
 __all__ = ['JobView']
 
-# The records of a finished job, less its tasks, once it is no longer needed.
-EMPTY: tuple = ()
-
 
 class JobView:
     """All jobs of a cell as of the records read so far.
