Ports of the stand-ins are drawn once: the cause of the start that hung

Cause: free_port closed its socket before the process that was told of the port bound it, so two processes of one deployment could get one port. Seen with 150 starts under load: node-1 and worker-2 both had 33735, node-1 ended with 'Address already in use' and the wait ran into its 30 s. With one port planted for two workers, 'A node is frozen' and 'Connections to an endpoint go silent' fail with requests that two workers report, each once. Change: ports come from ephemeral-port-reserve; a wait for a process that has ended fails at once with the end of its errors.

--- /dev/null
+++ b/features/standins.feature
@@ -0,0 +1,10 @@
+Feature: What the stand-ins promise to the scenarios
+
+  Scenario: No two processes are told the same port
+    When 1000 ports are drawn for processes
+    Then all of them differ
+    And each can be bound by the process that is told of it
+
+  Scenario: A process that ends at its start is named at once
+    When a deployment waits for a process that ends with an error
+    Then the wait ends within 10 s and shows the last line of its errors
--- a/features/steps/failure_steps.py
+++ b/features/steps/failure_steps.py
@@ -265,7 +265,11 @@
 @then('every request is done')
 def no_failure(context):
     for kind, result in context.load.caller.result_by_kind.items():
-        assert result.done == result.sent, (kind, vars(result))
+        assert result.done == result.sent, (
+            kind,
+            vars(result),
+            context.load.caller.errors,
+        )
         assert not result.wrong_answers
 
 
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -8,7 +8,6 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -17,21 +16,26 @@
 import urllib.error
 import urllib.request
 
+import ephemeral_port_reserve
+
 __all__ = ['Deployment', 'call', 'free_port']
 
 ROOT = pathlib.Path(__file__).parent.parent
 HOST = '127.0.0.1'
 READY_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 10.0
+ERRORS_SHOWN = 2_000  # characters; the end of a traceback of ours
 DOMAINS = ('westlands', 'embakasi', 'kasarani')
 DAEMON = pathlib.Path(sys.executable).parent / 'carawaymastd'
 
 
 def free_port() -> int:
-    """Return a port that was free a moment ago."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
+    """Return a port that no other draw returns within a minute.
+
+    The library leaves the port in TIME_WAIT, so that the kernel gives it to
+    nobody until a process that was told of it binds it.
+    """
+    return ephemeral_port_reserve.reserve(HOST)
 
 
 def call(
@@ -120,7 +124,7 @@
             **self._settings,
         }
         arguments = [f'--{key}={value}' for key, value in values.items()]
-        self._spawn(name, port, [str(DAEMON), *arguments])
+        self.spawn(name, port, [str(DAEMON), *arguments])
         self.list_vm(name, 'node', port, peer_port, domain)
 
     def start_worker(
@@ -134,9 +138,23 @@
         port = port or free_port()
         numbers = [str(number) for number in (port, *capacity)]
         module = [sys.executable, '-m', 'standins.worker']
-        self._spawn(name, port, module + numbers)
+        self.spawn(name, port, module + numbers)
         self.list_vm(name, 'worker', port, 0, domain)
 
+    def spawn(self, name: str, port: int, command: list[str]) -> None:
+        """Start a process of the deployment that listens on ``port``."""
+        self.url_by_name[name] = f'http://{HOST}:{port}'
+        self.port_by_name[name] = port
+        with open(self.log_path(f'{name}.err'), 'ab') as errors:
+            self.process_by_name[name] = subprocess.Popen(
+                command,
+                cwd=ROOT,
+                stdin=subprocess.DEVNULL,
+                stdout=errors,
+                stderr=errors,
+                env=os.environ | {'PYTHONPATH': str(ROOT)},
+            )
+
     def list_vm(
         self,
         name: str,
@@ -194,9 +212,13 @@
         what: str,
         timeout_s: float = READY_TIMEOUT_S,
     ) -> float:
-        """Wait until ``condition`` holds; return how long it took."""
+        """Wait until ``condition`` holds; return how long it took.
+
+        ``what`` may be the name of a process: if it ends, the wait does too.
+        """
         started = time.monotonic()
         while time.monotonic() - started < timeout_s:
+            self._check_alive(what)
             try:
                 if condition():
                     return time.monotonic() - started
@@ -247,37 +269,36 @@
     def _start_all(self) -> None:
         log_port, vms_port = free_port(), free_port()
         python = [sys.executable, '-m']
-        self._spawn(
+        self.spawn(
             'log',
             log_port,
             [*python, 'standins.log', str(log_port), str(self._retention_ms)],
         )
-        self._spawn('vms', vms_port, [*python, 'standins.vms', str(vms_port)])
-        self.wait_until(lambda: self._answers('log', '/v1/stats'), 'the log')
-        self.wait_until(lambda: self._answers('vms', '/v1/vms'), 'the list')
+        self.spawn('vms', vms_port, [*python, 'standins.vms', str(vms_port)])
+        self.wait_until(lambda: self._answers('log', '/v1/stats'), 'log')
+        self.wait_until(lambda: self._answers('vms', '/v1/vms'), 'vms')
         for number in range(self._worker_count):
             domain = DOMAINS[number % len(DOMAINS)]
             self.start_worker(f'worker-{number}', domain, (16_000, 64_000, 2))
         for number in range(self._node_count):
             domain = DOMAINS[number % len(DOMAINS)]
             self.start_node(f'node-{number}', domain)
-        first = self.node_names[0]
-        self.wait_until(lambda: self._answers(first, '/livez'), first)
-        self.load_table(first)
+        for name in [*self.worker_names, *self.node_names]:
+            path = '/livez' if name in self.node_names else '/v1/evidence'
+            self.wait_until(
+                lambda name=name, path=path: self._answers(name, path), name
+            )
+        self.load_table(self.node_names[0])
         self.wait_ready(self.node_names)
 
+    def _check_alive(self, name: str) -> None:
+        process = self.process_by_name.get(name)
+        if process is not None and process.poll() is not None:
+            errors = self.log_path(f'{name}.err').read_text()
+            raise RuntimeError(
+                f'{name} ended with {process.returncode}: '
+                f'{errors[-ERRORS_SHOWN:]}'
+            )
+
     def _answers(self, name: str, path: str) -> bool:
         return call('GET', self.url_by_name[name] + path)[0] == 200
-
-    def _spawn(self, name: str, port: int, command: list[str]) -> None:
-        self.url_by_name[name] = f'http://{HOST}:{port}'
-        self.port_by_name[name] = port
-        with open(self.log_path(f'{name}.err'), 'ab') as errors:
-            self.process_by_name[name] = subprocess.Popen(
-                command,
-                cwd=ROOT,
-                stdin=subprocess.DEVNULL,
-                stdout=errors,
-                stderr=errors,
-                env=os.environ | {'PYTHONPATH': str(ROOT)},
-            )
