Records of ended jobs leave the store; callers' words live in the adapter

States, statuses and field names of the platform's interface stood in the front and in core/cell/spec.py. Cancels of jobs that never came leave too. Replies, paths and callers' field names are in platform/; a scenario looks for the platform's words outside it. The row 'size' of the malformed jobs is now 'cpu': the caller's word.

--- a/features/cell_world.py
+++ b/features/cell_world.py
@@ -15,6 +15,7 @@
 from carawaymast_core.cell import lives
 from carawaymast_core.cell import placing
 from carawaymast_core.cell import records
+from carawaymast_core.cell import retention
 from carawaymast_core.cell import spec as spec_mod
 from carawaymast_core.cell import takeover
 from carawaymast_core.cell import view as view_mod
@@ -24,6 +25,7 @@
 __all__ = ['CAPACITY', 'LOST', 'CellWorld', 'gang', 'job', 'queue', 'step']
 
 LEASE_MS = 6_000
+KEEP_ENDED_MS = 120_000
 CAPACITY = resources.Resources(16_000, 65_536, 0)
 SERVICE = 'desk'
 LOST = worker_mod.StartOutcome(False)
@@ -55,12 +57,16 @@
     def __init__(self, workers: int = 3, capacity=CAPACITY):
         self.clock = clock_mod.ManualClock(100_000)
         self.view = view_mod.JobView()
+        # What the store has: the newest record of each key.
+        self.intake_by_key: dict[str, bytes] = {}
+        self.state_by_key: dict[str, bytes] = {}
         self.capacity = capacity
         self.runner_by_id: dict[str, runner_mod.RunnerStandin] = {}
         self.work_ms = 1_000
         self.fails: typing.Callable[[str], bool] = lambda task: False
         self.lines: list[tuple[str, dict]] = []
         self.noted_done: set[str] = set()
+        self.completed_ids: set[str] = set()
         self.pending_starts: list[tuple[worker_mod.Run, int, int]] = []
         self.epoch = 0
         for number in range(workers):
@@ -96,6 +102,7 @@
         """
         self.epoch += 10
         self.pending_starts = []
+        self._read_store()
         self.cell = cell_mod.Cell(self.epoch, LEASE_MS, self.log)
         now_ms = self.clock.now()
         for runner in [*self.runner_by_id.values(), *listed]:
@@ -104,16 +111,63 @@
         takeover.load(self.cell, self.view, now_ms, now_ms)
         self.hold_all()
 
+    def _read_store(self):
+        """Read all anew, as a node does that starts."""
+        self.view = view_mod.JobView()
+        for key, value in self.intake_by_key.items():
+            self.view.take_intake(key, value)
+        for key, value in self.state_by_key.items():
+            self.view.take_state(key, value)
+
+    def put_intake(self, key, value):
+        """Store a record of the intake, or drop its key."""
+        _put(self.intake_by_key, key, value)
+        self.view.take_intake(key, value)
+
+    def put_state(self, key, value):
+        """Store a record of the state, or drop its key."""
+        _put(self.state_by_key, key, value)
+        self.view.take_state(key, value)
+        record = self.view.record_by_id.get(key)
+        if value and record is not None:
+            self._note_done(key, record)
+
+    def _note_done(self, job_id, record):
+        """Remember the tasks that the store knows to be done."""
+        if record.phase is records.JobPhase.COMPLETED:
+            self.completed_ids.add(job_id)
+        for occurrence, steps in enumerate(record.tasks):
+            for number, tasks in enumerate(steps):
+                for index, task in enumerate(tasks):
+                    if task.is_done:
+                        name = f'{job_id}.{occurrence}.{number}.{index}'
+                        self.noted_done.add(name)
+
     def submit(self, submission):
-        self.view.submission_by_id[submission.job_id] = submission
+        self.put_intake(submission.job_id, records.encode(submission))
         now_ms = self.clock.now()
         self.cell.submit(self.view, submission.job_id, now_ms, now_ms)
 
     def cancel(self, job_id):
-        self.view.cancelled_ids.add(job_id)
         now_ms = self.clock.now()
+        key = job_id + records.CANCEL_SUFFIX
+        self.put_intake(key, records.encode_cancel(now_ms))
         self.cell.submit(self.view, job_id, now_ms, now_ms)
 
+    def drop_expired(self, after_ms, is_stored=True):
+        """Let the leader drop what expires ``after_ms`` from now.
+
+        Without ``is_stored`` only the part of the intake is stored.
+        """
+        expired = retention.find(
+            self.view, self.clock.now() + after_ms, KEEP_ENDED_MS
+        )
+        for key in expired.intake_keys:
+            self.put_intake(key, b'')
+        if is_stored:
+            self.cell.dropped_keys += expired.state_keys
+        return expired
+
     def worker(self, runner_id):
         """Return the life of a worker that the leader knows, the latest."""
         lives = [
@@ -155,11 +209,14 @@
         if not is_stored:
             return
         for job_id, submission in batch.submission_by_id.items():
-            self.view.submission_by_id.setdefault(job_id, submission)
+            key = job_id + records.SUBMISSION_SUFFIX
+            self.put_state(key, records.encode(submission))
         for job_id, record in batch.records_by_id.items():
-            stored = records.encode(record)
-            self.view.take_state(job_id, stored)
+            self.put_state(job_id, records.encode(record))
+        for key in batch.dropped_keys:
+            self.put_state(key, b'')
         for run in self.cell.commit(batch):
+            self._check_start(run.task)
             deadline_ms = run.worker.next_deadline(now_ms, LEASE_MS)
             self.pending_starts.append((run, self.epoch, deadline_ms))
         if is_sent:
@@ -245,7 +302,19 @@
                 f'{runner.runner_id} uses {used}'
             )
 
+    def _check_start(self, task):
+        """Assert that the store does not know a task's end already."""
+        job_id = task.step.job.job_id
+        assert task.name not in self.noted_done, f'{task.name} was done'
+        assert job_id not in self.completed_ids, f'{task.name} was done'
+
     def _size(self, task):
         job_id, _, number, _ = task.split('.')
         steps = self.view.submission_by_id[job_id].spec.steps
         return steps[int(number)].size
+
+
+def _put(stored, key, value):
+    stored.pop(key, None)
+    if value:
+        stored[key] = value
--- a/features/mutants.py
+++ b/features/mutants.py
@@ -11,6 +11,7 @@
 from carawaymast_core import records
 from carawaymast_core import slot_cache
 from carawaymast_core import slot_ledger
+from carawaymast_core.cell import retention
 from carawaymast_node import log_service
 
 __all__ = ['MUTANT_BY_NAME']
@@ -75,6 +76,17 @@
 original_prove = slot_ledger.SlotLedger.prove_idle
 original_add_part = records.Replica._add_part
 
+
+def state_dropped_first():
+    """Drop the state of an ended job while its submission is stored."""
+
+    def find(view, wall_ms, keep_ended_ms):
+        over = [k for k, r in view.record_by_id.items() if r.is_over]
+        return retention.Expired([], over)
+
+    return mock.patch.object(retention, 'find', find)
+
+
 MUTANT_BY_NAME = {
     'no mutant': contextlib.nullcontext,
     'no guard interval': no_guard_interval,
@@ -82,4 +94,5 @@
     'slot lease counted too long': slot_lease_counted_from_receipt,
     'claim used before read-back': claim_used_before_read_back,
     'snapshot that reverts': snapshot_that_reverts,
+    'state dropped first': state_dropped_first,
 }
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -108,11 +108,29 @@
       | {"phases":[{"count":1,"after":[3]}]}        | after         |
       | {"phases":[{"count":1,"after":[0]}]}        | cycle         |
       | {"phases":[{"count":"x"}]}                  | count         |
-      | {"phases":[{"count":1,"cpu":-5}]}           | size          |
+      | {"phases":[{"count":1,"cpu":-5}]}           | cpu           |
+      | {"phases":[{"count":1,"anti_affinity":-1}]} | anti_affinity |
+      | {"phases":[{"count":1},{"count":0}]}        | phases[1]     |
       | {"phases":[{"count":1}],"repeats":-1}       | repeats       |
       | [1,2]                                       | object        |
       | {"phases                                    | truncated     |
 
+  Scenario Outline: Callers are told a job's state in the platform's words
+    When a caller asks for a job that is <phase>
+    Then the answer is <status> with <body>
+
+    Examples:
+      | phase     | status | body                   |
+      | queued    | 200    | {"state": "queued"}    |
+      | running   | 200    | {"state": "running"}   |
+      | completed | 200    | {"state": "completed"} |
+      | failed    | 200    | {"state": "failed"}    |
+      | canceled  | 200    | {"state": "canceled"}  |
+      | unknown   | 410    | {}                     |
+
+  Scenario: Nothing outside the adapter writes the platform's words
+    Then no module outside the adapter has a string of the platform's interface
+
   Scenario: Entries of other writers name no worker and change nothing
     When entries with missing, mistyped and unreadable fields are decoded
     Then none of them names a worker
--- a/features/steps/cell_steps.py
+++ b/features/steps/cell_steps.py
@@ -150,8 +150,7 @@
 @when('a leader takes over that does not know of their placement')
 def take_over_blind(context):
     world = context.world
-    for job_id in list(world.view.record_by_id):
-        del world.view.record_by_id[job_id]
+    world.state_by_key.clear()
     world.take_over()
 
 
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -1,6 +1,8 @@
 """Steps on the adapter and the nodes' agreement, over an in-memory store."""
 
+import ast
 import asyncio
+import json
 
 from behave import given
 from behave import then
@@ -23,8 +25,10 @@
 from carawaymast_node.cells import telemetry
 from carawaymast_platform import adapter
 from carawaymast_platform import ingress
+from carawaymast_platform import replies
 from carawaymast_platform import store as store_mod
 from features import cell_world
+from standins import deployment
 from standins import keyed_log
 
 TICK_MS = 50
@@ -497,3 +501,60 @@
 @then('the reason names "{text}"')
 def reason_names(context, text):
     assert text in str(context.error), context.error
+
+
+@when('a caller asks for a job that is {phase}')
+def ask_for_job(context, phase):
+    known = None if phase == 'unknown' else records.JobPhase(phase)
+    context.reply = replies.REPLIES.job(known)
+
+
+@then('the answer is {status:d} with {body}')
+def reply_is(context, status, body):
+    assert context.reply.status == status, context.reply
+    assert context.reply.body == json.loads(body), context.reply
+
+
+# Words of the platform's interface that the product itself has no use for.
+PLATFORM_WORDS = (
+    'phases',
+    'anti_affinity',
+    'long_running',
+    'rack_local',
+    'repeats',
+    'target_completion_ms',
+    'Deadline-Ms',
+    '/-/',
+    'keyed.',
+    'log-append',
+    'log-read',
+    'log-newest',
+)
+PRODUCT_FOLDERS = (
+    'packages/carawaymast-core/carawaymast_core/cell',
+    'packages/carawaymast-node/carawaymast_node/cells',
+)
+
+
+def strings_of(path):
+    """Yield the strings that a module uses, without its doc comments."""
+    tree = ast.parse(path.read_text())
+    documents = {
+        id(node.value) for node in ast.walk(tree) if isinstance(node, ast.Expr)
+    }
+    for node in ast.walk(tree):
+        if isinstance(node, ast.Constant) and id(node) not in documents:
+            if isinstance(node.value, str):
+                yield node.value
+
+
+@then("no module outside the adapter has a string of the platform's interface")
+def words_stay_inside(context):
+    found = [
+        (path.name, text)
+        for folder in PRODUCT_FOLDERS
+        for path in (deployment.ROOT / folder).glob('*.py')
+        for text in strings_of(path)
+        if any(word in text for word in PLATFORM_WORDS)
+    ]
+    assert not found, found
--- a/packages/carawaymast-core/carawaymast_core/cell/cell.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/cell.py
@@ -29,6 +29,7 @@
     records_by_id: dict[str, records.JobRecord]
     starts: list[worker_mod.Run]
     acks: dict[tuple[str, int], int]
+    dropped_keys: typing.Sequence[str] = ()
 
     @property
     def is_empty(self) -> bool:
@@ -38,6 +39,7 @@
             or self.records_by_id
             or self.starts
             or self.acks
+            or self.dropped_keys
         )
 
 
@@ -62,6 +64,8 @@
         self._dirty: set[str] = set()
         self.starts: list[worker_mod.Run] = []
         self.acks: dict[tuple[str, int], int] = {}
+        # State records that have expired, see ``retention``.
+        self.dropped_keys: list[str] = []
 
     # -- jobs --------------------------------------------------------------
 
@@ -102,15 +106,14 @@
             return
         record = view.record_by_id.get(job_id)
         if job is None:
-            if record is not None and not record.tasks:
-                if record.phase.is_final:
-                    return
+            if record is not None and record.is_over:
+                return
             job = jobs.Job(submission, wall_ms)
             self.job_by_id[job_id] = job
             if record is not None:
                 takeover.restore(self, job, record, now_ms)
             self.refresh(job, now_ms, wall_ms)
-        if job_id in view.cancelled_ids:
+        if job_id in view.cancelled_at_ms_by_id:
             self._cancel(job, wall_ms)
         if job.phase.is_final:
             self.end_job(job, job.phase, job.cause, wall_ms)
@@ -205,11 +208,18 @@
             records_by_id[job_id] = job.record()
             if job.phase.is_final and not any(job.runs()):
                 del self.job_by_id[job_id]
-        batch = Batch(self._new_by_id, records_by_id, self.starts, self.acks)
+        batch = Batch(
+            self._new_by_id,
+            records_by_id,
+            self.starts,
+            self.acks,
+            self.dropped_keys,
+        )
         self._new_by_id = {}
         self._dirty = set()
         self.starts = []
         self.acks = {}
+        self.dropped_keys = []
         return batch
 
     def commit(self, batch: Batch) -> list[worker_mod.Run]:
--- a/packages/carawaymast-core/carawaymast_core/cell/records.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/records.py
@@ -21,7 +21,9 @@
     'SUBMISSION_SUFFIX',
     'TaskRecord',
     'decode',
+    'decode_cancel',
     'encode',
+    'encode_cancel',
 ]
 
 CANCEL_SUFFIX = '/cancel'
@@ -75,6 +77,11 @@
     changed_at_ms: int
     tasks: tuple[tuple[tuple[TaskRecord, ...], ...], ...]
 
+    @property
+    def is_over(self) -> bool:
+        """Whether the job has ended and runs nowhere any more."""
+        return self.phase.is_final and not self.tasks
+
 
 class QueueLoad(typing.NamedTuple):
     """What the leader predicts for one rank: work waiting and its delay."""
@@ -119,6 +126,19 @@
 }
 
 
+def encode_cancel(wall_ms: int) -> bytes:
+    """Return the bytes of the wish to cancel a job."""
+    return str(wall_ms).encode()
+
+
+def decode_cancel(raw: bytes) -> int:
+    """Return when a job was cancelled, in ms since 1970.
+
+    Raises ``ValueError`` if the bytes hold no time.
+    """
+    return int(raw)
+
+
 def encode(record: typing.Any) -> bytes:
     """Return the bytes of a record."""
     return _encoder.encode(record)
--- a/packages/carawaymast-core/carawaymast_core/cell/spec.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/spec.py
@@ -5,11 +5,11 @@
 
 import typing
 
-from carawaymast_core import errors
 from carawaymast_core import resources
 
 __all__ = [
     'AdvicePolicy',
+    'InvalidSpecError',
     'JobSpec',
     'QueuePolicy',
     'Step',
@@ -88,19 +88,30 @@
     accepted_at_ms: int
 
 
-def check_spec(spec: JobSpec) -> None:
-    """Raise ``SchedulerError`` unless the job is well formed.
+class InvalidSpecError(ValueError):
+    """A job is not well formed.
 
-    The message names the argument and its value.
+    ``field`` is the field of ``JobSpec`` or, with ``step``, of that step;
+    the adapter knows by what name the caller wrote it.
     """
+
+    def __init__(self, field: str, problem: str, step: int | None = None):
+        super().__init__(f'step {step}: {field} {problem}')
+        self.field = field
+        self.problem = problem
+        self.step = step
+
+
+def check_spec(spec: JobSpec) -> None:
+    """Raise ``InvalidSpecError`` unless the job is well formed."""
     size = len(spec.payload.encode())
-    _require(size <= MAX_PAYLOAD_BYTES, f'spec has {size} bytes')
+    if size > MAX_PAYLOAD_BYTES:
+        raise InvalidSpecError('payload', f'has {size} bytes')
     count = len(spec.steps)
-    _require(1 <= count <= MAX_STEPS, f'phases has {count} entries')
-    _require(
-        0 <= spec.occurrences <= MAX_OCCURRENCES,
-        f'repeats is {spec.occurrences}',
-    )
+    if not 1 <= count <= MAX_STEPS:
+        raise InvalidSpecError('steps', f'has {count} entries')
+    if not 0 <= spec.occurrences <= MAX_OCCURRENCES:
+        raise InvalidSpecError('occurrences', f'is {spec.occurrences}')
     for number, step in enumerate(spec.steps):
         _check_step(number, step)
     _check_order(spec.steps)
@@ -116,39 +127,30 @@
 
 
 def _check_step(number: int, step: Step) -> None:
-    where = f'step {number}'
-    _require(
-        1 <= step.count <= MAX_TASKS_PER_STEP,
-        f'{where}: count is {step.count}',
-    )
-    _require(min(step.size) >= 0, f'{where}: size is {step.size}')
-    _require(
-        step.estimate_ms >= 0, f'{where}: estimate_ms is {step.estimate_ms}'
-    )
-    _require(
-        step.max_per_worker >= 0,
-        f'{where}: anti_affinity is {step.max_per_worker}',
-    )
+    if not 1 <= step.count <= MAX_TASKS_PER_STEP:
+        raise InvalidSpecError('count', f'is {step.count}', number)
+    if min(step.size) < 0:
+        raise InvalidSpecError('size', f'is {tuple(step.size)}', number)
+    for field in ('estimate_ms', 'max_per_worker'):
+        value = getattr(step, field)
+        if value < 0:
+            raise InvalidSpecError(field, f'is {value}', number)
 
 
 def _check_order(steps: typing.Sequence[Step]) -> None:
     """Refuse numbers out of range and cycles."""
     for number, step in enumerate(steps):
         for other in step.after:
-            _require(
-                0 <= other < len(steps), f'step {number}: after has {other}'
-            )
+            if not 0 <= other < len(steps):
+                raise InvalidSpecError('after', f'has {other}', number)
     done: set[int] = set()
     while len(done) < len(steps):
-        ready = [
-            n
-            for n, step in enumerate(steps)
-            if n not in done and done.issuperset(step.after)
-        ]
-        _require(bool(ready), 'after has a cycle')
-        done.update(ready)
-
-
-def _require(condition: bool, detail: str) -> None:
-    if not condition:
-        raise errors.SchedulerError(errors.ErrorKind.BAD_REQUEST, detail)
+        ready = {
+            number
+            for number, step in enumerate(steps)
+            if number not in done and done.issuperset(step.after)
+        }
+        if not ready:
+            first = min(set(range(len(steps))) - done)
+            raise InvalidSpecError('after', 'has a cycle', first)
+        done |= ready
--- a/packages/carawaymast-core/carawaymast_core/cell/view.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/view.py
@@ -18,7 +18,7 @@
     def __init__(self) -> None:
         self.submission_by_id: dict[str, spec_mod.Submission] = {}
         self.record_by_id: dict[str, records.JobRecord] = {}
-        self.cancelled_ids: set[str] = set()
+        self.cancelled_at_ms_by_id: dict[str, int] = {}
 
     def take_intake(self, key: str, value: bytes) -> str | None:
         """Apply an intake record; return the job's id if it is news.
@@ -26,11 +26,12 @@
         Raises ``ValueError`` if the record cannot be read.
         """
         if not value:
-            self._forget(key)
+            self._forget_intake(key)
             return None
         if key.endswith(records.CANCEL_SUFFIX):
             job_id = key.removesuffix(records.CANCEL_SUFFIX)
-            self.cancelled_ids.add(job_id)
+            at_ms = records.decode_cancel(value)
+            self.cancelled_at_ms_by_id[job_id] = at_ms
             return job_id
         if key in self.submission_by_id:
             return None
@@ -50,11 +51,24 @@
             return
         job_id = key
         if not value:
+            # Dropped after the submission; this node may read it before.
             self.record_by_id.pop(job_id, None)
+            self.submission_by_id.pop(job_id, None)
             return
         record = records.decode(records.JobRecord, value)
         self.record_by_id[job_id] = record
 
+    def knows(self, job_id: str) -> bool:
+        """Whether a job was accepted; also after its submission is gone."""
+        return job_id in self.submission_by_id or job_id in self.record_by_id
+
+    def has_intake(self, job_id: str) -> bool:
+        """Whether a submission or a cancel of a job is still kept."""
+        return (
+            job_id in self.submission_by_id
+            or job_id in self.cancelled_at_ms_by_id
+        )
+
     def phase(self, job_id: str) -> records.JobPhase | None:
         """Return the state of a job, None if it is not known."""
         record = self.record_by_id.get(job_id)
@@ -62,7 +76,7 @@
             return record.phase
         if job_id not in self.submission_by_id:
             return None
-        if job_id in self.cancelled_ids:
+        if job_id in self.cancelled_at_ms_by_id:
             return records.JobPhase.CANCELED
         return records.JobPhase.QUEUED
 
@@ -82,14 +96,16 @@
                 yield job_id
 
     def _is_pending(self, job_id: str) -> bool:
-        if job_id in self.cancelled_ids:
+        if job_id in self.cancelled_at_ms_by_id:
             return False
         record = self.record_by_id.get(job_id)
         if record is None:
             return True
         return not record.has_started and not record.phase.is_final
 
-    def _forget(self, key: str) -> None:
-        job_id = key.removesuffix(records.CANCEL_SUFFIX)
-        self.submission_by_id.pop(job_id, None)
-        self.cancelled_ids.discard(job_id)
+    def _forget_intake(self, key: str) -> None:
+        if key.endswith(records.CANCEL_SUFFIX):
+            job_id = key.removesuffix(records.CANCEL_SUFFIX)
+            self.cancelled_at_ms_by_id.pop(job_id, None)
+        else:
+            self.submission_by_id.pop(key, None)
--- /dev/null
+++ b/packages/carawaymast-node/carawaymast_node/cells/context.py
@@ -0,0 +1,28 @@
+"""What a term of leadership works with."""
+
+import typing
+
+from carawaymast_core import clock as clock_mod
+from carawaymast_core.cell import view as view_mod
+from carawaymast_node.cells import election as election_mod
+from carawaymast_node.cells import fabric
+from carawaymast_node.cells import ports
+from carawaymast_node.cells import tail as tail_mod
+from carawaymast_node.cells import telemetry
+
+__all__ = ['CellContext']
+
+
+class CellContext(typing.NamedTuple):
+    """What a leader works with."""
+
+    clock: clock_mod.Clock
+    log: telemetry.Telemetry
+    metrics: telemetry.Metrics
+    platform: ports.Platform
+    store: ports.StorePort
+    peers: fabric.Peers
+    view: view_mod.JobView
+    intake_tail: tail_mod.Tail
+    state_tail: tail_mod.Tail
+    election: election_mod.Election
--- /dev/null
+++ b/packages/carawaymast-node/carawaymast_node/cells/dropping.py
@@ -0,0 +1,53 @@
+"""Drops the records of jobs that ended long ago, as ``retention`` says."""
+
+import asyncio
+import typing
+
+from carawaymast_core.cell import retention
+from carawaymast_node.cells import context as context_mod
+from carawaymast_node.cells import ports
+
+__all__ = ['keep_dropping']
+
+# Design peak: 180 starts/s, so at most 180 jobs/s end; a pass of 500 jobs
+# every 2.5 s keeps up, and costs 24 appends a minute only while jobs expire.
+INTERVAL_MS = 2_500
+
+DropState = typing.Callable[[typing.Sequence[str]], None]
+
+
+async def keep_dropping(
+    context: context_mod.CellContext, drop_state: DropState
+) -> typing.NoReturn:
+    """Drop what has expired for as long as this node leads.
+
+    The submissions go first. ``drop_state`` is called for the keys of the
+    state only once it is certain that they are gone; it has to write under
+    the leader's epoch.
+    """
+    keep_ms = context.platform.settings.keep_ended_ms
+    while True:
+        await asyncio.sleep(INTERVAL_MS / 1000)
+        expired = retention.find(context.view, context.clock.wall(), keep_ms)
+        if await _drop_intake(context, expired.intake_keys):
+            drop_state(expired.state_keys)
+            context.metrics.count(
+                'state_keys_dropped_total', len(expired.state_keys)
+            )
+
+
+async def _drop_intake(
+    context: context_mod.CellContext, keys: typing.Sequence[str]
+) -> bool:
+    """Drop keys of the intake; return whether that is certain."""
+    if not keys:
+        return True
+    tail = context.intake_tail
+    items = [ports.KeyValue(key, b'') for key in keys]
+    try:
+        await context.store.append(tail.topic, tail.part, items)
+    except ports.StoreError as error:
+        context.log.note('drop_failed', keys=len(keys), error=str(error))
+        return False
+    context.metrics.count('intake_keys_dropped_total', len(keys))
+    return True
--- a/packages/carawaymast-node/carawaymast_node/cells/front.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/front.py
@@ -45,6 +45,7 @@
     log: telemetry.Telemetry
     metrics: telemetry.Metrics
     ingress: ports.Ingress
+    replies: ports.Replies
     routes: routing.Routes
     view: view_mod.JobView
     intake: intake_mod.Intake
@@ -52,14 +53,6 @@
     leader_calls: leader_calls_mod.LeaderCalls
 
 
-class Answer(typing.NamedTuple):
-    """Status, body and seconds until a retry is worth while, or 0."""
-
-    status: int
-    body: typing.Any
-    retry_after_s: int = 0
-
-
 class Front(circuits.BaseComponent):
     """Answers callers; each request is handled by a coroutine."""
 
@@ -119,7 +112,7 @@
         )
         self._send(response, answer)
 
-    async def _dispatch(self, method: str, request) -> Answer:
+    async def _dispatch(self, method: str, request) -> ports.CallerAnswer:
         host = request.headers.get('Host', '')
         queue, job_id = self._parts.routes.find(host, request.path)
         if method == 'POST' and job_id:
@@ -129,19 +122,19 @@
         if method == 'DELETE' and job_id:
             return await self._cancel(job_id)
         if method == 'GET':
-            pending = self._parts.view.pending(queue.policy.name)
-            return Answer(200, {'pending': pending})
+            waiting = self._parts.view.pending(queue.policy.name)
+            return self._parts.replies.queue(waiting)
         raise errors.SchedulerError(
             errors.ErrorKind.NOT_FOUND, f'no route {method} {request.path}'
         )
 
     async def _submit(
         self, queue: ports.Queue, job_id: str, request
-    ) -> Answer:
+    ) -> ports.CallerAnswer:
         parts = self._parts
-        if job_id in parts.view.submission_by_id:
+        if parts.view.knows(job_id):
             parts.log.note('job_joined', job=job_id)
-            return Answer(200, {})
+            return parts.replies.accepted
         spec = parts.ingress.decode_job(request.body.getvalue())
         submission = spec_mod.Submission(
             job_id, queue.policy, spec, parts.clock.wall()
@@ -158,24 +151,26 @@
             version=parts.routes.version,
             by_leader=taken.value,
         )
-        return Answer(200, {})
+        return parts.replies.accepted
 
-    async def _show(self, job_id: str) -> Answer:
+    async def _show(self, job_id: str) -> ports.CallerAnswer:
         phase = await self._phase(job_id)
         if phase is None:
             self._parts.log.note('job_unknown', job=job_id, asked='show')
-            return Answer(410, {})
-        return Answer(200, {'state': phase.value})
+        return self._parts.replies.job(phase)
 
-    async def _cancel(self, job_id: str) -> Answer:
+    async def _cancel(self, job_id: str) -> ports.CallerAnswer:
         phase = await self._phase(job_id)
         if phase is not None and phase.is_final:
-            return Answer(200, {})
+            return self._parts.replies.cancelled(phase)
         # Also for an unknown job: its submission may still be on its way.
-        item = ports.KeyValue(job_id + records.CANCEL_SUFFIX, b'\x01')
+        item = ports.KeyValue(
+            job_id + records.CANCEL_SUFFIX,
+            records.encode_cancel(self._parts.clock.wall()),
+        )
         await self._parts.intake.store(item)
         self._parts.log.note('job_cancelled', job=job_id, known=bool(phase))
-        return Answer(410 if phase is None else 200, {})
+        return self._parts.replies.cancelled(phase)
 
     async def _phase(self, job_id: str) -> records.JobPhase | None:
         """Return a job's state; None only if the store does not have it."""
@@ -208,7 +203,7 @@
         except TimeoutError:
             return None
 
-    def _send(self, response, answer: Answer) -> None:
+    def _send(self, response, answer: ports.CallerAnswer) -> None:
         if not self._guard.is_open(response.request.sock):
             return
         if answer.retry_after_s:
@@ -254,10 +249,10 @@
     return (deadline_ms - margin_ms) / 1000
 
 
-def _error_answer(error: errors.SchedulerError) -> Answer:
+def _error_answer(error: errors.SchedulerError) -> ports.CallerAnswer:
     status = error.answer.status
     retry_after_s = error.retry_after_s
     if status in (429, 503) and not retry_after_s:
         retry_after_s = RETRY_AFTER_S
     body = errors.error_body(error, '')
-    return Answer(status, body, retry_after_s)
+    return ports.CallerAnswer(status, body, retry_after_s)
--- a/packages/carawaymast-node/carawaymast_node/cells/journal.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/journal.py
@@ -69,6 +69,7 @@
             ports.KeyValue(job_id, records.encode(record))
             for job_id, record in batch.records_by_id.items()
         ]
+        items += [ports.KeyValue(key, b'') for key in batch.dropped_keys]
         if items:
             started_ms = self._clock.now()
             appended = await self._append(items)
@@ -83,6 +84,8 @@
         for job_id, submission in batch.submission_by_id.items():
             self._view.submission_by_id.setdefault(job_id, submission)
         self._view.record_by_id.update(batch.records_by_id)
+        for key in batch.dropped_keys:
+            self._view.take_state(key, b'')
 
     async def _append(
         self, items: typing.Sequence[ports.KeyValue]
--- a/packages/carawaymast-node/carawaymast_node/cells/leader.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/leader.py
@@ -3,7 +3,6 @@
 import asyncio
 import typing
 
-from carawaymast_core import clock as clock_mod
 from carawaymast_core import errors
 from carawaymast_core.cell import admission
 from carawaymast_core.cell import cell as cell_mod
@@ -11,18 +10,16 @@
 from carawaymast_core.cell import placing
 from carawaymast_core.cell import spec as spec_mod
 from carawaymast_core.cell import takeover
-from carawaymast_core.cell import view as view_mod
 from carawaymast_node import background
 from carawaymast_node.cells import advice_desk
-from carawaymast_node.cells import election as election_mod
-from carawaymast_node.cells import fabric
+from carawaymast_node.cells import context as context_mod
+from carawaymast_node.cells import dropping
 from carawaymast_node.cells import journal as journal_mod
 from carawaymast_node.cells import orders
 from carawaymast_node.cells import ports
 from carawaymast_node.cells import tail as tail_mod
-from carawaymast_node.cells import telemetry
 
-__all__ = ['CellContext', 'Leader']
+__all__ = ['Leader']
 
 # Events of so long are planned together.
 PLAN_PAUSE_MS = 8
@@ -30,25 +27,10 @@
 RETRY_MS = 150
 
 
-class CellContext(typing.NamedTuple):
-    """What a leader works with."""
-
-    clock: clock_mod.Clock
-    log: telemetry.Telemetry
-    metrics: telemetry.Metrics
-    platform: ports.Platform
-    store: ports.StorePort
-    peers: fabric.Peers
-    view: view_mod.JobView
-    intake_tail: tail_mod.Tail
-    state_tail: tail_mod.Tail
-    election: election_mod.Election
-
-
 class Leader:
     """One term of leadership."""
 
-    def __init__(self, context: CellContext, epoch: int):
+    def __init__(self, context: context_mod.CellContext, epoch: int):
         self._context = context
         self._clock = context.clock
         self._log = context.log
@@ -121,6 +103,9 @@
             self._metrics.count('takeovers_total')
             self._metrics.record_ms('takeover', self._clock.now() - started_ms)
             self._tasks.spawn(self._worker_tail.run())
+            self._tasks.spawn(
+                dropping.keep_dropping(self._context, self._drop)
+            )
             await self._keep_planning()
         except* ports.FencedError as group:
             error = str(group.exceptions[0])
@@ -152,7 +137,7 @@
         if the job is refused; then it never runs.
         """
         job_id = submission.job_id
-        if job_id in self._context.view.submission_by_id:
+        if self._context.view.knows(job_id):
             return ports.Taken.YES
         if not self.is_open or self._journal.is_failing:
             # Unless an earlier try of the same job is under way.
@@ -162,10 +147,10 @@
         if refusal is not None:
             raise _refused(refusal)
         self.cell.accept(submission, self._clock.now(), self._clock.wall())
-        if job_id in self._context.view.cancelled_ids:
+        if job_id in self._context.view.cancelled_at_ms_by_id:
             self.take_job(job_id)
         self._wake.set()
-        while job_id not in self._context.view.submission_by_id:
+        while not self._context.view.knows(job_id):
             if self._is_over:
                 return ports.Taken.UNKNOWN
             await self._committed.wait()
@@ -264,6 +249,11 @@
         spent_ms = self._clock.now() - now_ms
         self._metrics.record_ms('plan', spent_ms)
 
+    def _drop(self, state_keys: typing.Sequence[str]) -> None:
+        """Have the next batch drop records of the state."""
+        self.cell.dropped_keys += state_keys
+        self._wake.set()
+
     def _begin_commit(self, wall_ms: int) -> None:
         batch = self.cell.take_batch(wall_ms)
         if batch.is_empty:
--- a/packages/carawaymast-node/carawaymast_node/cells/leadership.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/leadership.py
@@ -5,6 +5,7 @@
 import typing
 
 from carawaymast_core.cell import lag
+from carawaymast_node.cells import context as context_mod
 from carawaymast_node.cells import election as election_mod
 from carawaymast_node.cells import leader as leader_mod
 from carawaymast_node.cells import ports
@@ -31,7 +32,7 @@
 
     def __init__(
         self,
-        context: leader_mod.CellContext,
+        context: context_mod.CellContext,
         tail: tail_mod.Tail,
         fail: typing.Callable[[BaseException], None],
     ):
--- a/packages/carawaymast-node/carawaymast_node/cells/ports.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/ports.py
@@ -7,6 +7,7 @@
 import enum
 import typing
 
+from carawaymast_core.cell import records
 from carawaymast_core.cell import spec as spec_mod
 from carawaymast_core.cell import worker as worker_mod
 
@@ -15,6 +16,7 @@
     'AdviceError',
     'Advise',
     'Appended',
+    'CallerAnswer',
     'CellSettings',
     'ConflictError',
     'Declarations',
@@ -26,6 +28,7 @@
     'Platform',
     'Queue',
     'ReadAnswer',
+    'Replies',
     'SequenceError',
     'StoreError',
     'StorePort',
@@ -238,6 +241,28 @@
     entry: worker_mod.WorkerEntry | None
 
 
+class CallerAnswer(typing.NamedTuple):
+    """Status, body and seconds until a retry is worth while, or 0."""
+
+    status: int
+    body: typing.Any
+    retry_after_s: int = 0
+
+
+class Replies(typing.NamedTuple):
+    """How callers are answered.
+
+    ``accepted`` is for a job that is stored; the functions take a job's
+    phase before the call, None if it is unknown, or a count of jobs of which
+    no task has started.
+    """
+
+    accepted: CallerAnswer
+    job: typing.Callable[[records.JobPhase | None], CallerAnswer]
+    cancelled: typing.Callable[[records.JobPhase | None], CallerAnswer]
+    queue: typing.Callable[[int], CallerAnswer]
+
+
 class Ingress(typing.NamedTuple):
     """How bodies from callers and operators are decoded.
 
@@ -252,19 +277,25 @@
 
 
 class CellSettings(typing.NamedTuple):
-    """What a node is told about itself and its bounds."""
+    """What a node is told about itself and its bounds.
+
+    For ``keep_ended_ms`` after its end callers may still ask for a job.
+    """
 
     node_id: str
     host: str
     domain: str
     caller_address: tuple[str, int]
     ready_address: tuple[str, int]
+    ready_path: str
     peer_port: int
     metrics_port: int
+    metrics_path: str
     declarations_topic: str
     workers_topic: str
     max_lease_ms: int
     drain_ms: int
+    keep_ended_ms: int
     grace_ms: int
     max_connections: int
 
@@ -278,3 +309,4 @@
     workers: WorkerPort
     advise: Advise | None
     ingress: Ingress
+    replies: Replies
--- a/packages/carawaymast-node/carawaymast_node/cells/service.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/service.py
@@ -15,6 +15,7 @@
 from carawaymast_node import guard as guard_mod
 from carawaymast_node import loop as loop_mod
 from carawaymast_node.cells import advice_desk
+from carawaymast_node.cells import context as context_mod
 from carawaymast_node.cells import election as election_mod
 from carawaymast_node.cells import fabric
 from carawaymast_node.cells import front as front_mod
@@ -134,7 +135,7 @@
             replica_mod.PART,
             self.leader_calls.deliver,
         )
-        context = leader_mod.CellContext(
+        context = context_mod.CellContext(
             self.clock,
             self.log,
             self.metrics,
@@ -190,6 +191,7 @@
             self.log,
             self.metrics,
             self.platform.ingress,
+            self.platform.replies,
             self.replica.routes,
             self.replica.view,
             self.intake,
@@ -198,13 +200,15 @@
         )
         self.front = front_mod.Front(self.guard, parts).register(self)
         self._open_pages(
-            'ready', settings.ready_address, {'/-/readyz': self._ready_page}
+            'ready',
+            settings.ready_address,
+            {settings.ready_path: self._ready_page},
         )
         self.metrics.add_gauges(self._gauges)
         self._open_pages(
             'metrics',
             (settings.host, settings.metrics_port),
-            {'/metrics': lambda: (200, self.metrics.text())},
+            {settings.metrics_path: lambda: (200, self.metrics.text())},
         )
 
     def _open_pages(self, channel, address, pages) -> None:
