Metrics say who waits and for how long; a node's state on request

Queue age, waiting tasks and room asked for by queue, room used, unanswered orders and refusals by reason on the metrics address, a type for each name; /state beside them, and SIGUSR1 writes the same to the log. The election record loses its loads, which nobody read, and take_hold a time of day.

--- a/features/cell_world.py
+++ b/features/cell_world.py
@@ -190,9 +190,7 @@
         self.clock.advance(1)
         if answer is not None:
             now_ms = self.clock.now()
-            answers.take_hold(
-                self.cell, worker, answer, now_ms - 1, now_ms, now_ms
-            )
+            answers.take_hold(self.cell, worker, answer, now_ms - 1, now_ms)
 
     def hold_all(self):
         for runner_id in list(self.runner_by_id):
--- a/features/explaining.feature
+++ b/features/explaining.feature
@@ -32,3 +32,13 @@
     Given a cell whose waiting work takes a minute
     Then an urgent job is not refused
     And a job that no worker could hold is refused for good
+
+  Scenario: The gauges of a cell tell who waits, for how long, and for what room
+    Given a cell of 2 workers
+    And tasks that take 9 s
+    And a job "j1" of 40 tasks and then 1 tasks
+    When the leader plans
+    And 3 s pass
+    Then the gauges of the cell show waiting tasks of "renewals" for 3 s or more
+    And the room asked for and used is that of the job's tasks
+    And every name in the metrics has a type
--- a/features/platform_processes.feature
+++ b/features/platform_processes.feature
@@ -7,4 +7,6 @@
     Then every job is shown as completed by the other nodes
     And no task was started twice without need
     And the metrics of a node name its store calls
+    And the state of the leading node names its epoch, topics and workers
+    And its state goes to its log on SIGUSR1
     And a stopped node ends with status 0
--- a/features/steps/explaining_steps.py
+++ b/features/steps/explaining_steps.py
@@ -14,6 +14,7 @@
 from carawaymast_core import clock as clock_mod
 from carawaymast_core.cell import lives
 from carawaymast_node.cells import front
+from carawaymast_node.cells import gauges
 from carawaymast_node.cells import leader
 from carawaymast_node.cells import orders
 from carawaymast_node.cells import telemetry
@@ -225,3 +226,43 @@
     refusal = context.world.cell.judge(submission)
     assert refusal.retry_after_s == 0, refusal
     assert '17000' in refusal.reason, refusal
+
+
+def gauges_now(context):
+    world = context.world
+    return gauges.of_cell(world.cell, world.clock.now())
+
+
+@then(
+    'the gauges of the cell show waiting tasks of "{queue}" for {least:d} s '
+    'or more'
+)
+def shows_waiting(context, queue, least):
+    found = gauges_now(context)
+    assert found[f'waiting_tasks{{queue="{queue}"}}'] > 0, found
+    waited_ms = found[f'oldest_wait_ms{{queue="{queue}"}}']
+    assert least * 1_000 <= waited_ms < 2_000 * least, found
+
+
+@then("the room asked for and used is that of the job's tasks")
+def shows_room(context):
+    found = gauges_now(context)
+    running = len(context.world.running())
+    assert found['room_used_cpu_millis'] == 1_000 * running, found
+    asked = found['waiting_cpu_millis{queue="renewals"}']
+    assert asked == 1_000 * (40 - running), found
+    assert found['room_cpu_millis'] == 2 * cell_world.CAPACITY.cpu_millis
+
+
+@then('every name in the metrics has a type')
+def names_have_types(context):
+    metrics = telemetry.Metrics()
+    metrics.count('jobs_accepted_total')
+    metrics.record_ms('plan', 3)
+    metrics.add_gauges(lambda: gauges_now(context))
+    lines = metrics.text().splitlines()
+    typed = {line.split()[2] for line in lines if line.startswith('# TYPE')}
+    for line in lines:
+        if not line.startswith('#'):
+            name = line.partition('{')[0].split()[0].removesuffix('_count')
+            assert name in typed, (name, typed)
--- a/features/steps/platform_process_steps.py
+++ b/features/steps/platform_process_steps.py
@@ -40,6 +40,7 @@
 hold_max_ms = 10000
 drain_ms = 2000
 grace_s = 6
+status_s = 120
 [platform]
 address = "127.0.0.1:{store}"
 """
@@ -196,6 +197,32 @@
     assert 'carawaymast_store_call_ms_count' in text, text
 
 
+@then('the state of the leading node names its epoch, topics and workers')
+def state_shown(context):
+    states = [
+        json.loads(node.call('GET', '/state', port=METRICS_PORT)[1])
+        for node in context.nodes
+    ]
+    leading = [state for state in states if state['leads']]
+    assert len(leading) == 1, states
+    assert {state['leader'] for state in states} == {leading[0]['node']}
+    assert {state['epoch'] for state in states} == {leading[0]['epoch']}
+    assert len(leading[0]['workers']) == RUNNERS, leading
+    assert leading[0]['cell']['workers_known'] == RUNNERS, leading
+    topics = {topic['topic'] for topic in leading[0]['topics']}
+    assert {'intake', 'state'} <= topics, topics
+
+
+@then('its state goes to its log on SIGUSR1')
+def state_logged(context):
+    node = context.nodes[0]
+    node.process.send_signal(signal.SIGUSR1)
+    wait_for(
+        lambda: 'carawaymast:state_asked' in node.log_path.read_text(),
+        'the state in the log',
+    )
+
+
 @then('a stopped node ends with status 0')
 def stops(context):
     node = context.nodes[0]
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -149,7 +149,7 @@
 @when('the nodes follow for {seconds:d} s and the leader renews')
 def pass_and_renew(context, seconds):
     pass_time(context, seconds)
-    asyncio.run(context.nodes[0].election.renew(0, ()))
+    asyncio.run(context.nodes[0].election.renew(0))
     follow_all(context)
 
 
@@ -186,7 +186,7 @@
     election = context.nodes[0].election
 
     async def both():
-        await asyncio.gather(election.renew(0, ()), election.release(0))
+        await asyncio.gather(election.renew(0), election.release(0))
 
     asyncio.run(both())
 
--- a/packages/carawaymast-core/carawaymast_core/cell/answers.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/answers.py
@@ -19,7 +19,6 @@
     answer: worker_mod.HoldAnswer,
     sent_at_ms: int,
     now_ms: int,
-    wall_ms: int,
 ) -> None:
     """Learn from both lists of a worker."""
     if worker.is_gone:
@@ -45,7 +44,7 @@
         if end.number > worker.seen_number:
             worker.seen_number = end.number
             cell.acks[worker.key] = end.number
-            _take_end(cell, worker, end, now_ms, wall_ms)
+            _take_end(cell, worker, end, now_ms)
     listed = _take_running(cell, worker, answer.running, now_ms)
     for run in list(worker.run_by_task.values()):
         name = (run.task.name, run.run_id)
@@ -96,9 +95,7 @@
     return known_at_ms is not None and known_at_ms < sent_at_ms
 
 
-def _take_end(
-    cell: 'cell_mod.Cell', worker, end, now_ms: int, wall_ms: int
-) -> None:
+def _take_end(cell: 'cell_mod.Cell', worker, end, now_ms: int) -> None:
     run = worker.run_by_task.get(end.task)
     if run is not None and run.run_id == end.run_id:
         ends.apply(cell, run, end.how, end.checkpoint, now_ms)
--- a/packages/carawaymast-core/carawaymast_core/cell/records.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/records.py
@@ -83,14 +83,6 @@
         return self.phase.is_final and not self.tasks
 
 
-class QueueLoad(typing.NamedTuple):
-    """What the leader predicts for one rank: work waiting and its delay."""
-
-    rank: int
-    waiting_tasks: int
-    wait_ms: int
-
-
 class LeaderRecord(typing.NamedTuple):
     """A claim on a cell's leadership or its renewal.
 
@@ -101,7 +93,6 @@
     boot_id: str
     epoch: int
     is_released: bool
-    loads: tuple[QueueLoad, ...]
 
 
 class MemberRecord(typing.NamedTuple):
--- a/packages/carawaymast-node/carawaymast_node/cells/election.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/election.py
@@ -99,24 +99,22 @@
     async def claim(self, end_offset: int) -> bool:
         """Try to take the leadership; the tail shows whether it worked."""
         record = records.LeaderRecord(
-            self._node_id, self._boot_id, CLAIM_EPOCH, False, ()
+            self._node_id, self._boot_id, CLAIM_EPOCH, False
         )
         self.end_offset = max(end_offset, self.end_offset)
         return await self._append(record)
 
-    async def renew(
-        self, epoch: int, loads: tuple[records.QueueLoad, ...]
-    ) -> bool:
+    async def renew(self, epoch: int) -> bool:
         """Say that the leader is there; False if somebody else claimed."""
         record = records.LeaderRecord(
-            self._node_id, self._boot_id, epoch, False, loads
+            self._node_id, self._boot_id, epoch, False
         )
         return await self._append(record)
 
     async def release(self, epoch: int) -> bool:
         """Give the leadership up, so that others need not wait."""
         record = records.LeaderRecord(
-            self._node_id, self._boot_id, epoch, True, ()
+            self._node_id, self._boot_id, epoch, True
         )
         return await self._append(record)
 
--- a/packages/carawaymast-node/carawaymast_node/cells/front.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/front.py
@@ -82,6 +82,9 @@
                 answer = await self._dispatch(method, request)
         except errors.SchedulerError as error:
             answer = _error_answer(error)
+            self._parts.metrics.count(
+                f'requests_refused_total{{reason="{error.kind.value}"}}'
+            )
             self._parts.log.note(
                 'request_refused',
                 method=method,
--- /dev/null
+++ b/packages/carawaymast-node/carawaymast_node/cells/gauges.py
@@ -0,0 +1,143 @@
+"""What a node shows of itself besides its counters: gauges and its state.
+
+The gauges are read when the metrics page is, so that they cost nothing in
+between; the state is for people, as JSON.
+"""
+
+import collections
+import resource
+import typing
+
+from carawaymast_core import resources
+from carawaymast_core.cell import cell as cell_mod
+from carawaymast_core.cell import worker as worker_mod
+
+if typing.TYPE_CHECKING:
+    from carawaymast_node.cells import service
+    from carawaymast_node.cells import tail
+
+__all__ = ['of_cell', 'of_node', 'state']
+
+KILOBYTES_PER_MB = 1_000
+
+
+def of_node(node: 'service.CellNode') -> dict[str, float]:
+    """Return the gauges of a node and, while it leads, of its cell."""
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    found = {
+        'process_cpu_seconds': usage.ru_utime + usage.ru_stime,
+        'process_peak_memory_mb': usage.ru_maxrss / KILOBYTES_PER_MB,
+        'is_leader': float(node.leader is not None),
+        'configuration_version': float(node.replica.routes.version or 0),
+        'callers_connections': node.guard.open_total,
+        'jobs_known': len(node.replica.view.record_by_id),
+        'submissions_known': len(node.replica.view.submission_by_id),
+    }
+    if node.leader is not None:
+        found |= of_cell(node.leader.cell, node.clock.now())
+    return found
+
+
+def of_cell(cell: cell_mod.Cell, now_ms: int) -> dict[str, float]:
+    """Return what waits by queue, the cell's room and its open orders."""
+    found: dict[str, float] = {
+        'steps_waiting': len(cell.ready_by_name),
+        'workers_known': len(cell.worker_by_key),
+        'orders_unanswered': sum(
+            run.state is worker_mod.RunState.ORDERED
+            for worker in cell.worker_by_key.values()
+            for run in worker.run_by_task.values()
+        ),
+    }
+    found |= _waiting(cell, now_ms)
+    usable = [w for w in cell.worker_by_key.values() if w.is_usable(now_ms)]
+    room = _sum(w.entry.capacity for w in usable)
+    free = _sum(w.free for w in usable)
+    for field in resources.Resources._fields:
+        total = getattr(room, field)
+        found[f'room_{field}'] = total
+        found[f'room_used_{field}'] = total - getattr(free, field)
+    return found
+
+
+def _waiting(cell: cell_mod.Cell, now_ms: int) -> dict[str, float]:
+    """Return the tasks that wait and the longest wait, by queue."""
+    tasks: collections.Counter[str] = collections.Counter()
+    oldest_ms: dict[str, int] = {}
+    asked_millis: collections.Counter[str] = collections.Counter()
+    for step in cell.ready_by_name.values():
+        queue = step.job.submission.queue.name
+        count = len(step.waiting())
+        tasks[queue] += count
+        asked_millis[queue] += count * step.spec.size.cpu_millis
+        waited_ms = now_ms - step.ready_at_ms
+        oldest_ms[queue] = max(waited_ms, oldest_ms.get(queue, 0))
+    found: dict[str, float] = {}
+    for queue, count in tasks.items():
+        label = f'{{queue="{queue}"}}'
+        found[f'waiting_tasks{label}'] = count
+        found[f'waiting_cpu_millis{label}'] = asked_millis[queue]
+        found[f'oldest_wait_ms{label}'] = oldest_ms[queue]
+    return found
+
+
+def state(node: 'service.CellNode') -> dict[str, typing.Any]:
+    """Return what a node believes, with the age of what it read."""
+    now_ms = node.clock.now()
+    replica = node.replica
+    found = {
+        'node': node.settings.node_id,
+        'boot': node.boot_id,
+        'ready': node.is_ready,
+        'draining': node.is_draining,
+        'configuration': replica.routes.version,
+        'store_direct': node.route.is_direct,
+        'leader': node.election.record and node.election.record.node_id,
+        'epoch': node.election.epoch,
+        'leads': node.leader is not None,
+        'members': sorted(m.node_id for m in node.peers.candidates()),
+        'topics': [
+            _tail_state(tail, now_ms)
+            for tail in (
+                replica.intake_tail,
+                replica.state_tail,
+                replica.declared_tail,
+                replica.member_tail,
+            )
+        ],
+    }
+    if node.leader is not None:
+        found['cell'] = of_cell(node.leader.cell, now_ms)
+        found['workers'] = [
+            _worker_state(worker, now_ms)
+            for worker in node.leader.cell.worker_by_key.values()
+        ]
+    return found
+
+
+def _tail_state(tail: 'tail.Tail', now_ms: int) -> dict[str, typing.Any]:
+    read_ms = tail.current_as_of_ms
+    return {
+        'topic': tail.topic,
+        'offset': tail.offset,
+        'current_ms_ago': None if read_ms is None else now_ms - read_ms,
+    }
+
+
+def _worker_state(
+    worker: worker_mod.Worker, now_ms: int
+) -> dict[str, typing.Any]:
+    return {
+        'worker': worker.worker_id,
+        'born_ms': worker.born_ms,
+        'usable': worker.is_usable(now_ms),
+        'runs': len(worker.run_by_task),
+        'free': worker.free._asdict(),
+    }
+
+
+def _sum(rooms: typing.Iterable[resources.Resources]) -> resources.Resources:
+    total = resources.ZERO
+    for room in rooms:
+        total = total.plus(room)
+    return total
--- a/packages/carawaymast-node/carawaymast_node/cells/leadership.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/leadership.py
@@ -114,7 +114,7 @@
             await self._step_aside(leader, now_ms)
         elif now_ms - self._renewed_at_ms >= election_mod.RENEW_MS:
             self._renewed_at_ms = now_ms
-            await self._election.renew(leader.epoch, ())
+            await self._election.renew(leader.epoch)
 
     def _is_better_elsewhere(self, now_ms: int) -> bool:
         """Whether this node is too slow and another could lead."""
--- a/packages/carawaymast-node/carawaymast_node/cells/orders.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/orders.py
@@ -152,7 +152,6 @@
             answer,
             sent_at_ms,
             self._clock.now(),
-            self._clock.wall(),
         )
         if worker.seen_number > seen_before or not was_adopted:
             self._on_news()
--- a/packages/carawaymast-node/carawaymast_node/cells/process.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/process.py
@@ -29,6 +29,7 @@
             root.begin()
             for number in (signal.SIGTERM, signal.SIGINT):
                 loop.add_signal_handler(number, node.request_stop)
+            loop.add_signal_handler(signal.SIGUSR1, node.write_state)
             loop.add_signal_handler(
                 signal.SIGHUP,
                 lambda: node.log.note('reload_asked', pid=os.getpid()),
--- a/packages/carawaymast-node/carawaymast_node/cells/service.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/service.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import contextlib
-import resource
 import typing
 import uuid
 
 import circuits
 from circuits.web import servers
 from grpclib import server as grpc_server
+import msgspec
 
 from carawaymast_core import clock as clock_mod
 from carawaymast_core.cell import records
@@ -19,6 +19,7 @@
 from carawaymast_node.cells import election as election_mod
 from carawaymast_node.cells import fabric
 from carawaymast_node.cells import front as front_mod
+from carawaymast_node.cells import gauges
 from carawaymast_node.cells import intake as intake_mod
 from carawaymast_node.cells import leader as leader_mod
 from carawaymast_node.cells import leader_calls
@@ -36,6 +37,7 @@
 # The leader's silence has to be shown by a read that was sent after it.
 LEAD_WAIT_MS = 450
 MEMBER_RETRY_MS = 500
+STATE_PATH = '/state'  # beside the metrics
 # The balancer takes a node out after two looks, a second apart.
 DRAIN_SERVE_MS = 2_600
 DRAIN_POLL_MS = 20
@@ -204,11 +206,14 @@
             settings.ready_address,
             {settings.ready_path: self._ready_page},
         )
-        self.metrics.add_gauges(self._gauges)
+        self.metrics.add_gauges(lambda: gauges.of_node(self))
         self._open_pages(
             'metrics',
             (settings.host, settings.metrics_port),
-            {settings.metrics_path: lambda: (200, self.metrics.text())},
+            {
+                settings.metrics_path: lambda: (200, self.metrics.text()),
+                STATE_PATH: self._state_page,
+            },
         )
 
     def _open_pages(self, channel, address, pages) -> None:
@@ -220,21 +225,12 @@
     def _ready_page(self) -> tuple[int, str]:
         return (200, 'ready\n') if self.is_ready else (503, 'not ready\n')
 
-    def _gauges(self) -> dict[str, float]:
-        usage = resource.getrusage(resource.RUSAGE_SELF)
-        found = {
-            'process_cpu_seconds': usage.ru_utime + usage.ru_stime,
-            'process_peak_memory_mb': usage.ru_maxrss / 1_000,
-            'is_leader': float(self.leader is not None),
-            'configuration_version': float(self.replica.routes.version or 0),
-            'callers_connections': self.guard.open_total,
-            'jobs_known': len(self.replica.view.submission_by_id),
-        }
-        if self.leader is not None:
-            cell = self.leader.cell
-            found['steps_waiting'] = len(cell.ready_by_name)
-            found['workers_known'] = len(cell.worker_by_key)
-        return found
+    def write_state(self) -> None:
+        """Log what the node believes, when somebody asks for it."""
+        self.log.note('state_asked', **gauges.state(self))
+
+    def _state_page(self) -> tuple[int, str]:
+        return 200, msgspec.json.encode(gauges.state(self)).decode()
 
     # -- the process -------------------------------------------------------
 
--- a/packages/carawaymast-node/carawaymast_node/cells/telemetry.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/telemetry.py
@@ -153,14 +153,24 @@
         self._gauges.append(read)
 
     def text(self) -> str:
-        """Return all metrics, a line each."""
-        lines = [
-            f'carawaymast_{name} {value}'
-            for name, value in sorted(self._count_by_name.items())
-        ]
+        """Return all metrics, a line each, with the type of each name."""
+        lines: list[str] = []
+        described: set[str] = set()
+
+        def add(name: str, kind: str, value: float) -> None:
+            base = name.partition('{')[0]
+            if base not in described:
+                described.add(base)
+                lines.append(f'# TYPE carawaymast_{base} {kind}')
+            lines.append(f'carawaymast_{name} {value}')
+
+        for name, value in sorted(self._count_by_name.items()):
+            add(name, 'counter', value)
         for read in self._gauges:
-            lines.extend(f'carawaymast_{n} {v}' for n, v in read().items())
+            for name, number in read().items():
+                add(name, 'gauge', number)
         for name, found in sorted(self._histogram_by_name.items()):
+            lines.append(f'# TYPE carawaymast_{name}_ms summary')
             lines.extend(_quantiles(name, found))
         return '\n'.join(lines) + '\n'
 
