--- a/features/load.feature
+++ b/features/load.feature
@@ -70,3 +70,19 @@
     And a gang "g1" of 6 tasks of 6 processors comes
     And the leader plans
     Then the log names "g1", its 6 tasks, 3 held workers and the room for 0
+
+  Scenario: Steady newer work that is in time, a late gang still starts
+    Given a cell of 3 workers
+    And tasks that take 2 s
+    And a gang "g1" of 6 tasks of 7 processors that is late
+    When every 200 ms a job of 3 tasks of 4 processors comes for 20 s
+    Then "g1" started within 8 s
+
+  Scenario: A gang holds no more workers than it needs
+    Given a cell of 8 workers
+    And tasks that take 4 s
+    And a flood of 160 tasks of rank 2
+    When the leader plans
+    And a gang "g1" of 3 tasks of 14 processors comes
+    And the leader plans
+    Then "g1" holds 3 workers
--- a/features/steps/load_steps.py
+++ b/features/steps/load_steps.py
@@ -255,3 +255,48 @@
     assert line['step'].startswith(job_id), line
     found = (line['tasks'], line['held'], line['room'])
     assert found == (tasks, held, room), line
+
+
+@given(
+    'a gang "{job_id}" of {count:d} tasks of {cpu:d} processors that is late'
+)
+def late_gang(context, job_id, count, cpu):
+    world = context.world
+    # The workers are full when it comes.
+    world.submit(cell_world.job('full', cell_world.step(12, 4_000)))
+    world.plan()
+    gang = cell_world.gang(count, cpu * 1_000)
+    accepted_ms = world.clock.now() - 5_000
+    world.submit(cell_world.job(job_id, gang, accepted_at_ms=accepted_ms))
+    context.gang_came_ms = world.clock.now()
+
+
+@when(
+    'every {pause:d} ms a job of {count:d} tasks of {cpu:d} processors comes '
+    'for {seconds:d} s'
+)
+def steady_jobs(context, pause, count, cpu, seconds):
+    world = context.world
+    context.started_ms = {}
+    for number in range(seconds * 1_000 // pause):
+        step = cell_world.step(count, cpu * 1_000, estimate_ms=100)
+        now_ms = world.clock.now()
+        job_id = f'n{number}'
+        world.submit(cell_world.job(job_id, step, accepted_at_ms=now_ms))
+        world.turn(pause)
+        for task in world.running():
+            context.started_ms.setdefault(task.partition('.')[0], now_ms)
+
+
+@then('"{job_id}" started within {seconds:d} s')
+def started_within(context, job_id, seconds):
+    started_ms = context.started_ms.get(job_id)
+    assert started_ms is not None, 'it never started'
+    took_ms = started_ms - context.gang_came_ms
+    assert took_ms <= seconds * 1_000, took_ms
+
+
+@then('"{job_id}" holds {count:d} workers')
+def holds(context, job_id, count):
+    (step,) = context.world.cell.job_by_id[job_id].steps()
+    assert len(step.held_keys) == count, step.held_keys
