--- a/features/load.feature
+++ b/features/load.feature
@@ -86,3 +86,10 @@
     And a gang "g1" of 3 tasks of 14 processors comes
     And the leader plans
     Then "g1" holds 3 workers
+
+  Scenario: Steady urgent tasks, a gang that fills its workers still starts
+    Given a cell of 9 workers
+    And tasks that take 2 s
+    And a gang "g1" of 4 tasks of 15 processors that is late
+    When every 100 ms an urgent job of 1 tasks of 2 processors comes for 20 s
+    Then "g1" started within 8 s
--- a/features/steps/load_steps.py
+++ b/features/steps/load_steps.py
@@ -276,13 +276,29 @@
     'for {seconds:d} s'
 )
 def steady_jobs(context, pause, count, cpu, seconds):
+    play_steady(context, pause, count, cpu, seconds, cell_world.queue())
+
+
+@when(
+    'every {pause:d} ms an urgent job of {count:d} tasks of {cpu:d} '
+    'processors comes for {seconds:d} s'
+)
+def steady_urgent_jobs(context, pause, count, cpu, seconds):
+    urgent = cell_world.queue(rank=0, name='checks')
+    play_steady(context, pause, count, cpu, seconds, urgent)
+
+
+def play_steady(context, pause, count, cpu, seconds, policy):
     world = context.world
     context.started_ms = {}
     for number in range(seconds * 1_000 // pause):
         step = cell_world.step(count, cpu * 1_000, estimate_ms=100)
         now_ms = world.clock.now()
-        job_id = f'n{number}'
-        world.submit(cell_world.job(job_id, step, accepted_at_ms=now_ms))
+        world.submit(
+            cell_world.job(
+                f'n{number}', step, policy=policy, accepted_at_ms=now_ms
+            )
+        )
         world.turn(pause)
         for task in world.running():
             context.started_ms.setdefault(task.partition('.')[0], now_ms)
--- a/packages/carawaymast-core/carawaymast_core/cell/holding.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/holding.py
@@ -3,7 +3,7 @@
 A gang that finds no room holds just as many workers as it needs, and keeps
 them from plan to plan: less urgent and newer work passes over them, so that
 they drain within the length of the tasks that run there. Urgent tasks of rank
-0, which are short, may still use them.
+0 use them only if there is no room elsewhere.
 """
 
 import typing
@@ -41,13 +41,23 @@
         }
         self._most = int(worker_count * MAX_HELD_SHARE)
 
-    def may_use(
-        self, step: 'jobs.StepState', worker: 'worker_mod.Worker'
-    ) -> bool:
-        """Whether a step may be placed on a worker."""
-        if step.job.submission.queue.rank == 0:
-            return True
-        return self._holder_by_key.get(worker.key, step) is step
+    def usable(
+        self,
+        step: 'jobs.StepState',
+        allowed: typing.Sequence['worker_mod.Worker'],
+    ) -> list[list['worker_mod.Worker']]:
+        """Return the workers to try, in turn, of those allowed to a step.
+
+        Tasks of rank 0 take held workers too, but only if no other has room:
+        one of them on each held worker would keep a gang out for good.
+        """
+        is_own = [
+            self._holder_by_key.get(w.key, step) is step for w in allowed
+        ]
+        own = [w for w, mine in zip(allowed, is_own, strict=True) if mine]
+        if step.job.submission.queue.rank == 0 and len(own) < len(allowed):
+            return [own, list(allowed)]
+        return [own]
 
     def let_go(self, step: 'jobs.StepState') -> None:
         """End the hold of a step that was placed, or may not hold."""
--- a/packages/carawaymast-core/carawaymast_core/cell/planner.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/planner.py
@@ -85,15 +85,13 @@
         is_full = position >= MAX_STEPS_A_PLAN or misses >= MAX_MISSES_A_PLAN
         if is_full and not step.held_keys:
             continue
-        allowed = [
-            w
-            for w in allowed_workers(step, workers, now_ms)
-            if holds.may_use(step, w)
-        ]
-        placements = choose(step, allowed, now_ms)
-        for placement in placements:
-            place(placement)
-        if placements:
+        admitted = allowed_workers(step, workers, now_ms)
+        is_placed = False
+        for allowed in holds.usable(step, admitted):
+            for placement in choose(step, allowed, now_ms):
+                place(placement)
+                is_placed = True
+        if is_placed:
             holds.let_go(step)
             continue
         misses += 1
