--- a/packages/carawaymast-node/carawaymast_node/cells/replica.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/replica.py
@@ -1,8 +1,10 @@
 """What a node follows of the store: jobs, queues and the other nodes."""
 
+import asyncio
 import typing
 
 from carawaymast_core import clock as clock_mod
+from carawaymast_core.cell import records
 from carawaymast_core.cell import view as view_mod
 from carawaymast_node.cells import fabric
 from carawaymast_node.cells import intake
@@ -11,7 +13,7 @@
 from carawaymast_node.cells import tail as tail_mod
 from carawaymast_node.cells import telemetry
 
-__all__ = ['PART', 'Replica', 'Source']
+__all__ = ['PART', 'Replica', 'Source', 'join']
 
 # The one cell's partition of each topic.
 PART = 0
@@ -25,6 +27,8 @@
 # Members and configuration change rarely; a silent long poll is noticed
 # within its wait and a second.
 RARE_WAIT_MS = 1_000
+# A node that the others do not know yet only takes longer ways.
+JOIN_RETRY_MS = 500
 
 
 class Source(typing.NamedTuple):
@@ -125,3 +129,19 @@
         declared = self._decode(item)
         if declared is not None:
             self.routes.take(declared)
+
+
+async def join(
+    store: ports.StorePort,
+    own: records.MemberRecord,
+    log: telemetry.Telemetry,
+) -> None:
+    """Tell the other nodes where this one is, however long that takes."""
+    item = ports.KeyValue(own.node_id, records.encode(own))
+    while True:
+        try:
+            await store.append(fabric.MEMBERS_TOPIC, PART, [item])
+            return
+        except ports.StoreError as error:
+            log.note('join_failed', error=str(error))
+            await asyncio.sleep(JOIN_RETRY_MS / 1000)
--- a/packages/carawaymast-node/carawaymast_node/cells/service.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/service.py
@@ -36,7 +36,6 @@
 SWEEP_MS = 500
 # The leader's silence has to be shown by a read that was sent after it.
 LEAD_WAIT_MS = 450
-MEMBER_RETRY_MS = 500
 STATE_PATH = '/state'  # beside the metrics
 # The balancer takes a node out after two looks, a second apart.
 DRAIN_SERVE_MS = 2_600
@@ -242,7 +241,7 @@
             self.intake.run(),
             self.leadership.keep_electing(),
             self._keep_sweeping(),
-            self._join(),
+            replica_mod.join(self.store, self._own_record(), self.log),
             self.route.keep_probing(self._probe_store),
             telemetry_mod.open_stdout(self.metrics),
         ]
@@ -261,26 +260,16 @@
         if self._failure is not None:
             raise self._failure
 
-    async def _join(self) -> None:
-        """Tell the other nodes where this one is."""
+    def _own_record(self) -> records.MemberRecord:
+        """Return where the other nodes find this one."""
         settings = self.settings
-        member = records.MemberRecord(
+        return records.MemberRecord(
             settings.node_id,
             settings.host,
             settings.peer_port,
             settings.domain,
             self.boot_id,
         )
-        item = ports.KeyValue(settings.node_id, records.encode(member))
-        while True:
-            try:
-                await self.store.append(
-                    fabric.MEMBERS_TOPIC, replica_mod.PART, [item]
-                )
-                return
-            except ports.StoreError as error:
-                self.log.note('join_failed', error=str(error))
-                await asyncio.sleep(MEMBER_RETRY_MS / 1000)
 
     async def _probe_store(self) -> None:
         """Ask the store directly for what it would answer at once."""
