--- a/packages/carawaymast-core/carawaymast_core/cell/holding.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/holding.py
@@ -3,7 +3,7 @@
 A gang that finds no room holds just as many workers as it needs, and keeps
 them from plan to plan: less urgent and newer work passes over them, so that
 they drain within the length of the tasks that run there. Urgent tasks of rank
-0 use them only if there is no room elsewhere.
+0 pass over them too: one on each held worker would keep a gang out for good.
 """
 
 import typing
@@ -17,8 +17,8 @@
 __all__ = ['Holds']
 
 # All gangs together hold no more than this share of the workers; one gang
-# alone may hold what it needs. Renewals ask for 45% of the grown fleet.
-MAX_HELD_SHARE = 0.4
+# alone may hold what it needs. A quarter, as urgent tasks need the rest.
+MAX_HELD_SHARE = 0.25
 
 Key = tuple[str, int]
 # How many tasks of a step a worker with so much room takes.
@@ -45,19 +45,17 @@
         self,
         step: 'jobs.StepState',
         allowed: typing.Sequence['worker_mod.Worker'],
-    ) -> list[list['worker_mod.Worker']]:
-        """Return the workers to try, in turn, of those allowed to a step.
+    ) -> list['worker_mod.Worker']:
+        """Return those of the workers allowed to a step that it may use.
 
-        Tasks of rank 0 take held workers too, but only if no other has room:
-        one of them on each held worker would keep a gang out for good.
+        A step of rank 0 for which nothing else is left may use held ones.
         """
-        is_own = [
-            self._holder_by_key.get(w.key, step) is step for w in allowed
+        own = [
+            w for w in allowed if self._holder_by_key.get(w.key, step) is step
         ]
-        own = [w for w, mine in zip(allowed, is_own, strict=True) if mine]
-        if step.job.submission.queue.rank == 0 and len(own) < len(allowed):
-            return [own, list(allowed)]
-        return [own]
+        if not own and step.job.submission.queue.rank == 0:
+            return list(allowed)
+        return own
 
     def let_go(self, step: 'jobs.StepState') -> None:
         """End the hold of a step that was placed, or may not hold."""
--- a/packages/carawaymast-core/carawaymast_core/cell/planner.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/planner.py
@@ -86,12 +86,11 @@
         if is_full and not step.held_keys:
             continue
         admitted = allowed_workers(step, workers, now_ms)
-        is_placed = False
-        for allowed in holds.usable(step, admitted):
-            for placement in choose(step, allowed, now_ms):
-                place(placement)
-                is_placed = True
-        if is_placed:
+        allowed = holds.usable(step, admitted)
+        placements = choose(step, allowed, now_ms)
+        for placement in placements:
+            place(placement)
+        if placements:
             holds.let_go(step)
             continue
         misses += 1
