--- a/features/platform.feature
+++ b/features/platform.feature
@@ -142,3 +142,8 @@
   Scenario: A wrong settings file is refused with one clear reason
     When a settings file without its internal ports is read
     Then the reason names "internal_port_range"
+
+  Scenario: A look-up that needs a fresh read does not wait for a long poll
+    Given a node that follows the intake by a long poll that nothing ends
+    When a caller asks for a job that the node does not know
+    Then a read that does not wait is sent for the caller
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -558,3 +558,59 @@
         if any(word in text for word in PLATFORM_WORDS)
     ]
     assert not found, found
+
+
+class QuietStore:
+    """A store without news: a read that may wait does so for good."""
+
+    def __init__(self):
+        self.polling = asyncio.Event()
+
+    async def newest(self, topic, part):
+        return ports.NewestAnswer([], 0)
+
+    async def read(self, topic, part, start, wait_ms):
+        if wait_ms:
+            self.polling.set()
+            await asyncio.Event().wait()
+        return ports.ReadAnswer([], start, start)
+
+
+FRESH_READ_LIMIT_S = 1.0  # only a read that is never sent runs into it
+
+
+@given('a node that follows the intake by a long poll that nothing ends')
+def follow_quietly(context):
+    context.clock = clock_mod.ManualClock()
+    context.quiet_store = QuietStore()
+
+
+@when('a caller asks for a job that the node does not know')
+def ask_for_unknown(context):
+    async def ask():
+        tail = tail_mod.Tail(
+            context.quiet_store,
+            context.clock,
+            quiet(context.clock),
+            intake_mod.TOPIC,
+            0,
+            lambda item: None,
+        )
+        following = asyncio.ensure_future(tail.run())
+        await context.quiet_store.polling.wait()
+        context.clock.advance(1)
+        try:
+            async with asyncio.timeout(FRESH_READ_LIMIT_S):
+                await tail.wait_current(context.clock.now())
+            return True
+        except TimeoutError:
+            return False
+        finally:
+            following.cancel()
+
+    context.is_fresh = asyncio.run(ask())
+
+
+@then('a read that does not wait is sent for the caller')
+def fresh_read(context):
+    assert context.is_fresh, 'the look-up waited for the long poll'
