--- a/features/cell_world.py
+++ b/features/cell_world.py
@@ -293,9 +293,7 @@
         for task, runner_ids in self.running().items():
             assert len(runner_ids) == 1, f'{task} runs at {runner_ids}'
         for runner in self.runner_by_id.values():
-            used = resources.ZERO
-            for task in runner.running:
-                used = used.plus(self._size(task))
+            used = resources.total(self._size(task) for task in runner.running)
             assert used.fits_in(self.capacity), (
                 f'{runner.runner_id} uses {used}'
             )
--- a/packages/carawaymast-core/carawaymast_core/cell/admission.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/admission.py
@@ -64,9 +64,7 @@
         total = total_by_service.get(name, resources.ZERO)
         total_by_service[name] = total.plus(capacity)
         here = largest.get(name, resources.ZERO)
-        largest[name] = resources.Resources(
-            *(max(pair) for pair in zip(here, capacity, strict=True))
-        )
+        largest[name] = here.raised_to(capacity)
     ms_by_place: dict[tuple[str, int], float] = {}
     for step in steps:
         queue = step.job.submission.queue
--- a/packages/carawaymast-core/carawaymast_core/fleetshape.py
+++ b/packages/carawaymast-core/carawaymast_core/fleetshape.py
@@ -43,12 +43,11 @@
     sizes: typing.Iterable[resources.Resources], count_by_shape: CountByShape
 ) -> float:
     """Return the largest share of a resource that the sizes need in all."""
-    needed = resources.ZERO
-    for size in sizes:
-        needed = needed.plus(size)
-    total = resources.ZERO
-    for shape, count in count_by_shape.items():
-        total = total.plus(resources.Resources(*(count * n for n in shape)))
+    needed = resources.total(sizes)
+    total = resources.total(
+        resources.Resources(*(count * n for n in shape))
+        for shape, count in count_by_shape.items()
+    )
     return max(
         (
             want / have
--- a/packages/carawaymast-core/carawaymast_core/resources.py
+++ b/packages/carawaymast-core/carawaymast_core/resources.py
@@ -1,8 +1,9 @@
 """Vectors of processors, memory and accelerators."""
 
+import functools
 import typing
 
-__all__ = ['Resources', 'ZERO']
+__all__ = ['Resources', 'ZERO', 'total']
 
 
 class Resources(typing.NamedTuple):
@@ -43,5 +44,14 @@
             and self.accelerators <= other.accelerators
         )
 
+    def raised_to(self, other: 'Resources') -> 'Resources':
+        """Return the larger of the two amounts, part by part."""
+        return Resources(*map(max, self, other))
+
 
 ZERO = Resources(0, 0, 0)
+
+
+def total(amounts: typing.Iterable[Resources]) -> Resources:
+    """Return the sum of amounts, part by part."""
+    return functools.reduce(Resources.plus, amounts, ZERO)
--- a/packages/carawaymast-core/carawaymast_core/workerbook.py
+++ b/packages/carawaymast-core/carawaymast_core/workerbook.py
@@ -69,18 +69,16 @@
     @property
     def capacity(self) -> resources.Resources:
         """What all owned workers have together."""
-        total = resources.ZERO
-        for worker in self._worker_by_id.values():
-            total = total.plus(worker.capacity)
-        return total
+        return resources.total(
+            worker.capacity for worker in self._worker_by_id.values()
+        )
 
     @property
     def used(self) -> resources.Resources:
         """What runs on all owned workers together."""
-        total = resources.ZERO
-        for worker in self._worker_by_id.values():
-            total = total.plus(worker.used)
-        return total
+        return resources.total(
+            worker.used for worker in self._worker_by_id.values()
+        )
 
     def used_by(self, kind: str) -> resources.Resources:
         """Return what a kind runs and has reserved on all owned workers."""
@@ -298,24 +296,24 @@
         self._check_kinds()
 
     def _check_kinds(self) -> None:
-        total = resources.ZERO
-        for used in self._used_by_kind.values():
-            total = total.plus(used)
-        counted = resources.ZERO
-        for worker in self._worker_by_id.values():
-            counted = counted.plus(worker.used).plus(worker.reserved)
+        total = resources.total(self._used_by_kind.values())
+        counted = resources.total(
+            worker.used.plus(worker.reserved)
+            for worker in self._worker_by_id.values()
+        )
         errors.check(
             total == counted, f'kinds use {total}, workers have {counted}'
         )
 
     def _check_worker(self, worker_id: str, worker: _Worker) -> None:
-        used = resources.ZERO
-        for task in worker.running_by_ref.values():
-            used = used.plus(task.size)
-        firm = resources.ZERO
-        for reservation in worker.reserved_by_ref.values():
-            if not reservation.is_pending:
-                firm = firm.plus(reservation.size)
+        used = resources.total(
+            task.size for task in worker.running_by_ref.values()
+        )
+        firm = resources.total(
+            reservation.size
+            for reservation in worker.reserved_by_ref.values()
+            if not reservation.is_pending
+        )
         errors.check(
             used == worker.used,
             f'{worker_id}: tasks use {used}, counted {worker.used}',
--- a/packages/carawaymast-node/carawaymast_node/cells/gauges.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/gauges.py
@@ -51,8 +51,8 @@
     }
     found |= _waiting(cell, now_ms)
     usable = [w for w in cell.worker_by_key.values() if w.is_usable(now_ms)]
-    room = _sum(w.entry.capacity for w in usable)
-    free = _sum(w.free for w in usable)
+    room = resources.total(w.entry.capacity for w in usable)
+    free = resources.total(w.free for w in usable)
     for field in resources.Resources._fields:
         total = getattr(room, field)
         found[f'room_{field}'] = total
@@ -134,10 +134,3 @@
         'runs': len(worker.run_by_task),
         'free': worker.free._asdict(),
     }
-
-
-def _sum(rooms: typing.Iterable[resources.Resources]) -> resources.Resources:
-    total = resources.ZERO
-    for room in rooms:
-        total = total.plus(room)
-    return total
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -263,9 +263,10 @@
             'size': body['size'],
             'handle': handle,
         }
-        used = resources.ZERO
-        for task in self._task_by_ref.values():
-            used = used.plus(resources.Resources(**task['size']))
+        used = resources.total(
+            resources.Resources(**task['size'])
+            for task in self._task_by_ref.values()
+        )
         if not used.fits_in(self._capacity):
             self._counters['overcommits'] += 1
 
