One channel keeper and one lifecycle for both kinds of node

Cause: cells/fabric.py repeated the channels, the errors and the dispatch of peers.py; CellNode repeated Node's start, stop and failure, and the two serve functions the loop, the signals and the fault handler. Change: channels.py (PeerChannels, PeerError, Answerer) and lifecycle.py (Process, run) serve both. A call's error is shown by repr on both paths.

--- a/packages/carawaymast-node/carawaymast_node/beats.py
+++ b/packages/carawaymast-node/carawaymast_node/beats.py
@@ -14,6 +14,7 @@
 from carawaymast_core import resources
 from carawaymast_core import slots
 from carawaymast_node import background
+from carawaymast_node import channels
 from carawaymast_node import entry as entry_mod
 from carawaymast_node import log_service
 from carawaymast_node import owner as owner_mod
@@ -131,7 +132,7 @@
             reply = await self._call(
                 member, 'Beat', beat, timeout_ms=BEAT_TIMEOUT_MS
             )
-        except peers.PeerError:
+        except channels.PeerError:
             self.failed_total += 1
             return 0
         if member.node_id != self._members.own.node_id:
--- a/packages/carawaymast-node/carawaymast_node/cells/advice_desk.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/advice_desk.py
@@ -11,6 +11,7 @@
 from carawaymast_core.cell import advice as advice_mod
 from carawaymast_core.cell import jobs
 from carawaymast_node import background
+from carawaymast_node import channels
 from carawaymast_node import fabric_pb2
 from carawaymast_node.cells import fabric
 from carawaymast_node.cells import ports
@@ -80,7 +81,7 @@
                 answer = await self._advise(step.name, worker_ids)
             else:
                 answer = await self._ask_peer(member, step.name, worker_ids)
-        except (ports.AdviceError, fabric.PeerError) as error:
+        except (ports.AdviceError, channels.PeerError) as error:
             self._log.note(
                 'advice_failed',
                 step=step.name,
--- a/packages/carawaymast-node/carawaymast_node/cells/fabric.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/fabric.py
@@ -1,30 +1,22 @@
-"""Calls between nodes over grpclib, and who the other nodes are."""
+"""Calls between the nodes of a cell, and who the other nodes are."""
 
-import asyncio
 import random
 import typing
 
-from grpclib import client
-from grpclib import exceptions
 from grpclib import server
 
 from carawaymast_core import clock as clock_mod
 from carawaymast_core.cell import records
+from carawaymast_node import channels
 from carawaymast_node import fabric_grpc
 from carawaymast_node.cells import ports
 
-__all__ = ['FabricService', 'PeerError', 'Peers']
+__all__ = ['FabricService', 'Peers']
 
 MEMBERS_TOPIC = 'members'
 # A peer that failed is not asked again for so long.
 AVOID_MS = 2_000
 
-Handler = typing.Callable[[typing.Any], typing.Awaitable[typing.Any]]
-
-
-class PeerError(Exception):
-    """A call to a peer failed; whether it took effect is not known."""
-
 
 class Peers:
     """The other nodes, each with one channel; a context manager."""
@@ -32,7 +24,7 @@
     def __init__(self, clock: clock_mod.Clock, own_id: str):
         self._clock = clock
         self._own_id = own_id
-        self._channel_by_id: dict[str, client.Channel] = {}
+        self._channels = channels.PeerChannels(fabric_grpc.FabricStub)
         self._avoid_until_by_id: dict[str, int] = {}
         self.member_by_id: dict[str, records.MemberRecord] = {}
 
@@ -40,8 +32,7 @@
         return self
 
     async def __aexit__(self, *exc_info) -> None:
-        for node_id in list(self._channel_by_id):
-            self._close(node_id)
+        await self._channels.__aexit__(*exc_info)
 
     def take(self, item: ports.StoredItem) -> None:
         """Apply a record of the members' topic."""
@@ -49,11 +40,11 @@
             return
         if not item.value:
             self.member_by_id.pop(item.key, None)
-            self._close(item.key)
+            self._channels.close(item.key)
             return
         member = records.decode(records.MemberRecord, item.value)
         if self.member_by_id.get(item.key) != member:
-            self._close(item.key)
+            self._channels.close(item.key)
             self._avoid_until_by_id.pop(item.key, None)
         self.member_by_id[item.key] = member
 
@@ -88,49 +79,22 @@
     ) -> typing.Any:
         """Call a peer and return its reply.
 
-        Raises ``PeerError`` if there is none in time. The channel is then
-        replaced, since it may be silent for good while new ones work.
+        Raises ``PeerError`` if there is none in time; the peer is then
+        avoided for a while.
         """
-        stub = fabric_grpc.FabricStub(self._channel(member))
+        address = (member.host, member.port)
         try:
-            return await getattr(stub, method)(
-                message, timeout=timeout_ms / 1000
+            return await self._channels.call(
+                member.node_id, address, method, message, timeout_ms
             )
-        except (
-            OSError,
-            asyncio.TimeoutError,
-            exceptions.GRPCError,
-            exceptions.StreamTerminatedError,
-        ) as error:
-            self._close(member.node_id)
+        except channels.PeerError:
             self.avoid(member)
-            detail = f'{method} to {member.node_id}: {error!r}'
-            raise PeerError(detail) from None
-
-    def _channel(self, member: records.MemberRecord) -> client.Channel:
-        channel = self._channel_by_id.get(member.node_id)
-        if channel is None:
-            channel = client.Channel(member.host, member.port)
-            self._channel_by_id[member.node_id] = channel
-        return channel
+            raise
 
-    def _close(self, node_id: str) -> None:
-        channel = self._channel_by_id.pop(node_id, None)
-        if channel is not None:
-            channel.close()
 
-
-class FabricService(fabric_grpc.FabricBase):
+class FabricService(channels.Answerer, fabric_grpc.FabricBase):
     """The calls that this node answers, each by a function."""
 
-    def __init__(self, handler_by_method: typing.Mapping[str, Handler]):
-        self._handler_by_method = handler_by_method
-
-    async def _answer(self, method: str, stream: server.Stream) -> None:
-        message = await stream.recv_message()
-        reply = await self._handler_by_method[method](message)
-        await stream.send_message(reply)
-
     async def CallStore(self, stream: server.Stream) -> None:  # noqa: N802
         """Send a call to the store for a peer."""
         await self._answer('CallStore', stream)
--- a/packages/carawaymast-node/carawaymast_node/cells/leader_calls.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/leader_calls.py
@@ -10,6 +10,7 @@
 from carawaymast_core import errors
 from carawaymast_core.cell import records
 from carawaymast_core.cell import spec as spec_mod
+from carawaymast_node import channels
 from carawaymast_node import fabric_pb2
 from carawaymast_node.cells import election as election_mod
 from carawaymast_node.cells import fabric
@@ -73,7 +74,7 @@
             answer = await self._peers.call(
                 leader, 'Submit', message, SUBMIT_TIMEOUT_MS
             )
-        except fabric.PeerError:
+        except channels.PeerError:
             return ports.Taken.UNKNOWN
         if answer.refusal:
             kind = errors.ErrorKind.IMPOSSIBLE_JOB
@@ -122,7 +123,7 @@
         )
         try:
             await self._peers.call(leader, 'Deliver', message, CALL_TIMEOUT_MS)
-        except fabric.PeerError:
+        except channels.PeerError:
             # The leader's tail of the store brings them a little later.
             return
 
@@ -138,7 +139,7 @@
                 fabric_pb2.ShowCall(job_id=job_id),
                 CALL_TIMEOUT_MS,
             )
-        except fabric.PeerError:
+        except channels.PeerError:
             return None
         if not answer.is_leader or not answer.phase:
             return None
--- a/packages/carawaymast-node/carawaymast_node/cells/relay.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/relay.py
@@ -4,6 +4,7 @@
 import typing
 
 from carawaymast_core import clock as clock_mod
+from carawaymast_node import channels
 from carawaymast_node import fabric_pb2
 from carawaymast_node.cells import fabric
 from carawaymast_node.cells import ports
@@ -116,7 +117,7 @@
                 answer = await self._peers.call(
                     peer, 'CallStore', message, RELAY_TIMEOUT_MS
                 )
-            except fabric.PeerError:
+            except channels.PeerError:
                 is_unknown = True
                 continue
             if answer.reached:
--- a/packages/carawaymast-node/carawaymast_node/cells/service.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/service.py
@@ -1,11 +1,9 @@
 """A node that serves cells on a platform: start, roles, graceful shutdown."""
 
 import asyncio
-import contextlib
 import typing
 import uuid
 
-import circuits
 from circuits.web import servers
 from grpclib import server as grpc_server
 import msgspec
@@ -13,6 +11,7 @@
 from carawaymast_core import clock as clock_mod
 from carawaymast_core.cell import records
 from carawaymast_node import guard as guard_mod
+from carawaymast_node import lifecycle
 from carawaymast_node import loop as loop_mod
 from carawaymast_node.cells import advice_desk
 from carawaymast_node.cells import context as context_mod
@@ -44,11 +43,9 @@
 EXIT_MS = 1_000
 
 
-class CellNode(circuits.BaseComponent):
+class CellNode(lifecycle.Process):
     """One process: front, follower of the cell and, at times, its leader."""
 
-    channel = 'node'
-
     def __init__(
         self, platform: ports.Platform, clock: clock_mod.Clock
     ) -> None:
@@ -61,28 +58,6 @@
         self.log = telemetry_mod.Telemetry(
             clock, self.metrics, self.settings.node_id
         )
-        self._stack = contextlib.AsyncExitStack()
-        self._stop = asyncio.Event()
-        self._failure: BaseException | None = None
-        self.is_draining = False
-
-    async def __aenter__(self) -> 'CellNode':
-        await self._stack.__aenter__()
-        await self._build()
-        await self._open()
-        return self
-
-    async def __aexit__(self, *exc_info) -> None:
-        await self._stack.__aexit__(*exc_info)
-
-    def request_stop(self) -> None:
-        """Begin a graceful shutdown."""
-        self._stop.set()
-
-    def fail(self, error: BaseException) -> None:
-        """Stop at once: a node that broke an invariant must not go on."""
-        self._failure = error
-        self._stop.set()
 
     @property
     def is_ready(self) -> bool:
--- /dev/null
+++ b/packages/carawaymast-node/carawaymast_node/channels.py
@@ -0,0 +1,87 @@
+"""Calls between nodes over grpclib: one channel to each peer, one answerer.
+
+``PeerChannels`` replaces a channel whose call failed, since a connection may
+be silent for good while new ones work. ``Answerer`` hands each call to the
+function registered for it, so that the roles need not know grpclib.
+"""
+
+import asyncio
+import typing
+
+from grpclib import client
+from grpclib import exceptions
+from grpclib import server
+
+__all__ = ['Answerer', 'Handler', 'PeerChannels', 'PeerError']
+
+Handler = typing.Callable[[typing.Any], typing.Awaitable[typing.Any]]
+
+
+class PeerError(Exception):
+    """A call to a peer failed; whether it took effect is not known."""
+
+
+class PeerChannels:
+    """The channels to all peers, used as a context manager."""
+
+    def __init__(self, stub_type: typing.Callable[[client.Channel], object]):
+        self._stub_type = stub_type
+        self._channel_by_id: dict[str, client.Channel] = {}
+        self.replaced_total = 0
+
+    async def __aenter__(self) -> 'PeerChannels':
+        return self
+
+    async def __aexit__(self, *exc_info) -> None:
+        for node_id in list(self._channel_by_id):
+            self.close(node_id)
+
+    def close(self, node_id: str) -> None:
+        """Close the channel to a peer, if there is one."""
+        channel = self._channel_by_id.pop(node_id, None)
+        if channel is not None:
+            channel.close()
+
+    async def call(
+        self,
+        node_id: str,
+        address: tuple[str, int],
+        method: str,
+        message: typing.Any,
+        timeout_ms: float,
+    ) -> typing.Any:
+        """Call ``method`` of a peer and return its reply.
+
+        Raises ``PeerError`` if there is no reply in time; the channel is then
+        closed, and the next call opens another.
+        """
+        channel = self._channel_by_id.get(node_id)
+        if channel is None:
+            channel = client.Channel(*address)
+            self._channel_by_id[node_id] = channel
+        stub = self._stub_type(channel)
+        try:
+            return await getattr(stub, method)(
+                message, timeout=timeout_ms / 1000
+            )
+        except (
+            OSError,
+            asyncio.TimeoutError,
+            exceptions.GRPCError,
+            exceptions.StreamTerminatedError,
+        ) as error:
+            self.close(node_id)
+            self.replaced_total += 1
+            raise PeerError(f'{method} to {node_id}: {error!r}') from None
+
+
+class Answerer:
+    """Answers calls by the function of each method, for a grpclib service."""
+
+    def __init__(self, handler_by_method: dict[str, Handler] | None = None):
+        self.handler_by_method = handler_by_method or {}
+
+    async def _answer(self, method: str, stream: server.Stream) -> None:
+        message = await stream.recv_message()
+        reply = await self.handler_by_method[method](message)
+        await stream.send_message(reply)
--- a/packages/carawaymast-node/carawaymast_node/grants.py
+++ b/packages/carawaymast-node/carawaymast_node/grants.py
@@ -15,6 +15,7 @@
 from carawaymast_core import slots
 from carawaymast_core import table as table_mod
 from carawaymast_node import background
+from carawaymast_node import channels
 from carawaymast_node import peer_pb2
 from carawaymast_node import peers
 
@@ -190,7 +191,7 @@
         )
         try:
             await self._call(demand.member, 'OfferSlots', message)
-        except peers.PeerError:
+        except channels.PeerError:
             # The lease lapses by itself; a report then frees the slots.
             return
 
@@ -201,7 +202,7 @@
         )
         try:
             reply = await self._call(demand.member, 'RecallSlots', message)
-        except peers.PeerError:
+        except channels.PeerError:
             return
         self.on_return(demand.member.node_id, reply.slots)
 
--- a/packages/carawaymast-node/carawaymast_node/main.py
+++ b/packages/carawaymast-node/carawaymast_node/main.py
@@ -8,8 +8,8 @@
 
 from carawaymast_core import errors
 from carawaymast_node import dump
+from carawaymast_node import lifecycle
 from carawaymast_node import logs
-from carawaymast_node import loop as loop_mod
 from carawaymast_node import node as node_mod
 from carawaymast_node import settings as settings_mod
 from carawaymast_node.cells import process
@@ -22,19 +22,13 @@
 
 async def serve(settings: settings_mod.Settings) -> None:
     """Run a node until SIGTERM or SIGINT."""
-    root = loop_mod.Root()
-    loop = asyncio.get_running_loop()
     async with node_mod.Node(settings) as node:
-        node.register(root)
-        root.begin()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, node.request_stop)
-        loop.add_signal_handler(signal.SIGUSR1, _write_dump, node)
-        loop.set_exception_handler(
-            lambda loop, context: _on_fault(node, context)
-        )
         logs.changed('started', node=settings.node_id)
-        await node.serve()
+        await lifecycle.run(
+            node,
+            {signal.SIGUSR1: lambda: _write_dump(node)},
+            lambda context: _on_fault(node, context),
+        )
 
 
 def _on_fault(node: node_mod.Node, context: dict) -> None:
--- a/packages/carawaymast-node/carawaymast_node/node.py
+++ b/packages/carawaymast-node/carawaymast_node/node.py
@@ -1,26 +1,27 @@
 """The node as a process: its ports, its roles, start and graceful shutdown."""
 
 import asyncio
-import contextlib
 import os
 import resource
 import typing
 import uuid
 
 import aiohttp
-import circuits
 from circuits.web import servers
 from grpclib import server as grpc_server
 
 from carawaymast_core import clock as clock_mod
 from carawaymast_core import membership
 from carawaymast_node import api as api_mod
+from carawaymast_node import channels
 from carawaymast_node import dump
 from carawaymast_node import endpoint
 from carawaymast_node import guard as guard_mod
+from carawaymast_node import lifecycle
 from carawaymast_node import log_port
 from carawaymast_node import logs
 from carawaymast_node import loop as loop_mod
+from carawaymast_node import peer_grpc
 from carawaymast_node import peers
 from carawaymast_node import roles as roles_mod
 from carawaymast_node import settings as settings_mod
@@ -35,41 +36,17 @@
 PLATFORM_CONNECTIONS = 4
 
 
-class Node(circuits.BaseComponent):
+class Node(lifecycle.Process):
     """One node with all of its roles.
 
     Use it as an asynchronous context manager around ``serve``.
     """
 
-    channel = 'node'
-
     def __init__(self, settings: settings_mod.Settings):
         super().__init__()
         self._settings = settings
-        self._stack = contextlib.AsyncExitStack()
-        self._stop = asyncio.Event()
-        self._failure: BaseException | None = None
         self.clock = clock_mod.monotonic()
         self.started_at_ms = self.clock.now()
-        self.is_draining = False
-
-    async def __aenter__(self) -> 'Node':
-        await self._stack.__aenter__()
-        await self._build()
-        await self._open()
-        return self
-
-    async def __aexit__(self, *exc_info) -> None:
-        await self._stack.__aexit__(*exc_info)
-
-    def request_stop(self) -> None:
-        """Begin a graceful shutdown."""
-        self._stop.set()
-
-    def fail(self, error: BaseException) -> None:
-        """Stop at once: a node that broke an invariant must not go on."""
-        self._failure = error
-        self._stop.set()
 
     @property
     def is_ready(self) -> bool:
@@ -118,7 +95,7 @@
         )
         enter = self._stack.enter_async_context
         session = await enter(aiohttp.ClientSession(connector=connector))
-        self.clients = await enter(peers.PeerClients())
+        self.clients = await enter(channels.PeerChannels(peer_grpc.PeerStub))
         self.endpoints = await enter(
             endpoint.EndpointClient(lambda: len(self.roles.members.live()))
         )
@@ -126,7 +103,7 @@
             log_port.LogPort(session, settings.log_url),
             worker_port.http_port(session),
             self.endpoints,
-            self.clients.call,
+            peers.calls_over(self.clients),
         )
         # A restarted node must not pass for the holder it was before.
         holder = f'{settings.node_id}-{uuid.uuid4().hex[:8]}'
--- a/packages/carawaymast-node/carawaymast_node/owner_calls.py
+++ b/packages/carawaymast-node/carawaymast_node/owner_calls.py
@@ -5,8 +5,8 @@
 from carawaymast_core import attempts
 from carawaymast_core import jobs
 from carawaymast_core import membership
+from carawaymast_node import channels
 from carawaymast_node import peer_pb2
-from carawaymast_node import peers
 
 __all__ = ['OwnerCalls', 'Place', 'by_member']
 
@@ -72,7 +72,7 @@
         )
         try:
             reply = await self._call(member, 'ReserveTasks', request)
-        except peers.PeerError:
+        except channels.PeerError:
             return {}
         return {
             jobs.parse_ref(place.ref): Place(
@@ -110,7 +110,7 @@
         )
         try:
             reply = await self._call(member, 'StartTasks', request)
-        except peers.PeerError:
+        except channels.PeerError:
             return []
         return [
             jobs.parse_ref(status.ref)
@@ -124,5 +124,5 @@
             message = peer_pb2.TaskRefs(refs=[str(ref) for ref in refs])
             try:
                 await self._call(member, 'ReleaseTasks', message)
-            except peers.PeerError:
+            except channels.PeerError:
                 continue
--- a/packages/carawaymast-node/carawaymast_node/peers.py
+++ b/packages/carawaymast-node/carawaymast_node/peers.py
@@ -1,98 +1,40 @@
-"""Calls between nodes over grpclib.
+"""The calls between the owners and entries of nodes, over ``channels``."""
 
-``PeerClients`` keeps one channel for each peer and replaces a channel whose
-calls time out. ``PeerService`` hands each call to the function registered for
-it, so that the roles need not know grpclib.
-"""
-
-import asyncio
 import typing
 
-from grpclib import client
-from grpclib import exceptions
-from grpclib import server
-
 from carawaymast_core import membership
 from carawaymast_core import slots
+from carawaymast_node import channels
 from carawaymast_node import peer_grpc
 from carawaymast_node import peer_pb2
 
-__all__ = ['PeerClients', 'PeerError', 'PeerService', 'masks', 'slot_numbers']
+__all__ = ['PeerService', 'calls_over', 'masks', 'slot_numbers']
 
 CALL_TIMEOUT_MS = 1_000
 
-Handler = typing.Callable[[typing.Any], typing.Awaitable[typing.Any]]
-
-
-class PeerError(Exception):
-    """A call to a peer failed; whether it took effect is not known."""
-
-
-class PeerClients:
-    """One channel to each peer, used as a context manager."""
+# Member, method, message and, if other than usual, the timeout in ms.
+Call = typing.Callable[..., typing.Awaitable[typing.Any]]
 
-    def __init__(self) -> None:
-        self._channel_by_id: dict[str, client.Channel] = {}
-        self.replaced_total = 0
 
-    async def __aenter__(self) -> 'PeerClients':
-        return self
-
-    async def __aexit__(self, *exc_info) -> None:
-        for node_id in list(self._channel_by_id):
-            self.close(node_id)
-
-    def close(self, node_id: str) -> None:
-        """Close the channel to a peer."""
-        channel = self._channel_by_id.pop(node_id, None)
-        if channel is not None:
-            channel.close()
+def calls_over(clients: channels.PeerChannels) -> Call:
+    """Return the function by which roles call members over ``clients``."""
 
     async def call(
-        self,
         member: membership.Member,
         method: str,
         message: typing.Any,
         timeout_ms: int = CALL_TIMEOUT_MS,
     ) -> typing.Any:
-        """Call ``method`` of a peer and return its reply.
-
-        Raises ``PeerError`` if there is no reply in time. The channel is
-        then replaced, since a connection may be silent while new ones work.
-        """
-        stub = peer_grpc.PeerStub(self._channel(member))
-        try:
-            return await getattr(stub, method)(
-                message, timeout=timeout_ms / 1000
-            )
-        except (
-            OSError,
-            asyncio.TimeoutError,
-            exceptions.GRPCError,
-            exceptions.StreamTerminatedError,
-        ) as error:
-            self.close(member.node_id)
-            self.replaced_total += 1
-            raise PeerError(f'{method} to {member.node_id}: {error}') from None
-
-    def _channel(self, member: membership.Member) -> client.Channel:
-        channel = self._channel_by_id.get(member.node_id)
-        if channel is None:
-            channel = client.Channel(member.host, member.peer_port)
-            self._channel_by_id[member.node_id] = channel
-        return channel
-
-
-class PeerService(peer_grpc.PeerBase):
-    """The calls that this node answers."""
+        address = (member.host, member.peer_port)
+        return await clients.call(
+            member.node_id, address, method, message, timeout_ms
+        )
+
+    return call
 
-    def __init__(self) -> None:
-        self.handler_by_method: dict[str, Handler] = {}
 
-    async def _answer(self, method: str, stream: server.Stream) -> None:
-        message = await stream.recv_message()
-        reply = await self.handler_by_method[method](message)
-        await stream.send_message(reply)
+class PeerService(channels.Answerer, peer_grpc.PeerBase):
+    """The calls that this node answers."""
 
     async def Beat(self, stream):  # noqa: N802
         """Answer a heartbeat."""
--- a/packages/carawaymast-node/carawaymast_node/slot_seeker.py
+++ b/packages/carawaymast-node/carawaymast_node/slot_seeker.py
@@ -7,6 +7,7 @@
 from carawaymast_core import membership
 from carawaymast_core import slots
 from carawaymast_node import background
+from carawaymast_node import channels
 from carawaymast_node import endpoint as endpoint_mod
 from carawaymast_node import entry as entry_mod
 from carawaymast_node import peer_pb2
@@ -217,5 +218,5 @@
     async def _tell(self, member, method: str, message) -> None:
         try:
             await self._call(member, method, message)
-        except peers.PeerError:
+        except channels.PeerError:
             self.failed_total += 1
--- a/standins/virtual.py
+++ b/standins/virtual.py
@@ -23,13 +23,13 @@
 from carawaymast_core import membership
 from carawaymast_core import resources
 from carawaymast_core import table as table_mod
+from carawaymast_node import channels
 from carawaymast_node import endpoint as endpoint_mod
 from carawaymast_node import job_desk
 from carawaymast_node import keyed
 from carawaymast_node import log_port
 from carawaymast_node import loop as loop_mod
 from carawaymast_node import messages
-from carawaymast_node import peers
 from carawaymast_node import roles as roles_mod
 from carawaymast_node import worker_port
 from standins import log as log_standin
@@ -314,7 +314,7 @@
 
         async def call(member, method, message, timeout_ms):
             if not await self.travel(node_id, member.node_id):
-                raise peers.PeerError('cut off')
+                raise channels.PeerError('cut off')
             target = self.node_by_id[member.node_id]
             self.peer_messages += 2
             self.peer_bytes += message.ByteSize()
@@ -323,7 +323,7 @@
             )
             self.peer_bytes += reply.ByteSize()
             if not await self.travel(member.node_id, node_id):
-                raise peers.PeerError('answer lost')
+                raise channels.PeerError('answer lost')
             return reply
 
         return call
