Task names, objectives and latest starts are worked out in one place

Cause: ends.py and answers.py each took a task's name apart; admission and jobs each had the objective's formula; the planner's sort key walked a job's steps anew for every ready step in both sorts of every plan, though it never changes; five places asked how much fits beside what is kept for rank 0. Change: Cell.find_task, spec.objective_ms, StepState.latest_start_ms (once per step), planner._fitting. Arguments and a field that nothing read are gone.

--- a/features/cell_world.py
+++ b/features/cell_world.py
@@ -255,9 +255,7 @@
                 )
             if order.run is not None:
                 self.clock.advance(1)
-                answers.take_stop(
-                    self.cell, order.run, is_answered, self.clock.now()
-                )
+                answers.take_stop(order.run, is_answered, self.clock.now())
 
     def advance(self, ms):
         self.clock.advance(ms)
--- a/packages/carawaymast-core/carawaymast_core/cell/admission.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/admission.py
@@ -92,7 +92,7 @@
     if submission.spec.occurrences or any(s.is_service for s in steps):
         return None
     chain = spec_mod.chain_ms(steps)
-    objective_ms = queue.stretch_factor * chain + queue.target_ms
+    objective_ms = spec_mod.objective_ms(queue, steps)
     wait_ms = known.ahead_ms(queue.service, queue.rank) / USABLE_SHARE
     bound_ms = WORTHLESS_AFTER_OBJECTIVES * objective_ms - chain
     if wait_ms <= bound_ms:
--- a/packages/carawaymast-core/carawaymast_core/cell/advice.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/advice.py
@@ -30,7 +30,6 @@
         # The service's choice does not change, so a denial holds for good.
         self.denied_ids: set[str] = set()
         self.is_asked = False
-        self.asked_again_at_ms = 0
 
     def ticket(self, worker_id: str, now_ms: int) -> str | None:
         """Return a ticket that holds long enough for a start, or None."""
--- a/packages/carawaymast-core/carawaymast_core/cell/answers.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/answers.py
@@ -50,7 +50,7 @@
         name = (run.task.name, run.run_id)
         if name in listed or name in ended_names:
             continue
-        if _is_absence_certain(cell, run, sent_at_ms):
+        if _is_absence_certain(run, sent_at_ms):
             ends.apply(cell, run, worker_mod.EndKind.ABSENT, '', now_ms)
 
 
@@ -78,15 +78,11 @@
     cell: 'cell_mod.Cell', worker, row: worker_mod.Listed
 ) -> resources.Resources:
     """Return the room of a run by its name; a whole worker if unknown."""
-    job_id, _, rest = row.task.partition('.')
-    job = cell.job_by_id.get(job_id)
-    if job is None:
-        return worker.entry.capacity
-    number = int(rest.split('.')[1])
-    return job.submission.spec.steps[number].size
+    task = cell.find_task(row.task)
+    return worker.entry.capacity if task is None else task.step.spec.size
 
 
-def _is_absence_certain(cell: 'cell_mod.Cell', run, sent_at_ms: int) -> bool:
+def _is_absence_certain(run: worker_mod.Run, sent_at_ms: int) -> bool:
     if run.state is worker_mod.RunState.PLACED:
         return False
     known_at_ms = run.known_at_ms
@@ -141,9 +137,7 @@
     ends.apply(cell, run, worker_mod.EndKind.REFUSED, '', now_ms)
 
 
-def take_stop(
-    cell: 'cell_mod.Cell', run: worker_mod.Run, is_answered: bool, now_ms: int
-) -> None:
+def take_stop(run: worker_mod.Run, is_answered: bool, now_ms: int) -> None:
     """Learn that a stop was answered, or that it has to be repeated."""
     if is_answered:
         run.stop_answered_at_ms = now_ms
--- a/packages/carawaymast-core/carawaymast_core/cell/cell.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/cell.py
@@ -246,6 +246,15 @@
             starts.append(run)
         return starts
 
+    def find_task(self, name: str) -> jobs.Task | None:
+        """Return the task that a worker names, None if its job is over."""
+        job_id, _, rest = name.partition('.')
+        job = self.job_by_id.get(job_id)
+        if job is None:
+            return None
+        occurrence, number, index = (int(part) for part in rest.split('.'))
+        return job.steps_by_occurrence[occurrence][number].tasks[index]
+
     # -- used by the rules on ends -----------------------------------------
 
     def release(self, run: worker_mod.Run) -> None:
--- a/packages/carawaymast-core/carawaymast_core/cell/ends.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/ends.py
@@ -48,17 +48,12 @@
     The lease of the run was written off, or a former leader noted it. A task
     that has ended as done need not run again.
     """
-    job_id, _, rest = end.task.partition('.')
-    job = cell.job_by_id.get(job_id)
-    if (
-        job is None
-        or end.how is not worker_mod.EndKind.DONE
-        or job.phase.is_final
-    ):
+    task = cell.find_task(end.task)
+    if task is None or end.how is not worker_mod.EndKind.DONE:
         return
-    occurrence, number, index = (int(part) for part in rest.split('.'))
-    task = job.steps_by_occurrence[occurrence][number].tasks[index]
-    if task.is_done or end.run_id > task.last_run_id:
+    if task.step.job.phase.is_final or task.is_done:
+        return
+    if end.run_id > task.last_run_id:
         return
     cell.note('late_end_used', task=task.name, run_id=end.run_id)
     _settle(cell, task, end.run_id, end.how, now_ms)
--- a/packages/carawaymast-core/carawaymast_core/cell/jobs.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/jobs.py
@@ -64,6 +64,8 @@
         self.number = number
         self.spec = job.submission.spec.steps[number]
         self.name = f'{job.job_id}.{occurrence}.{number}'
+        # After this a start cannot end within the objective; orders plans.
+        self.latest_start_ms = self._find_latest_start_ms()
         self.tasks = [Task(self, index) for index in range(self.spec.count)]
         self.advice: advice.StepAdvice | None = None
         self.ready_at_ms = 0
@@ -72,6 +74,13 @@
         # When the log was last told that it waits, in ms of the leader.
         self.noted_at_ms = 0
 
+    def _find_latest_start_ms(self) -> int:
+        submission = self.job.submission
+        due_ms = self.job.due_at_ms(self.occurrence)
+        left_ms = spec_mod.chain_ms(submission.spec.steps[self.number :])
+        begins_ms = due_ms or submission.accepted_at_ms
+        return begins_ms + self.job.objective_ms - left_ms
+
     @property
     def is_done(self) -> bool:
         """Whether all tasks have ended as done."""
@@ -101,14 +110,13 @@
         self.is_cancelled = False
         self.changed_at_ms = now_wall_ms
         spec = submission.spec
+        self.objective_ms = int(
+            spec_mod.objective_ms(submission.queue, spec.steps)
+        )
         self.steps_by_occurrence = [
             [StepState(self, k, n) for n in range(len(spec.steps))]
             for k in range(max(1, spec.occurrences))
         ]
-        self.objective_ms = int(
-            submission.queue.stretch_factor * spec_mod.chain_ms(spec.steps)
-            + submission.queue.target_ms
-        )
 
     def due_at_ms(self, occurrence: int) -> int:
         """Return when an occurrence may start, in ms since 1970."""
--- a/packages/carawaymast-core/carawaymast_core/cell/lives.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/lives.py
@@ -51,7 +51,7 @@
     return None if was_listed else worker
 
 
-def drop_worker(cell: 'cell_mod.Cell', worker_id: str, now_ms: int) -> None:
+def drop_worker(cell: 'cell_mod.Cell', worker_id: str) -> None:
     """Note that a worker is not listed any more; its runs stay."""
     for worker in cell.worker_by_key.values():
         if worker.worker_id == worker_id and worker.is_listed:
--- a/packages/carawaymast-core/carawaymast_core/cell/planner.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/planner.py
@@ -8,7 +8,6 @@
 import typing
 
 from carawaymast_core import resources
-from carawaymast_core.cell import spec as spec_mod
 
 if typing.TYPE_CHECKING:
     from carawaymast_core.cell import jobs
@@ -55,15 +54,10 @@
 
 def _start_by_ms(step: 'jobs.StepState', wall_ms: int) -> int:
     """Return the latest useful start, later for ranks that may wait."""
-    job = step.job
-    queue = job.submission.queue
-    due_ms = job.due_at_ms(step.occurrence) or job.submission.accepted_at_ms
-    left_ms = spec_mod.chain_ms(step.job.submission.spec.steps[step.number :])
-    latest_ms = due_ms + job.objective_ms - left_ms
-    penalty_ms = queue.rank * RANK_PENALTY_MS
-    if latest_ms < wall_ms:
+    penalty_ms = step.job.submission.queue.rank * RANK_PENALTY_MS
+    if step.latest_start_ms < wall_ms:
         penalty_ms += LATE_PENALTY_MS
-    return latest_ms + penalty_ms
+    return step.latest_start_ms + penalty_ms
 
 
 def plan(
@@ -166,11 +160,10 @@
     ``kept_share`` of each worker is left for the most urgent rank.
     """
     limit = step.spec.max_per_worker or step.spec.count
-    room = 0
-    for worker in workers:
-        capacity = worker.entry.capacity
-        open_room = _less(capacity, capacity, kept_share)
-        room += min(limit, _times(step.spec.size, open_room))
+    room = sum(
+        min(limit, _fitting(step.spec.size, w, w.entry.capacity, kept_share))
+        for w in workers
+    )
     return room >= step.spec.count
 
 
@@ -179,10 +172,7 @@
 ) -> int:
     """Return how many tasks of a step these workers have room for now."""
     kept = _kept_share(step, workers)
-    return sum(
-        _times(step.spec.size, _less(w.free, w.entry.capacity, kept))
-        for w in workers
-    )
+    return sum(_fitting(step.spec.size, w, w.free, kept) for w in workers)
 
 
 def _kept_share(
@@ -199,9 +189,7 @@
     else:
         fits = any(
             step.spec.size.fits_in(
-                _less(
-                    w.entry.capacity, w.entry.capacity, URGENT_HEADROOM_SHARE
-                )
+                _open_room(w, w.entry.capacity, URGENT_HEADROOM_SHARE)
             )
             for w in workers
         )
@@ -229,8 +217,7 @@
     size = step.spec.size
     rooms = []
     for worker in workers:
-        open_room = _less(worker.free, worker.entry.capacity, kept_share)
-        count = _times(size, open_room)
+        count = _fitting(size, worker, worker.free, kept_share)
         limit = step.spec.max_per_worker
         if limit:
             count = min(count, limit - _here(step, worker))
@@ -251,13 +238,24 @@
     return chosen
 
 
-def _less(
-    room: resources.Resources, capacity: resources.Resources, share: float
+def _fitting(
+    size: resources.Resources,
+    worker: 'worker_mod.Worker',
+    room: resources.Resources,
+    kept_share: float,
+) -> int:
+    """Return how many tasks fit into a worker's room less what is kept."""
+    return _times(size, _open_room(worker, room, kept_share))
+
+
+def _open_room(
+    worker: 'worker_mod.Worker', room: resources.Resources, kept_share: float
 ) -> resources.Resources:
-    """Return a room less a share of a worker's capacity."""
+    """Return a worker's room less a share of its capacity."""
+    capacity = worker.entry.capacity
     return resources.Resources(
-        room.cpu_millis - int(capacity.cpu_millis * share),
-        room.memory_mb - int(capacity.memory_mb * share),
+        room.cpu_millis - int(capacity.cpu_millis * kept_share),
+        room.memory_mb - int(capacity.memory_mb * kept_share),
         room.accelerators,
     )
 
--- a/packages/carawaymast-core/carawaymast_core/cell/spec.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/spec.py
@@ -16,6 +16,7 @@
     'Submission',
     'chain_ms',
     'check_spec',
+    'objective_ms',
 ]
 
 # The users' widest step has 60 tasks; 16 times that bounds one job's memory.
@@ -126,6 +127,11 @@
     return max(ends, default=0)
 
 
+def objective_ms(policy: QueuePolicy, steps: typing.Sequence[Step]) -> float:
+    """Return the time from hand-in to end in which a job is in time."""
+    return policy.stretch_factor * chain_ms(steps) + policy.target_ms
+
+
 def _check_step(number: int, step: Step) -> None:
     if not 1 <= step.count <= MAX_TASKS_PER_STEP:
         raise InvalidSpecError('count', f'is {step.count}', number)
--- a/packages/carawaymast-node/carawaymast_node/cells/leader.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/leader.py
@@ -203,7 +203,7 @@
         if change is None:
             self._log.note('worker_entry_unreadable', worker=item.key)
         elif change.entry is None:
-            lives.drop_worker(self.cell, change.worker_id, now_ms)
+            lives.drop_worker(self.cell, change.worker_id)
         else:
             worker = lives.take_worker(self.cell, change.entry, now_ms)
             if worker is not None and self.is_open:
--- a/packages/carawaymast-node/carawaymast_node/cells/orders.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/orders.py
@@ -97,7 +97,7 @@
             if not is_answered:
                 await asyncio.sleep(HOLD_RETRY_MS / 1000)
             now_ms = self._clock.now()
-            answers.take_stop(self._cell, order.run, is_answered, now_ms)
+            answers.take_stop(order.run, is_answered, now_ms)
         self._on_news()
 
     async def keep_holding(self, worker: worker_mod.Worker) -> None:
