A look-up of an unknown job sends a read of its own

Cause: wait_current only ended the pause between reads. Change: it sends a read that does not wait; callers that come meanwhile share the next one. A first read that another overtook changes nothing any more.

--- a/packages/carawaymast-node/carawaymast_node/cells/tail.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/tail.py
@@ -43,7 +43,8 @@
         self._pause_ms = pause_ms
         self._is_direct = is_direct
         self._wake = asyncio.Event()
-        self._caught_up = asyncio.Condition()
+        # One read at a time for all that need a fresh one.
+        self._reading = asyncio.Lock()
         self.topic = topic
         self.part = part
         self.offset: int | None = None
@@ -80,15 +81,28 @@
                 self.offset = None
 
     async def wait_current(self, since_ms: int) -> None:
-        """Wait for a read that was sent later than ``since_ms``."""
-        self.hurry()
-        async with self._caught_up:
-            await self._caught_up.wait_for(
-                lambda: (
-                    self.current_as_of_ms is not None
-                    and self.current_as_of_ms >= since_ms
-                )
-            )
+        """Return once a read sent at ``since_ms`` or later found the end.
+
+        It sends a read of its own, since the long poll under way may last;
+        callers that wait at the same time share one. Tries until cancelled.
+        """
+        while not self._is_current(since_ms):
+            async with self._reading:
+                if self._is_current(since_ms):
+                    return
+                try:
+                    await self.catch_up(0)
+                    await self._step(is_waiting=False)
+                except ports.TrimmedError:
+                    self.offset = None
+                except ports.StoreError:
+                    await asyncio.sleep(RETRY_MS / 1000)
+
+    def _is_current(self, since_ms: int) -> bool:
+        return (
+            self.current_as_of_ms is not None
+            and self.current_as_of_ms >= since_ms
+        )
 
     def hurry(self) -> None:
         """End the present pause between reads."""
@@ -98,6 +112,9 @@
         sent_at_ms = self._clock.now()
         if self.offset is None:
             newest = await self._store.newest(self.topic, self.part)
+            if self.offset is not None:
+                # Another read was faster; what it applied may be newer.
+                return
             items = sorted(newest.items, key=lambda item: item.offset)
             self._take(items)
             self.offset = self.end_offset = newest.end_offset
@@ -118,9 +135,9 @@
             self.reachable_since_ms = self._clock.now()
             self._log.note('store_reached', topic=self.topic, part=self.part)
         if self.offset >= self.end_offset:
-            self.current_as_of_ms = sent_at_ms
-            async with self._caught_up:
-                self._caught_up.notify_all()
+            self.current_as_of_ms = max(
+                sent_at_ms, self.current_as_of_ms or sent_at_ms
+            )
         pause_ms = self._pause_ms()
         if not self._is_direct():
             pause_ms = max(pause_ms, RELAYED_PAUSE_MS)
