One call for advice names at most 100 workers; the others are asked next

Change: the adapter says how many workers one call may name, the leader asks about those with most room first and about the rest next; a worker that is known to be allowed comes before one that is not. Steps are looked through only while a node is idle to ask. Test: 'A fleet that one call for advice cannot name' fails before.

--- a/features/load.feature
+++ b/features/load.feature
@@ -55,6 +55,12 @@
     And after 1200 ms the 2 granted workers are asked about
     And after 1900 ms no ticket is good for a start
 
+  Scenario: A fleet that one call for advice cannot name
+    Given a step of 3 tasks in a cell of 7 workers, for advice on 4 at a time
+    When the leader asks for advice twice
+    Then each of the 7 workers was asked about, the emptiest first
+    And none of them counts as denied
+
   Scenario: Flood of steps that wait for tickets, a gang behind them fits
     Given a cell of 3 workers
     And 130 urgent jobs that wait for their tickets
--- a/features/steps/load_steps.py
+++ b/features/steps/load_steps.py
@@ -9,9 +9,11 @@
 from carawaymast_core import clock as clock_mod
 from carawaymast_core.cell import advice
 from carawaymast_core.cell import cell as cell_mod
+from carawaymast_core.cell import placing
 from carawaymast_core.cell import records
 from carawaymast_core.cell import spec as spec_mod
 from carawaymast_core.cell import worker as worker_mod
+from carawaymast_node.cells import advice_desk
 from carawaymast_node.cells import orders
 from carawaymast_node.cells import ports
 from carawaymast_node.cells import telemetry
@@ -310,3 +312,73 @@
     assert started_ms is not None, 'it never started'
     took_ms = started_ms - context.gang_came_ms
     assert took_ms <= seconds * 1_000, took_ms
+
+
+class NoPeers:
+    """A node that knows no other."""
+
+    def candidates(self):
+        return []
+
+
+@given(
+    'a step of {tasks:d} tasks in a cell of {workers:d} workers, for advice '
+    'on {most:d} at a time'
+)
+def wide_fleet(context, tasks, workers, most):
+    context.world = cell_world.CellWorld(workers)
+    # The first workers are the fullest.
+    context.world.submit(cell_world.job('full', cell_world.step(3, 12_000)))
+    context.world.plan()
+    policy = cell_world.queue(
+        rank=0, advice=spec_mod.AdvicePolicy(9.0, 1.0, VALID_MS), name='checks'
+    )
+    step = cell_world.step(tasks, 16_000)
+    context.world.submit(cell_world.job('c1', step, policy=policy))
+    context.most_asked = most
+
+
+@when('the leader asks for advice twice')
+def ask_twice(context):
+    context.asked = []
+
+    async def advise(step_name, worker_ids):
+        context.asked.append(list(worker_ids))
+        return ports.Advice({w: 'ticket' for w in worker_ids}, VALID_MS)
+
+    async def ask():
+        world = context.world
+        now_ms = world.clock.now()
+        metrics = telemetry.Metrics()
+        desk = advice_desk.AdviceDesk(
+            world.clock,
+            advise,
+            context.most_asked,
+            NoPeers(),
+            telemetry.Telemetry(world.clock, metrics),
+            metrics,
+            lambda: None,
+        )
+        for _ in range(2):
+            desk.ask(placing.advice_wanted(world.cell, now_ms, now_ms))
+            while desk.is_asking:
+                await asyncio.sleep(0)
+
+    asyncio.run(ask())
+
+
+@then('each of the {count:d} workers was asked about, the emptiest first')
+def all_asked(context, count):
+    asked = [worker_id for ids in context.asked for worker_id in ids]
+    assert sorted(asked) == [f'w{n}' for n in range(count)], context.asked
+    cell = context.world.cell
+    full = {w.worker_id for w in cell.worker_by_key.values() if w.run_by_task}
+    assert full and not full & set(context.asked[0]), context.asked
+
+
+@then('none of them counts as denied')
+def none_denied(context):
+    (step,) = [
+        s for n, s in context.world.cell.ready_by_name.items() if 'c1' in n
+    ]
+    assert not step.advice.denied_ids, step.advice.denied_ids
--- a/packages/carawaymast-core/carawaymast_core/cell/advice.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/advice.py
@@ -49,14 +49,20 @@
     def wanted(
         self, worker_ids: typing.Iterable[str], now_ms: int, valid_ms: int
     ) -> list[str]:
-        """Return the workers that should be asked about now."""
+        """Return the workers that should be asked about now.
+
+        Those that are known to be allowed come first, the others in the
+        order given.
+        """
         least_ms = valid_ms * REFRESH_SHARE
-        return [
+        found = [
             worker_id
             for worker_id in worker_ids
             if worker_id not in self.denied_ids
             and self._left_ms(worker_id, now_ms) < least_ms
         ]
+        found.sort(key=lambda worker_id: worker_id not in self.grant_by_worker)
+        return found
 
     def take(
         self,
--- a/packages/carawaymast-core/carawaymast_core/cell/placing.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/placing.py
@@ -50,22 +50,29 @@
 
 def advice_wanted(
     cell: 'cell_mod.Cell', now_ms: int, wall_ms: int
-) -> list[tuple[jobs.StepState, list[str]]]:
-    """Return the steps that need tickets, the next to start first."""
-    found = []
+) -> typing.Iterator[tuple[jobs.StepState, list[str]]]:
+    """Yield the steps that need tickets, the next to start first.
+
+    Each with the workers to ask about, those with most room first, since one
+    call may be about fewer workers than there are.
+    """
+    by_room = sorted(
+        (w for w in cell.worker_by_key.values() if w.is_usable(now_ms)),
+        key=planner.free_share,
+        reverse=True,
+    )
     for step in planner.order(cell.ready_by_name.values(), wall_ms):
         policy = step.job.submission.queue.advice
         if step.advice is None or step.advice.is_asked:
             continue
-        candidates = [
+        candidates = (
             worker.worker_id
-            for worker in cell.worker_by_key.values()
-            if worker.is_usable(now_ms) and planner.admits(step, worker)
-        ]
+            for worker in by_room
+            if planner.admits(step, worker)
+        )
         wanted = step.advice.wanted(candidates, now_ms, policy.valid_ms)
         if wanted:
-            found.append((step, wanted))
-    return found
+            yield step, wanted
 
 
 def _place(
--- a/packages/carawaymast-core/carawaymast_core/cell/planner.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/planner.py
@@ -13,7 +13,7 @@
     from carawaymast_core.cell import jobs
     from carawaymast_core.cell import worker as worker_mod
 
-__all__ = ['Placement', 'choose', 'order', 'plan', 'room_for']
+__all__ = ['Placement', 'choose', 'free_share', 'order', 'plan', 'room_for']
 
 # Share of a worker that only the most urgent rank may use: Kilima's
 # placement checks need 11% of the fleet on average.
@@ -222,7 +222,7 @@
         if limit:
             count = min(count, limit - _here(step, worker))
         if count > 0:
-            rooms.append((_slack(worker), worker.worker_id, count, worker))
+            rooms.append((free_share(worker), worker.worker_id, count, worker))
     rooms.sort(key=lambda row: row[:2])
     chosen = []
     waiting = iter(tasks)
@@ -277,7 +277,7 @@
     return sum(1 for t in step.tasks if t.name in worker.run_by_task)
 
 
-def _slack(worker) -> float:
+def free_share(worker: 'worker_mod.Worker') -> float:
     """Return the free share of a worker's scarcer resource."""
     free = worker.free
     capacity = worker.entry.capacity
--- a/packages/carawaymast-node/carawaymast_node/cells/advice_desk.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/advice_desk.py
@@ -35,6 +35,7 @@
         self,
         clock: clock_mod.Clock,
         advise: ports.Advise,
+        max_workers: int,
         peers: fabric.Peers,
         log: telemetry.Telemetry,
         metrics: telemetry.Metrics,
@@ -42,6 +43,7 @@
     ):
         self._clock = clock
         self._advise = advise
+        self._max_workers = max_workers
         self._peers = peers
         self._log = log
         self._metrics = metrics
@@ -49,6 +51,11 @@
         self._busy: set[str] = set()
         self._tasks = background.TaskSet()
 
+    @property
+    def is_asking(self) -> bool:
+        """Whether any call is under way."""
+        return bool(self._busy)
+
     def close(self) -> None:
         """Give up all calls."""
         self._tasks.cancel()
@@ -56,12 +63,16 @@
     def ask(
         self, wanted: typing.Iterable[tuple[jobs.StepState, list[str]]]
     ) -> None:
-        """Send as many calls as there are idle nodes, in the given order."""
+        """Send as many calls as there are idle nodes, in the given order.
+
+        Workers beyond what one call may name are asked about later.
+        """
         member_by_id = {m.node_id: m for m in self._peers.candidates()}
         idle = [n for n in [*member_by_id, OWN] if n not in self._busy]
-        for step, worker_ids in wanted:
-            if not idle:
-                return
+        if not idle:
+            return
+        for step, wanted_ids in wanted:
+            worker_ids = wanted_ids[: self._max_workers]
             policy = step.job.submission.queue.advice
             takes_ms = advice_mod.call_ms(policy, len(worker_ids))
             if takes_ms > LONG_CALL_MS and len(idle) <= KEPT_FOR_SHORT:
@@ -73,6 +84,8 @@
                 node_id, member_by_id.get(node_id), step, worker_ids
             )
             self._tasks.spawn(call)
+            if not idle:
+                return
 
     async def _call(self, node_id, member, step, worker_ids) -> None:
         sent_at_ms = self._clock.now()
--- a/packages/carawaymast-node/carawaymast_node/cells/leader.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/leader.py
@@ -68,6 +68,7 @@
             self._advice = advice_desk.AdviceDesk(
                 context.clock,
                 context.platform.advise,
+                context.platform.settings.max_advised_workers,
                 context.peers,
                 context.log,
                 context.metrics,
--- a/packages/carawaymast-node/carawaymast_node/cells/ports.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/ports.py
@@ -279,7 +279,8 @@
 class CellSettings(typing.NamedTuple):
     """What a node is told about itself and its bounds.
 
-    For ``keep_ended_ms`` after its end callers may still ask for a job.
+    For ``keep_ended_ms`` after its end callers may still ask for a job; one
+    call for advice may name up to ``max_advised_workers``.
     """
 
     node_id: str
@@ -294,6 +295,7 @@
     declarations_topic: str
     workers_topic: str
     max_lease_ms: int
+    max_advised_workers: int
     drain_ms: int
     keep_ended_ms: int
     grace_ms: int
