Nodes with more processor lead; slower ones stand in for them

Cause: the grown sites have 6 nodes of 2.15 cores among 33 of 0.52, and any node could win the claim. Change: members say how fast they are; a slower node waits 300 ms before it claims, and a leader leaves its place to a node that is 1.25 times as fast after 5 s. On fleets of equal nodes nothing changes. Ruled out: the lag meter alone, which lets a small node lead until it is late and then picks any other. Test: 'Fast nodes lead, slow ones stand in for them'.

--- a/features/cell.feature
+++ b/features/cell.feature
@@ -144,3 +144,16 @@
       | 4000 | 1     | no   |
       | 120  | 4     | no   |
       | 120  | 20    | yes  |
+
+  Scenario Outline: Fast nodes lead, slow ones stand in for them
+    Given a leader of <speed> cores that has led for <term> ms
+    And its peers have "<peers>" cores
+    Then it stays: <stays>, and waits <wait> ms before it claims
+
+    Examples:
+      | speed | term  | peers     | stays | wait |
+      | 0.5   | 6000  | 0.5 2.1   | no    | 300  |
+      | 0.5   | 4000  | 0.5 2.1   | yes   | 300  |
+      | 0.5   | 60000 | 0.5 0.6   | yes   | 0    |
+      | 2.1   | 60000 | 0.5 2.1   | yes   | 0    |
+      | 0.5   | 60000 |           | yes   | 0    |
--- a/features/steps/cell_steps.py
+++ b/features/steps/cell_steps.py
@@ -4,6 +4,7 @@
 from behave import then
 from behave import when
 
+from carawaymast_core.cell import candidacy
 from carawaymast_core.cell import lag
 from carawaymast_core.cell import lives
 from carawaymast_core.cell import records
@@ -273,3 +274,29 @@
 @then('the node counts as slow: {answer}')
 def counts_as_slow(context, answer):
     assert context.meter.is_slow == (answer == 'yes'), context.meter.average_ms
+
+
+@given('a leader of {speed:g} cores that has led for {term:d} ms')
+def leader_of_speed(context, speed, term):
+    context.speed = speed
+    context.term_ms = term
+
+
+@given('its peers have "{peers}" cores')
+def peers_of_speed(context, peers):
+    context.peer_speeds = [float(text) for text in peers.split()]
+
+
+@given('its peers have "" cores')
+def no_peers(context):
+    context.peer_speeds = []
+
+
+@then('it stays: {stays}, and waits {wait:d} ms before it claims')
+def stays_or_not(context, stays, wait):
+    is_better = candidacy.is_better_elsewhere(
+        context.speed, context.peer_speeds, False, context.term_ms
+    )
+    assert is_better == (stays == 'no'), is_better
+    found = candidacy.deference_ms(context.speed, context.peer_speeds)
+    assert found == wait, found
--- a/features/steps/platform_process_steps.py
+++ b/features/steps/platform_process_steps.py
@@ -36,6 +36,8 @@
 ready = "{ip}:{ready}"
 [limits]
 max_fds = 4000
+cpu_share = 0.5
+cores = 2
 [bounds]
 hold_max_ms = 10000
 drain_ms = 2000
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -489,7 +489,7 @@
         'zone': 'z',
         'listen': {'front': '10.0.0.1:1', 'ready': '10.0.0.1:2'},
         'bounds': {'hold_max_ms': 6_000, 'drain_ms': 2_000, 'grace_s': 6},
-        'limits': {'max_fds': 4_000},
+        'limits': {'max_fds': 4_000, 'cpu_share': 0.5, 'cores': 2},
     }
     context.error = None
     try:
--- a/packages/carawaymast-core/carawaymast_core/cell/records.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/records.py
@@ -96,13 +96,17 @@
 
 
 class MemberRecord(typing.NamedTuple):
-    """Where the other nodes reach a node."""
+    """Where the other nodes reach a node, and how fast it is.
+
+    ``speed`` is its processor time in cores of the platform.
+    """
 
     node_id: str
     host: str
     port: int
     domain: str
     boot_id: str
+    speed: float = 1.0
 
 
 RECORD_TYPES = (
--- a/packages/carawaymast-node/carawaymast_node/cells/leadership.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/leadership.py
@@ -4,6 +4,7 @@
 import random
 import typing
 
+from carawaymast_core.cell import candidacy
 from carawaymast_core.cell import lag
 from carawaymast_node.cells import context as context_mod
 from carawaymast_node.cells import election as election_mod
@@ -19,11 +20,8 @@
 # The hand-over waits so long for a write under way and for its own record.
 FINISH_MS = 300
 RELEASE_MS = 800
-# A slow leader steps aside at most once in this time, so that a fleet of slow
-# nodes does not pass the leadership round.
-LEAST_TERM_MS = 3_000
-# It then leaves the leadership to others for so long; the users' slow phases
-# last 5 s and more.
+# A leader that stepped aside leaves the leadership to others for so long; the
+# users' slow phases last 5 s and more.
 ASIDE_MS = 6_000
 
 
@@ -117,13 +115,17 @@
             await self._election.renew(leader.epoch)
 
     def _is_better_elsewhere(self, now_ms: int) -> bool:
-        """Whether this node is too slow and another could lead."""
-        return (
-            self._lag.is_slow
-            and now_ms - self._began_at_ms > LEAST_TERM_MS
-            and bool(self._context.peers.candidates())
+        """Whether another node could lead better than this one."""
+        return candidacy.is_better_elsewhere(
+            self._context.platform.settings.speed,
+            self._peer_speeds(),
+            self._lag.is_slow,
+            now_ms - self._began_at_ms,
         )
 
+    def _peer_speeds(self) -> list[float]:
+        return [peer.speed for peer in self._context.peers.candidates()]
+
     async def _step_aside(
         self, leader: leader_mod.Leader, now_ms: int
     ) -> None:
@@ -132,6 +134,7 @@
             'leader_too_slow',
             epoch=leader.epoch,
             lag_ms=round(self._lag.average_ms),
+            speed=self._context.platform.settings.speed,
         )
         self._lag.reset()
         self._no_claim_until_ms = now_ms + ASIDE_MS
@@ -142,7 +145,11 @@
             return
         if not self._election.is_vacant(self._tail):
             return
-        await asyncio.sleep(random.uniform(0, CLAIM_JITTER_MS) / 1000)
+        pause_ms = random.uniform(0, CLAIM_JITTER_MS)
+        pause_ms += candidacy.deference_ms(
+            self._context.platform.settings.speed, self._peer_speeds()
+        )
+        await asyncio.sleep(pause_ms / 1000)
         if self._election.is_vacant(self._tail):
             self._log.note('leadership_claimed')
             await self._election.claim(self._tail.end_offset)
--- a/packages/carawaymast-node/carawaymast_node/cells/ports.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/ports.py
@@ -279,13 +279,15 @@
 class CellSettings(typing.NamedTuple):
     """What a node is told about itself and its bounds.
 
-    For ``keep_ended_ms`` after its end callers may still ask for a job; one
+    ``speed`` is the processor time of the VM in cores of the platform. For
+    ``keep_ended_ms`` after its end callers may still ask for a job; one
     call for advice may name up to ``max_advised_workers``.
     """
 
     node_id: str
     host: str
     domain: str
+    speed: float
     caller_address: tuple[str, int]
     ready_address: tuple[str, int]
     ready_path: str
--- a/packages/carawaymast-node/carawaymast_node/cells/service.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/service.py
@@ -244,6 +244,7 @@
             settings.peer_port,
             settings.domain,
             self.boot_id,
+            settings.speed,
         )
 
     async def _probe_store(self) -> None:
