Workers' speed is learned: urgent tasks go to fast ones, patient ones to slow

Change: the time of each run against its estimate tells a worker's speed (core/cell/pace.py); rank 0 prefers fast workers, the others slow ones, all those whose speed is unknown. A worker twice as slow as usual, or with two runs overdue three times, gets nothing for 4 s (core/cell/suspicion.py, with the rule on failures that was in ends.py); at most a quarter of a cell. Tests: three scenarios of load.feature, which fail before.

--- a/features/cell_world.py
+++ b/features/cell_world.py
@@ -63,6 +63,8 @@
         self.capacity = capacity
         self.runner_by_id: dict[str, runner_mod.RunnerStandin] = {}
         self.work_ms = 1_000
+        # How many times as long as usual a runner takes.
+        self.slowness_by_id: dict[str, float] = {}
         self.fails: typing.Callable[[str], bool] = lambda task: False
         self.lines: list[tuple[str, dict]] = []
         self.noted_done: set[str] = set()
@@ -239,7 +241,7 @@
             name,
             run.run_id,
             deadline_ms,
-            self.work_ms,
+            int(self.work_ms * self.slowness_by_id.get(runner.runner_id, 1)),
             self.fails(name),
         )
 
--- a/features/load.feature
+++ b/features/load.feature
@@ -90,3 +90,23 @@
     And a gang "g1" of 4 tasks of 15 processors that is late
     When every 100 ms an urgent job of 1 tasks of 2 processors comes for 20 s
     Then "g1" started within 8 s
+
+  Scenario: Workers of three speeds, urgent tasks go to the fast ones
+    Given a cell of 9 workers
+    And each third worker takes 0.8 times as long, each third 1.25 times
+    When every 100 ms an urgent job of 3 tasks of 1 processors comes for 20 s
+    Then in the last 5 s all urgent tasks ran at the fast workers
+
+  Scenario: Workers of three speeds, work that may wait goes to slow ones
+    Given a cell of 9 workers
+    And each third worker takes 0.8 times as long, each third 1.25 times
+    When every 100 ms a job of 3 tasks of 1 processors comes for 20 s
+    Then in the last 5 s all tasks ran at the slow workers
+
+  Scenario: A worker turns slow, so others get its work
+    Given a cell of 4 workers
+    When every 100 ms an urgent job of 2 tasks of 3 processors comes for 10 s
+    And worker "w0" takes 6 times as long
+    And every 100 ms an urgent job of 2 tasks of 3 processors comes for 10 s
+    Then the log says that "w0" was left out as slow
+    And in the last 2 s at most 1 task in 10 was started at "w0"
--- a/features/steps/load_steps.py
+++ b/features/steps/load_steps.py
@@ -293,17 +293,76 @@
 def play_steady(context, pause, count, cpu, seconds, policy):
     world = context.world
     context.started_ms = {}
+    # By task: when it was first seen, and the runner that had it.
+    context.seen = {}
     for number in range(seconds * 1_000 // pause):
         step = cell_world.step(count, cpu * 1_000, estimate_ms=100)
         now_ms = world.clock.now()
+        job_id = f'n{now_ms}-{number}'
         world.submit(
-            cell_world.job(
-                f'n{number}', step, policy=policy, accepted_at_ms=now_ms
-            )
+            cell_world.job(job_id, step, policy=policy, accepted_at_ms=now_ms)
         )
         world.turn(pause)
-        for task in world.running():
+        for task, runner_ids in world.running().items():
             context.started_ms.setdefault(task.partition('.')[0], now_ms)
+            context.seen.setdefault(task, (now_ms, runner_ids[0]))
+
+
+def seen_lately(context, seconds):
+    """Return the runners of the tasks that started lately."""
+    since_ms = context.world.clock.now() - seconds * 1_000
+    found = [r for ms, r in context.seen.values() if ms >= since_ms]
+    assert found
+    return found
+
+
+@given(
+    'each third worker takes 0.8 times as long, each third 1.25 times',
+)
+def three_speeds(context):
+    world = context.world
+    for number, runner_id in enumerate(world.runner_by_id):
+        world.slowness_by_id[runner_id] = (1.0, 0.8, 1.25)[number % 3]
+
+
+@then('in the last {seconds:d} s all urgent tasks ran at the fast workers')
+def at_fast(context, seconds):
+    slowness = context.world.slowness_by_id
+    found = {slowness[r] for r in seen_lately(context, seconds)}
+    assert found == {0.8}, found
+
+
+@then('in the last {seconds:d} s all tasks ran at the slow workers')
+def at_slow(context, seconds):
+    slowness = context.world.slowness_by_id
+    found = {slowness[r] for r in seen_lately(context, seconds)}
+    assert found == {1.25}, found
+
+
+@when('worker "{name}" takes {factor:d} times as long')
+def turn_slow(context, name, factor):
+    context.world.slowness_by_id[name] = factor
+
+
+@then('the log says that "{name}" was left out as slow')
+def left_out(context, name):
+    lines = [
+        f for what, f in context.world.lines if what == 'worker_suspected'
+    ]
+    assert {'slow'} == {f['why'] for f in lines}, lines
+    assert {name} == {f['worker'] for f in lines}, lines
+
+
+@then(
+    'in the last {seconds:d} s at most 1 task in {share:d} was started at '
+    '"{name}"'
+)
+def few_at(context, seconds, share, name):
+    found = seen_lately(context, seconds)
+    assert found.count(name) * share <= len(found), (
+        found.count(name),
+        len(found),
+    )
 
 
 @then('"{job_id}" started within {seconds:d} s')
--- a/packages/carawaymast-core/carawaymast_core/cell/answers.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/answers.py
@@ -111,6 +111,8 @@
     if outcome.is_running:
         run.state = worker_mod.RunState.RUNNING
         run.known_at_ms = now_ms
+        if not run.task.checkpoint:
+            run.began_at_ms = now_ms
         return
     cell.note(
         'start_failed',
--- a/packages/carawaymast-core/carawaymast_core/cell/cell.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/cell.py
@@ -12,6 +12,7 @@
 from carawaymast_core.cell import advice as advice_mod
 from carawaymast_core.cell import ends
 from carawaymast_core.cell import jobs
+from carawaymast_core.cell import pace
 from carawaymast_core.cell import placing
 from carawaymast_core.cell import records
 from carawaymast_core.cell import spec as spec_mod
@@ -59,6 +60,9 @@
         self.timed_steps: dict[str, jobs.StepState] = {}
         self.stops: list[worker_mod.StopOrder] = []
         self._wall_offset_ms = 0
+        self.paces = pace.PaceBook()
+        # When workers were last looked at for runs that are overdue.
+        self.judged_at_ms = 0
         self.backlog = admission.Backlog({}, {})
         self._new_by_id: dict[str, spec_mod.Submission] = {}
         self._dirty: set[str] = set()
--- a/packages/carawaymast-core/carawaymast_core/cell/ends.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/ends.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from carawaymast_core.cell import suspicion
 from carawaymast_core.cell import worker as worker_mod
 
 if typing.TYPE_CHECKING:
@@ -10,10 +11,6 @@
 
 __all__ = ['apply', 'apply_unplaced']
 
-# Failures of a worker's runs in a row after which it gets nothing for a while.
-SUSPECT_AFTER_FAILURES = 3
-SUSPECT_MS = 4_000
-
 
 def apply(
     cell: 'cell_mod.Cell',
@@ -36,7 +33,7 @@
     )
     if checkpoint:
         task.checkpoint = checkpoint
-    _judge_worker(cell, run, how, now_ms)
+    suspicion.judge(cell, run, how, now_ms)
     _settle(cell, task, run.run_id, how, now_ms)
 
 
@@ -111,22 +108,3 @@
         for run in member.runs:
             if run.run_id == run_id:
                 cell.stop(run, 'its gang has lost a member')
-
-
-def _judge_worker(
-    cell, run: worker_mod.Run, how: worker_mod.EndKind, now_ms: int
-) -> None:
-    """Leave out a worker that fails all that it starts."""
-    worker = run.worker
-    if how is worker_mod.EndKind.DONE:
-        worker.failures_in_row = 0
-    elif how is worker_mod.EndKind.FAILED:
-        worker.failures_in_row += 1
-    if worker.failures_in_row >= SUSPECT_AFTER_FAILURES:
-        worker.failures_in_row = SUSPECT_AFTER_FAILURES - 1
-        worker.suspect_until_ms = now_ms + SUSPECT_MS
-        cell.note(
-            'worker_suspected',
-            worker=worker.worker_id,
-            until_ms=worker.suspect_until_ms,
-        )
--- a/packages/carawaymast-core/carawaymast_core/cell/lives.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/lives.py
@@ -3,6 +3,7 @@
 import typing
 
 from carawaymast_core.cell import ends
+from carawaymast_core.cell import suspicion
 from carawaymast_core.cell import worker as worker_mod
 
 if typing.TYPE_CHECKING:
@@ -17,6 +18,9 @@
 # it leaves: a stop takes up to 0.9 s, and its end has to be listed.
 LEAVE_MARGIN_MS = 1_300
 
+# Pause between looks for runs that are overdue; a look is at each run.
+JUDGE_PAUSE_MS = 250
+
 
 def take_worker(
     cell: 'cell_mod.Cell', entry: worker_mod.WorkerEntry, now_ms: int
@@ -68,6 +72,7 @@
     worker.is_gone = True
     cell.note('worker_gone', worker=worker.worker_id, why=why)
     cell.worker_by_key.pop(worker.key, None)
+    cell.paces.forget(worker.key)
     for run in list(worker.run_by_task.values()):
         ends.apply(cell, run, worker_mod.EndKind.LAPSED, '', now_ms)
 
@@ -100,7 +105,12 @@
 
 def sweep(cell: 'cell_mod.Cell', now_ms: int, wall_ms: int) -> None:
     """Act on what time alone changes."""
+    is_judging = now_ms - cell.judged_at_ms >= JUDGE_PAUSE_MS
+    if is_judging:
+        cell.judged_at_ms = now_ms
     for worker in list(cell.worker_by_key.values()):
+        if is_judging:
+            suspicion.judge_overdue(cell, worker, now_ms)
         if worker.run_by_task and worker.has_lapsed(now_ms):
             _write_off(cell, worker, now_ms)
         elif not worker.is_listed and not worker.run_by_task:
--- a/packages/carawaymast-core/carawaymast_core/cell/planner.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/planner.py
@@ -8,6 +8,7 @@
 import typing
 
 from carawaymast_core import resources
+from carawaymast_core.cell import pace
 
 if typing.TYPE_CHECKING:
     from carawaymast_core.cell import jobs
@@ -30,6 +31,21 @@
 MAX_STEPS_A_PLAN = 120
 # Steps in a row that found no room, after which the fleet counts as full.
 MAX_MISSES_A_PLAN = 40
+# Which workers suit urgent and other tasks, the best first.
+URGENT_TIERS = (
+    pace.Tier.UNKNOWN,
+    pace.Tier.FAST,
+    pace.Tier.TYPICAL,
+    pace.Tier.SLOW,
+    pace.Tier.FAULTY,
+)
+PATIENT_TIERS = (
+    pace.Tier.UNKNOWN,
+    pace.Tier.SLOW,
+    pace.Tier.TYPICAL,
+    pace.Tier.FAST,
+    pace.Tier.FAULTY,
+)
 
 
 class Placement(typing.NamedTuple):
@@ -222,11 +238,11 @@
         if limit:
             count = min(count, limit - _here(step, worker))
         if count > 0:
-            rooms.append((free_share(worker), worker.worker_id, count, worker))
-    rooms.sort(key=lambda row: row[:2])
+            rooms.append((_preference(step, worker), count, worker))
+    rooms.sort(key=lambda row: row[0])
     chosen = []
     waiting = iter(tasks)
-    for _, _, count, worker in rooms:
+    for _, count, worker in rooms:
         ticket = ''
         if step.advice is not None:
             ticket = step.advice.ticket(worker.worker_id, now_ms) or ''
@@ -238,6 +254,20 @@
     return chosen
 
 
+def _preference(step, worker: 'worker_mod.Worker') -> tuple:
+    """Return a key that is smaller for workers that suit a step better.
+
+    Urgent tasks, which have little time to lose, go to fast workers, the
+    others to slow ones, and all to those whose speed is to be found out. Of
+    equal workers the fullest is best, since room in one piece serves large
+    tasks.
+    """
+    is_urgent = step.job.submission.queue.rank == 0
+    tiers = URGENT_TIERS if is_urgent else PATIENT_TIERS
+    tier = tiers.index(worker.tier)
+    return tier, free_share(worker), worker.worker_id
+
+
 def _fitting(
     size: resources.Resources,
     worker: 'worker_mod.Worker',
--- /dev/null
+++ b/packages/carawaymast-core/carawaymast_core/cell/suspicion.py
@@ -0,0 +1,111 @@
+"""Leaves out workers that fail what they start, or are far too slow."""
+
+import typing
+
+from carawaymast_core.cell import pace
+from carawaymast_core.cell import worker as worker_mod
+
+if typing.TYPE_CHECKING:
+    from carawaymast_core.cell import cell as cell_mod
+
+__all__ = ['judge', 'judge_overdue']
+
+# Failures of a worker's runs in a row after which it gets nothing for a while.
+SUSPECT_AFTER_FAILURES = 3
+SUSPECT_MS = 4_000
+# No more of a cell's workers are left out for being slow: a slow worker is
+# better than none, and the users' slow phases hit 15% of them.
+MAX_SUSPECTED_SHARE = 0.25
+# A run is overdue after so many times its usual time: the times of single
+# runs scatter by 0.4 (of a logarithm), so one of 300 sound ones is.
+OVERDUE_FACTOR = 3.0
+# One overdue run may be a task that was declared too short; two are not.
+OVERDUE_RUNS = 2
+
+
+def judge(
+    cell: 'cell_mod.Cell',
+    run: worker_mod.Run,
+    how: worker_mod.EndKind,
+    now_ms: int,
+) -> None:
+    """Leave out a worker that fails all that it starts, or is too slow."""
+    worker = run.worker
+    if how is worker_mod.EndKind.DONE:
+        worker.failures_in_row = 0
+        _note_pace(cell, run, now_ms)
+    elif how is worker_mod.EndKind.FAILED:
+        worker.failures_in_row += 1
+    if worker.failures_in_row >= SUSPECT_AFTER_FAILURES:
+        worker.failures_in_row = SUSPECT_AFTER_FAILURES - 1
+        _suspect(cell, worker, 'failures', now_ms)
+
+
+def _note_pace(cell, run: worker_mod.Run, now_ms: int) -> None:
+    """Learn a worker's speed; leave it out for a while if it is faulty."""
+    worker = run.worker
+    if run.began_at_ms is None or worker.is_gone:
+        return
+    step = run.task.step
+    cell.paces.note(
+        worker.key,
+        step.job.submission.queue.name,
+        step.spec.estimate_ms,
+        now_ms - run.began_at_ms,
+    )
+    worker.tier = cell.paces.tier(worker.key)
+    if worker.tier is pace.Tier.FAULTY:
+        _leave_out_slow(cell, worker, now_ms)
+
+
+def judge_overdue(
+    cell: 'cell_mod.Cell', worker: worker_mod.Worker, now_ms: int
+) -> None:
+    """Leave out a worker whose tasks should have ended long ago.
+
+    Its tasks go on; ends alone would show too late how slow it is.
+    """
+    if worker.suspect_until_ms > now_ms:
+        return
+    overdue = sum(
+        1
+        for run in worker.run_by_task.values()
+        if _is_overdue(cell, run, now_ms)
+    )
+    if overdue >= OVERDUE_RUNS:
+        _leave_out_slow(cell, worker, now_ms)
+
+
+def _is_overdue(cell, run: worker_mod.Run, now_ms: int) -> bool:
+    step = run.task.step
+    if run.began_at_ms is None or step.spec.is_service:
+        return False
+    usual_ms = cell.paces.usual_ms(
+        step.job.submission.queue.name, step.spec.estimate_ms
+    )
+    return now_ms - run.began_at_ms > OVERDUE_FACTOR * usual_ms
+
+
+def _leave_out_slow(cell, worker: worker_mod.Worker, now_ms: int) -> None:
+    if _are_many_suspected(cell, now_ms):
+        return
+    _suspect(cell, worker, 'slow', now_ms)
+    # It is judged anew after the pause.
+    cell.paces.forget(worker.key)
+    worker.tier = pace.Tier.UNKNOWN
+
+
+def _are_many_suspected(cell, now_ms: int) -> bool:
+    workers = cell.worker_by_key.values()
+    suspected = sum(1 for w in workers if w.suspect_until_ms > now_ms)
+    return suspected >= MAX_SUSPECTED_SHARE * len(workers)
+
+
+def _suspect(cell, worker: worker_mod.Worker, why: str, now_ms: int) -> None:
+    worker.suspect_until_ms = now_ms + SUSPECT_MS
+    cell.note(
+        'worker_suspected',
+        worker=worker.worker_id,
+        why=why,
+        until_ms=worker.suspect_until_ms,
+    )
--- a/packages/carawaymast-core/carawaymast_core/cell/worker.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/worker.py
@@ -5,6 +5,7 @@
 
 from carawaymast_core import errors
 from carawaymast_core import resources
+from carawaymast_core.cell import pace
 
 if typing.TYPE_CHECKING:
     from carawaymast_core.cell import jobs
@@ -133,6 +134,7 @@
     """One run of a task that may be at a worker."""
 
     __slots__ = (
+        'began_at_ms',
         'is_stopping',
         'known_at_ms',
         'placed_at_ms',
@@ -154,6 +156,9 @@
         self.ticket = ''
         self.state = RunState.PLACED
         self.placed_at_ms = now_ms
+        # When its start was answered, unless it went on from a checkpoint or
+        # was started by a former leader.
+        self.began_at_ms: int | None = None
         # A hold that was sent later than this shows whether the run is there.
         self.known_at_ms: int | None = None
         self.is_stopping = False
@@ -195,6 +200,7 @@
         self._deadline_ms = 0
         self.write_off_at_ms: int | None = None
         self.suspect_until_ms = 0
+        self.tier = pace.Tier.UNKNOWN
         self.failures_in_row = 0
 
     @property
