A look-up reads the state too before it says that there is no such job

Cause: a leader stores the jobs that it takes in itself in the state topic, but a look-up of an unknown job read only the intake anew. Change: the fresh read covers both topics. Ruled out: the history dropped at 7 s, since newest was read again by then. Test: 'A job that only the leader stored is found without the leader' fails before.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -147,3 +147,8 @@
     Given a node that follows the intake by a long poll that nothing ends
     When a caller asks for a job that the node does not know
     Then a read that does not wait is sent for the caller
+
+  Scenario: A job that only the leader stored is found without the leader
+    Given a node that has read the store, and a leader that does not answer
+    When the leader stores a job and a caller asks the node for it at once
+    Then the node finds the job
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -3,6 +3,7 @@
 import ast
 import asyncio
 import json
+import types
 
 from behave import given
 from behave import then
@@ -16,10 +17,12 @@
 from carawaymast_node import fabric_pb2
 from carawaymast_node import settings as settings_mod
 from carawaymast_node.cells import election as election_mod
+from carawaymast_node.cells import front as front_mod
 from carawaymast_node.cells import intake as intake_mod
 from carawaymast_node.cells import journal as journal_mod
 from carawaymast_node.cells import ports
 from carawaymast_node.cells import relay
+from carawaymast_node.cells import replica as replica_mod
 from carawaymast_node.cells import routing
 from carawaymast_node.cells import tail as tail_mod
 from carawaymast_node.cells import telemetry
@@ -614,3 +617,60 @@
 @then('a read that does not wait is sent for the caller')
 def fresh_read(context):
     assert context.is_fresh, 'the look-up waited for the long poll'
+
+
+class SilentLeader:
+    """Calls to a leader that no answer comes of."""
+
+    async def phase(self, job_id):
+        return None
+
+
+@given('a node that has read the store, and a leader that does not answer')
+def node_beside_leader(context):
+    make_store(context)
+    source = replica_mod.Source(
+        context.store, context.clock, quiet(context.clock), lambda: True
+    )
+    platform = types.SimpleNamespace(
+        ingress=ingress.INGRESS,
+        settings=types.SimpleNamespace(
+            declarations_topic='op', workers_topic='servers'
+        ),
+    )
+    context.replica = replica_mod.Replica(
+        source,
+        platform,
+        types.SimpleNamespace(take=lambda item: None),
+        lambda: False,
+        lambda job_id: None,
+    )
+    parts = front_mod.FrontParts(
+        context.clock,
+        quiet(context.clock),
+        telemetry.Metrics(),
+        ingress.INGRESS,
+        replies.REPLIES,
+        None,
+        context.replica.view,
+        None,
+        context.replica.wait_current,
+        SilentLeader(),
+    )
+    context.front = front_mod.Front(None, parts)
+    asyncio.run(context.replica.wait_current(context.clock.now()))
+
+
+@when('the leader stores a job and a caller asks the node for it at once')
+def ask_beside_leader(context):
+    submission = cell_world.job('j1', cell_world.step())
+    key = 'j1' + records.SUBMISSION_SUFFIX
+    item = ports.KeyValue(key, records.encode(submission))
+    asyncio.run(context.store.append('state', 0, [item]))
+    context.clock.advance(1)
+    context.found = asyncio.run(context.front._phase('j1'))
+
+
+@then('the node finds the job')
+def job_found(context):
+    assert context.found is records.JobPhase.QUEUED, context.found
--- a/packages/carawaymast-core/carawaymast_core/cell/placing.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/placing.py
@@ -1,5 +1,6 @@
 """Places what fits now, and says which steps need tickets first."""
 
+import math
 import typing
 
 from carawaymast_core import errors
@@ -15,6 +16,11 @@
 
 # A gang that holds workers is noted in the log so often.
 HOLDING_NOTE_MS = 2_000
+# The users' rules reckon with a call about 30 workers for each step.
+LEAST_ASKED = 30
+# Workers asked about for each that a step would need if it were empty: a third
+# of them is allowed, and of those a quarter has much room on a full fleet.
+ASKED_FOR_EACH_NEEDED = 12
 
 
 def plan(cell: 'cell_mod.Cell', now_ms: int, wall_ms: int) -> None:
@@ -49,12 +55,13 @@
 
 
 def advice_wanted(
-    cell: 'cell_mod.Cell', now_ms: int, wall_ms: int
+    cell: 'cell_mod.Cell', now_ms: int, wall_ms: int, is_planned: bool = True
 ) -> typing.Iterator[tuple[jobs.StepState, list[str]]]:
     """Yield the steps that need tickets, the next to start first.
 
-    Each with the workers to ask about, those with most room first, since one
-    call may be about fewer workers than there are.
+    Each with the workers to ask about, those with most room first. Unless
+    all steps have just been planned, those that hold tickets are left out:
+    what they hold may be enough.
     """
     by_room = sorted(
         (w for w in cell.worker_by_key.values() if w.is_usable(now_ms)),
@@ -65,14 +72,25 @@
         policy = step.job.submission.queue.advice
         if step.advice is None or step.advice.is_asked:
             continue
-        candidates = (
-            worker.worker_id
-            for worker in by_room
-            if planner.admits(step, worker)
+        if not is_planned and step.advice.has_tickets(now_ms):
+            continue
+        candidates = [w for w in by_room if planner.admits(step, w)]
+        wanted = step.advice.wanted(
+            (w.worker_id for w in candidates), now_ms, policy.valid_ms
         )
-        wanted = step.advice.wanted(candidates, now_ms, policy.valid_ms)
         if wanted:
-            yield step, wanted
+            yield step, wanted[: _most_asked(step, candidates)]
+
+
+def _most_asked(step: jobs.StepState, candidates) -> int:
+    """Return about how many workers a step shall ask in one call.
+
+    A call takes longer the more workers it names, and each ticket costs the
+    leader time.
+    """
+    fitting = planner.fitting_when_empty(step, candidates[0])
+    needed = math.ceil(len(step.waiting()) / max(1, fitting))
+    return max(LEAST_ASKED, ASKED_FOR_EACH_NEEDED * needed)
 
 
 def _place(
--- a/packages/carawaymast-core/carawaymast_core/cell/planner.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/planner.py
@@ -14,7 +14,15 @@
     from carawaymast_core.cell import jobs
     from carawaymast_core.cell import worker as worker_mod
 
-__all__ = ['Placement', 'choose', 'free_share', 'order', 'plan', 'room_for']
+__all__ = [
+    'Placement',
+    'choose',
+    'fitting_when_empty',
+    'free_share',
+    'order',
+    'plan',
+    'room_for',
+]
 
 # Share of a worker that only the most urgent rank may use: Kilima's
 # placement checks need 11% of the fleet on average.
@@ -183,6 +191,14 @@
     return room >= step.spec.count
 
 
+def fitting_when_empty(
+    step: 'jobs.StepState', worker: 'worker_mod.Worker'
+) -> int:
+    """Return how many tasks of a step an empty worker could hold."""
+    count = _times(step.spec.size, worker.entry.capacity)
+    return min(count, step.spec.max_per_worker or count)
+
+
 def room_for(
     step: 'jobs.StepState', workers: typing.Sequence['worker_mod.Worker']
 ) -> int:
--- a/packages/carawaymast-node/carawaymast_node/cells/front.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/front.py
@@ -17,7 +17,6 @@
 from carawaymast_node.cells import leader_calls as leader_calls_mod
 from carawaymast_node.cells import ports
 from carawaymast_node.cells import routing
-from carawaymast_node.cells import tail as tail_mod
 from carawaymast_node.cells import telemetry
 
 __all__ = ['Front', 'FrontParts', 'Pages']
@@ -49,7 +48,8 @@
     routes: routing.Routes
     view: view_mod.JobView
     intake: intake_mod.Intake
-    intake_tail: tail_mod.Tail
+    # Waits until the view has all that the store had at a time, in ms.
+    wait_current: typing.Callable[[int], typing.Awaitable[None]]
     leader_calls: leader_calls_mod.LeaderCalls
 
 
@@ -186,7 +186,7 @@
         now_ms = self._parts.clock.now()
         try:
             async with asyncio.timeout(FRESH_READ_MS / 1000):
-                await self._parts.intake_tail.wait_current(now_ms)
+                await self._parts.wait_current(now_ms)
         except TimeoutError:
             raise errors.SchedulerError(
                 errors.ErrorKind.NOT_READY,
--- a/packages/carawaymast-node/carawaymast_node/cells/leader.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/leader.py
@@ -239,11 +239,14 @@
             # Raises if the journal is fenced.
             self._commit.result()
             self._commit = None
-        if self._commit is None:
+        is_planned = self._commit is None
+        if is_planned:
             placing.plan(self.cell, now_ms, wall_ms)
             self._begin_commit(wall_ms)
         if self._advice is not None:
-            self._advice.ask(placing.advice_wanted(self.cell, now_ms, wall_ms))
+            self._advice.ask(
+                placing.advice_wanted(self.cell, now_ms, wall_ms, is_planned)
+            )
         for order in self.cell.stops:
             self._tasks.spawn(self._orders.stop(order))
         self.cell.stops.clear()
--- a/packages/carawaymast-node/carawaymast_node/cells/replica.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/replica.py
@@ -107,6 +107,15 @@
             self.member_tail.run(),
         ]
 
+    async def wait_current(self, since_ms: int) -> None:
+        """Wait until the view has all jobs that were stored at ``since_ms``.
+
+        A job is in the intake or, if the leader took it in, in the state.
+        """
+        async with asyncio.TaskGroup() as group:
+            for tail in (self.intake_tail, self.state_tail):
+                group.create_task(tail.wait_current(since_ms))
+
     def take_delivered(self, key: str, value: bytes) -> None:
         """Apply an intake record, read or told by a peer.
 
--- a/packages/carawaymast-node/carawaymast_node/cells/service.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/service.py
@@ -171,7 +171,7 @@
             self.replica.routes,
             self.replica.view,
             self.intake,
-            self.replica.intake_tail,
+            self.replica.wait_current,
             self.leader_calls,
         )
         self.front = front_mod.Front(self.guard, parts).register(self)
