Runs are compared with their siblings; late gangs age sooner

Where estimates of a queue are off by several times, sound workers counted as slow, up to a quarter of the cell was left out in turn, and the gang that needs all workers never started. Change: a run is compared with the tasks of its own step once half of them have ended; before that its weight falls with the spread of its queue. The members of a gang say nothing. Overdue is three deviations of the queue. And a gang that is late is ordered 8 s behind work in time, not 20 s: the rooms that others leave are of no use to it.

--- a/packages/carawaymast-core/carawaymast_core/cell/jobs.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/jobs.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from carawaymast_core.cell import pace
 from carawaymast_core.cell import records
 from carawaymast_core.cell import spec as spec_mod
 
@@ -68,6 +69,8 @@
         self.latest_start_ms = self._find_latest_start_ms()
         self.tasks = [Task(self, index) for index in range(self.spec.count)]
         self.advice: advice.StepAdvice | None = None
+        # How long its tasks took beside their estimate.
+        self.pace = pace.Average()
         self.ready_at_ms = 0
         # The last run of a gang that was counted as a failed attempt.
         self.failed_run_id = 0
--- a/packages/carawaymast-core/carawaymast_core/cell/pace.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/pace.py
@@ -1,14 +1,17 @@
 """How fast each worker runs, learned from runs that ended as done.
 
-The time of a run is compared with its estimate. How far estimates of a queue
-are off is averaged over all workers; what is left tells a worker's speed.
-Averages are of logarithms, so that twice as long and half as long cancel.
+A run is compared with its siblings, the tasks of one step, once half of them
+have ended: they are alike, while estimates may be off by several times. Until
+then it is compared with its estimate, and says less the more the estimates of
+its queue are off. Times enter as logarithms, so that twice as long and half
+as long cancel.
 """
 
 import enum
 import math
+import typing
 
-__all__ = ['PaceBook', 'Tier']
+__all__ = ['Average', 'PaceBook', 'Tier', 'Timed']
 
 # Steps between the users' kinds of workers are 0.8, 1 and 1.25; the bounds
 # lie half-way.
@@ -16,16 +19,23 @@
 SLOW_ABOVE = 1.12
 # Beyond every kind of worker: something is wrong with it.
 FAULTY_ABOVE = 2.0
-# Runs that count; later ones replace the oldest. The times of single runs
-# scatter by 0.4, so 16 of them tell speeds apart that differ by a fifth.
-WORKER_RUNS = 16
-QUEUE_RUNS = 200
-# A worker's speed is unknown before so many runs.
-LEAST_RUNS = 4
+# The users' tasks of one step scatter by 0.15 to 0.3.
+SIBLING_DEVIATION = 0.3
+# One run beside its siblings weighs 1. So many tell speeds apart that differ
+# by a fifth; later ones replace the oldest.
+MOST_WEIGHT = 16.0
+# A worker's speed is unknown below this weight.
+LEAST_WEIGHT = 3.0
 # Few runs say little: as if there had been so many typical ones before.
-PRIOR_RUNS = 3
+PRIOR_WEIGHT = 2.0
+QUEUE_RUNS = 200
+LEAST_SIBLINGS = 3
 # One run that took very long says no more than eight times as long.
 MOST_EXCESS = math.log(8.0)
+# A run is overdue after three times its usual time, or three deviations of
+# its queue, as one of 700 sound ones is.
+OVERDUE_EXCESS = math.log(3.0)
+OVERDUE_DEVIATIONS = 3.0
 
 
 class Tier(enum.IntEnum):
@@ -38,62 +48,117 @@
     UNKNOWN = 3
 
 
-class _Average:
+class Average:
     """A mean of the latest values, each of which ages as others come."""
 
-    __slots__ = ('count', 'mean')
+    __slots__ = ('mean', 'variance', 'weight')
 
     def __init__(self) -> None:
         self.mean = 0.0
-        self.count = 0
-
-    def add(self, value: float, most: int) -> None:
-        self.count = min(self.count + 1, most)
-        self.mean += (value - self.mean) / self.count
+        self.variance = 0.0
+        self.weight = 0.0
+
+    @property
+    def deviation(self) -> float:
+        """The standard deviation of the values."""
+        return math.sqrt(self.variance)
+
+    def add(self, value: float, weight: float, most: float) -> None:
+        """Take in a value; ``most`` bounds the weight of all together."""
+        self.weight = min(self.weight + weight, most)
+        share = weight / self.weight
+        difference = value - self.mean
+        self.mean += share * difference
+        self.variance += share * (
+            difference * (value - self.mean) - self.variance
+        )
+
+
+class Timed(typing.NamedTuple):
+    """A run of a task: ``siblings`` is the average of its step so far."""
+
+    worker_key: tuple[str, int]
+    queue_name: str
+    siblings: Average
+    tasks: int
+    estimate_ms: int
+    ran_ms: int
+
+    @property
+    def excess(self) -> float:
+        """How much longer than estimated it took, as a logarithm."""
+        return math.log(self.ran_ms / self.estimate_ms)
+
+    @property
+    def is_measured(self) -> bool:
+        """Whether its time and its estimate can be compared."""
+        return self.estimate_ms > 0 and self.ran_ms > 0
+
+    @property
+    def has_siblings(self) -> bool:
+        """Whether enough of its step has ended to compare it with."""
+        return self.siblings.weight >= max(LEAST_SIBLINGS, self.tasks / 2)
 
 
 class PaceBook:
     """The speed of workers by key and of queues by name."""
 
     def __init__(self) -> None:
-        self._by_worker: dict[tuple[str, int], _Average] = {}
-        self._by_queue: dict[str, _Average] = {}
-
-    def note(
-        self,
-        worker_key: tuple[str, int],
-        queue_name: str,
-        estimate_ms: int,
-        ran_ms: int,
-    ) -> None:
+        self._by_worker: dict[tuple[str, int], Average] = {}
+        self._by_queue: dict[str, Average] = {}
+        # How much longer than its siblings so far a task takes on average:
+        # those that end last took longest.
+        self._lateness = Average()
+
+    def note(self, run: Timed) -> None:
         """Take in a run from its start to its end as done."""
-        if estimate_ms <= 0 or ran_ms <= 0:
+        if not run.is_measured:
             return
-        value = math.log(ran_ms / estimate_ms)
-        queue = self._by_queue.setdefault(queue_name, _Average())
-        worker = self._by_worker.setdefault(worker_key, _Average())
-        # Without what is known of the worker, so that a queue whose work goes
-        # to fast workers only does not count as faster for it.
-        queue.add(value - worker.mean, QUEUE_RUNS)
-        worker.add(min(value - queue.mean, MOST_EXCESS), WORKER_RUNS)
+        worker = self._by_worker.setdefault(run.worker_key, Average())
+        queue = self._by_queue.setdefault(run.queue_name, Average())
+        # Without what is known of the worker, so that work that goes to fast
+        # workers only does not count as shorter for it.
+        typical = run.excess - worker.mean
+        if run.has_siblings:
+            self._lateness.add(typical - run.siblings.mean, 1.0, QUEUE_RUNS)
+            usual, weight = run.siblings.mean + self._lateness.mean, 1.0
+        else:
+            usual = queue.mean if queue.weight else typical
+            off = max(SIBLING_DEVIATION, queue.deviation)
+            weight = (SIBLING_DEVIATION / off) ** 2
+        run.siblings.add(typical, 1.0, run.tasks)
+        queue.add(typical, 1.0, QUEUE_RUNS)
+        worker.add(min(run.excess - usual, MOST_EXCESS), weight, MOST_WEIGHT)
 
     def forget(self, worker_key: tuple[str, int]) -> None:
         """Forget a worker's life that has ended."""
         self._by_worker.pop(worker_key, None)
 
-    def usual_ms(self, queue_name: str, estimate_ms: int) -> float:
-        """Return how long a run usually takes at a typical worker."""
-        queue = self._by_queue.get(queue_name)
-        return estimate_ms * (math.exp(queue.mean) if queue else 1.0)
+    def is_overdue(self, run: Timed) -> bool:
+        """Tell whether a run that has not ended takes far too long."""
+        if not run.is_measured:
+            return False
+        if run.has_siblings:
+            usual = run.siblings.mean + self._lateness.mean
+            return run.excess > usual + OVERDUE_EXCESS
+        queue = self._by_queue.get(run.queue_name)
+        if queue is None or queue.weight < LEAST_SIBLINGS:
+            return False
+        most = max(OVERDUE_EXCESS, OVERDUE_DEVIATIONS * queue.deviation)
+        return run.excess > queue.mean + most
 
     def factor(self, worker_key: tuple[str, int]) -> float:
         """Return how long runs take there, where 1.0 is typical."""
-        return math.exp(self._log_factor(worker_key))
+        average = self._by_worker.get(worker_key)
+        if average is None:
+            return 1.0
+        weight = average.weight
+        return math.exp(average.mean * weight / (weight + PRIOR_WEIGHT))
 
     def tier(self, worker_key: tuple[str, int]) -> Tier:
         """Return a worker's speed beside the others'."""
         average = self._by_worker.get(worker_key)
-        if average is None or average.count < LEAST_RUNS:
+        if average is None or average.weight < LEAST_WEIGHT:
             return Tier.UNKNOWN
         factor = self.factor(worker_key)
         if factor > FAULTY_ABOVE:
@@ -101,9 +166,3 @@
         if factor > SLOW_ABOVE:
             return Tier.SLOW
         return Tier.FAST if factor < FAST_BELOW else Tier.TYPICAL
-
-    def _log_factor(self, worker_key: tuple[str, int]) -> float:
-        average = self._by_worker.get(worker_key)
-        if average is None:
-            return 0.0
-        return average.mean * average.count / (average.count + PRIOR_RUNS)
--- a/packages/carawaymast-core/carawaymast_core/cell/placing.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/placing.py
@@ -63,18 +63,18 @@
     all steps have just been planned, those that hold tickets are left out:
     what they hold may be enough.
     """
-    by_room = sorted(
-        (w for w in cell.worker_by_key.values() if w.is_usable(now_ms)),
-        key=planner.free_share,
-        reverse=True,
-    )
+    usable = [w for w in cell.worker_by_key.values() if w.is_usable(now_ms)]
+    by_room = sorted(usable, key=planner.free_share, reverse=True)
+    by_speed = sorted(by_room, key=planner.urgent_preference)
     for step in planner.order(cell.ready_by_name.values(), wall_ms):
         policy = step.job.submission.queue.advice
         if step.advice is None or step.advice.is_asked:
             continue
         if not is_planned and step.advice.has_tickets(now_ms):
             continue
-        candidates = [w for w in by_room if planner.admits(step, w)]
+        is_urgent = step.job.submission.queue.rank == 0
+        ordered = by_speed if is_urgent else by_room
+        candidates = [w for w in ordered if planner.admits(step, w)]
         wanted = step.advice.wanted(
             (w.worker_id for w in candidates), now_ms, policy.valid_ms
         )
--- a/packages/carawaymast-core/carawaymast_core/cell/planner.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/planner.py
@@ -22,6 +22,7 @@
     'order',
     'plan',
     'room_for',
+    'urgent_preference',
 ]
 
 # Share of a worker that only the most urgent rank may use: Kilima's
@@ -35,6 +36,9 @@
 # A job that cannot meet its objective any more is ordered behind those that
 # can, but moves up as it ages, so that none waits for ever.
 LATE_PENALTY_MS = 20_000
+# A late gang moves up sooner: rooms that others leave are of no use to it, so
+# that it never starts before it may hold workers.
+LATE_GANG_PENALTY_MS = 8_000
 # Steps looked at in one plan: bounds the time of a plan under a flood.
 MAX_STEPS_A_PLAN = 120
 # Steps in a row that found no room, after which the fleet counts as full.
@@ -80,7 +84,8 @@
     """Return the latest useful start, later for ranks that may wait."""
     penalty_ms = step.job.submission.queue.rank * RANK_PENALTY_MS
     if step.latest_start_ms < wall_ms:
-        penalty_ms += LATE_PENALTY_MS
+        is_gang = step.spec.is_gang
+        penalty_ms += LATE_GANG_PENALTY_MS if is_gang else LATE_PENALTY_MS
     return step.latest_start_ms + penalty_ms
 
 
@@ -270,6 +275,15 @@
     return chosen
 
 
+def urgent_preference(worker: 'worker_mod.Worker') -> tuple[bool, int]:
+    """Return a key that is smaller for workers to ask about for urgent work.
+
+    Fast ones, if they have any room worth asking about.
+    """
+    is_full = free_share(worker) < URGENT_HEADROOM_SHARE
+    return is_full, URGENT_TIERS.index(worker.tier)
+
+
 def _preference(step, worker: 'worker_mod.Worker') -> tuple:
     """Return a key that is smaller for workers that suit a step better.
 
--- a/packages/carawaymast-core/carawaymast_core/cell/suspicion.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/suspicion.py
@@ -16,9 +16,6 @@
 # No more of a cell's workers are left out for being slow: a slow worker is
 # better than none, and the users' slow phases hit 15% of them.
 MAX_SUSPECTED_SHARE = 0.25
-# A run is overdue after so many times its usual time: the times of single
-# runs scatter by 0.4 (of a logarithm), so one of 300 sound ones is.
-OVERDUE_FACTOR = 3.0
 # One overdue run may be a task that was declared too short; two are not.
 OVERDUE_RUNS = 2
 
@@ -44,15 +41,10 @@
 def _note_pace(cell, run: worker_mod.Run, now_ms: int) -> None:
     """Learn a worker's speed; leave it out for a while if it is faulty."""
     worker = run.worker
-    if run.began_at_ms is None or worker.is_gone:
+    timed = _timed(run, now_ms)
+    if timed is None or worker.is_gone:
         return
-    step = run.task.step
-    cell.paces.note(
-        worker.key,
-        step.job.submission.queue.name,
-        step.spec.estimate_ms,
-        now_ms - run.began_at_ms,
-    )
+    cell.paces.note(timed)
     worker.tier = cell.paces.tier(worker.key)
     if worker.tier is pace.Tier.FAULTY:
         _leave_out_slow(cell, worker, now_ms)
@@ -67,23 +59,28 @@
     """
     if worker.suspect_until_ms > now_ms:
         return
-    overdue = sum(
-        1
-        for run in worker.run_by_task.values()
-        if _is_overdue(cell, run, now_ms)
-    )
+    timed = (_timed(run, now_ms) for run in worker.run_by_task.values())
+    overdue = sum(1 for run in timed if run and cell.paces.is_overdue(run))
     if overdue >= OVERDUE_RUNS:
         _leave_out_slow(cell, worker, now_ms)
 
 
-def _is_overdue(cell, run: worker_mod.Run, now_ms: int) -> bool:
+def _timed(run: worker_mod.Run, now_ms: int) -> pace.Timed | None:
+    """Return a run's time so far, None if it says nothing of its worker.
+
+    The members of a gang end together, as fast as the slowest of them.
+    """
     step = run.task.step
-    if run.began_at_ms is None or step.spec.is_service:
-        return False
-    usual_ms = cell.paces.usual_ms(
-        step.job.submission.queue.name, step.spec.estimate_ms
+    if run.began_at_ms is None or step.spec.is_service or step.spec.is_gang:
+        return None
+    return pace.Timed(
+        run.worker.key,
+        step.job.submission.queue.name,
+        step.pace,
+        len(step.tasks),
+        step.spec.estimate_ms,
+        now_ms - run.began_at_ms,
     )
-    return now_ms - run.began_at_ms > OVERDUE_FACTOR * usual_ms
 
 
 def _leave_out_slow(cell, worker: worker_mod.Worker, now_ms: int) -> None:
