--- a/features/cell_machine.py
+++ b/features/cell_machine.py
@@ -46,18 +46,25 @@
         cpu=st.sampled_from([500, 4_500, 9_000]),
         is_gang=st.booleans(),
         limit=st.sampled_from([0, 0, 2]),
+        rank=st.integers(0, 2),
+        is_saving=st.booleans(),
     )
-    def submit(self, count, cpu, is_gang, limit):
+    def submit(self, count, cpu, is_gang, limit, rank, is_saving):
         self.jobs += 1
         if is_gang and cpu > cell_world.CAPACITY.cpu_millis // 2:
             # One on each runner; more would never fit.
             count = min(count, 3)
         first = cell_world.step(
-            count, cpu, is_gang=is_gang, max_per_worker=limit
+            count,
+            cpu,
+            is_gang=is_gang,
+            max_per_worker=limit,
+            is_checkpointing=is_saving,
         )
         second = cell_world.step(1, cpu, after=(0,))
         job_id = f'j{self.jobs}'
-        submission = cell_world.job(job_id, first, second)
+        policy = cell_world.queue(rank=rank)
+        submission = cell_world.job(job_id, first, second, policy=policy)
         self.submission_by_id[job_id] = submission
         self.world.submit(submission)
 
--- a/features/load.feature
+++ b/features/load.feature
@@ -110,3 +110,42 @@
     And every 100 ms an urgent job of 2 tasks of 3 processors comes for 10 s
     Then the log says that "w0" was left out as slow
     And in the last 2 s at most 1 task in 10 was started at "w0"
+
+  Scenario: Patient tasks with checkpoints give way to a gang
+    Given a cell of 4 workers
+    And tasks that take 30 s
+    And 12 tasks of rank 2 with checkpoints, of 4 processors, that run
+    When a gang "g1" of 4 tasks of 7 processors comes
+    And 2 s pass
+    Then the gang "g1" runs
+    And at most 6 tasks gave way
+
+  Scenario: Tasks without checkpoints lose work, so they do not give way
+    Given a cell of 4 workers
+    And tasks that take 30 s
+    And 12 tasks of rank 2 without checkpoints, of 4 processors, that run
+    When a gang "g1" of 4 tasks of 7 processors comes
+    And 2 s pass
+    Then at most 0 tasks gave way
+
+  Scenario: An urgent task that finds no room gets it from a patient one
+    Given a cell of 4 workers
+    And tasks that take 30 s
+    And 12 tasks of rank 2 with checkpoints, of 4 processors, that run
+    When an urgent job of 8 processors comes
+    And 2 s pass
+    Then the urgent task runs
+    And at most 1 tasks gave way
+
+  Scenario: A wide gang holds few of many workers
+    Given a cell of 20 workers
+    And tasks that take 30 s
+    And 60 tasks of rank 2 without checkpoints, of 4 processors, that run
+    When a gang "g1" of 4 tasks of 15 processors comes
+    And the leader plans
+    Then "g1" holds 5 workers
+
+  Scenario: A small step asks about few workers, a wide gang about more
+    Given a cell of 80 workers
+    Then an urgent step of 2 tasks of 3 processors asks about 30 workers
+    And a gang of 5 tasks of 9 processors asks about 60 workers
