A fault soak: real node processes under random faults

Five nodes over the stand-in of the platform are killed, frozen, stopped and all killed at once, and the store is busy, silent, forgetful, loses answers and carries writes out late. The launcher of node processes is shared with the scenario.

--- /dev/null
+++ b/bench/soak.py
@@ -0,0 +1,207 @@
+"""A fault soak: node processes under random faults, checked by the runners.
+
+``python -m bench.soak SECONDS SEED`` hands jobs in at 5 nodes while nodes are
+killed, frozen and stopped in turn and the store fails in all its ways; then
+it lets everything heal and checks that each accepted job was completed, that
+no task ran at two runners at once and none again after it was done. It prints
+the account and exits 1 if a check fails.
+"""
+
+import collections
+import json
+import random
+import signal
+import sys
+import tempfile
+import time
+import typing
+
+from standins import deployment
+from standins import platform_http
+from standins import platform_nodes
+
+__all__ = ['main']
+
+NODES = 5
+RUNNERS = 6
+JOB_PAUSE_S = 0.25
+FAULT_PAUSE_S = 3.0
+# All nodes are up and the store is well again; then every job has to end.
+HEAL_S = 60.0
+STORE_FAULTS = ('busy', 'silent', 'lost', 'late', 'forgetful')
+
+
+class Soak:
+    """One run: the nodes, the jobs accepted so far and the faults so far."""
+
+    def __init__(self, directory: str, seed: int):
+        self._random = random.Random(seed)
+        self._platform, self._ports = platform_nodes.start_platform(RUNNERS)
+        self._nodes = [
+            platform_nodes.Node(number, directory, self._ports[0])
+            for number in range(NODES)
+        ]
+        # When to start or wake a node again, in s.
+        self._repair_at_s: dict[int, float] = {}
+        self.answers: collections.Counter[int] = collections.Counter()
+        self.faults: collections.Counter[str] = collections.Counter()
+        self.accepted: list[str] = []
+        self._job_number = 0
+
+    def __enter__(self) -> 'Soak':
+        for node in self._nodes:
+            node.start()
+        return self
+
+    def __exit__(self, *exc_info) -> None:
+        for process in [*(n.process for n in self._nodes), self._platform]:
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+
+    def run(self, seconds: float) -> None:
+        """Hand jobs in and bring faults about."""
+        until_s = time.monotonic() + seconds
+        next_fault_s = time.monotonic() + 2 * FAULT_PAUSE_S
+        while time.monotonic() < until_s:
+            self._hand_in()
+            self._repair()
+            if time.monotonic() >= next_fault_s:
+                next_fault_s += FAULT_PAUSE_S
+                self._break_something()
+            time.sleep(JOB_PAUSE_S)
+
+    def heal(self) -> list[str]:
+        """Repair all; return the accepted jobs that do not complete."""
+        for number in list(self._repair_at_s):
+            self._repair_at_s[number] = 0.0
+        self._repair()
+        left = list(self.accepted)
+        until_s = time.monotonic() + HEAL_S
+        while left and time.monotonic() < until_s:
+            left = [path for path in left if not self._is_completed(path)]
+            time.sleep(JOB_PAUSE_S)
+        return left
+
+    def history(self) -> list[tuple[float, str, str, int]]:
+        """Return all starts and ends at the runners, in order of time."""
+        rows = []
+        for port in self._ports[1:]:
+            url = f'http://{deployment.HOST}:{port}/started'
+            _, body = deployment.call('GET', url)
+            rows += [tuple(row) for row in body['history']]
+        return sorted(rows)
+
+    def _hand_in(self) -> None:
+        """Hand a job in, at other nodes until one answers or all did not."""
+        path = f'{platform_http.QUEUE_PREFIX}{self._job_number:016x}'
+        self._job_number += 1
+        step = {
+            'count': self._random.randint(1, 4),
+            'cpu': self._random.choice([500, 1_000, 2_000]),
+            'mem_mb': 100,
+            'estimate_ms': platform_http.WORK_MS,
+            'gang': self._random.random() < 0.3,
+        }
+        body = {'spec': 'soak', 'phases': [step]}
+        for node in self._random.sample(self._nodes, 2):
+            if node.process.poll() is not None:
+                continue
+            status, _ = node.call('POST', path, body)
+            self.answers[status] += 1
+            if status == 200:
+                self.accepted.append(path)
+                return
+
+    def _is_completed(self, path: str) -> bool:
+        node = self._random.choice(self._nodes)
+        _, text = node.call('GET', path)
+        return '"completed"' in text
+
+    def _break_something(self) -> None:
+        how = self._random.choice(['kill', 'freeze', 'stop', 'store', 'all'])
+        for_s = self._random.uniform(0.5, 5.0)
+        if how == 'store':
+            how = self._random.choice(STORE_FAULTS)
+            url = f'http://{deployment.HOST}:{self._ports[0]}/fault'
+            deployment.call('POST', url, {'how': how, 'for_s': for_s})
+        elif how == 'all':
+            for number in range(NODES):
+                self._signal(number, signal.SIGKILL, 0.5)
+        else:
+            number = self._random.randrange(NODES)
+            number_signal = {
+                'kill': signal.SIGKILL,
+                'freeze': signal.SIGSTOP,
+                'stop': signal.SIGTERM,
+            }[how]
+            self._signal(number, number_signal, for_s)
+        self.faults[how] += 1
+
+    def _signal(self, number: int, which: int, for_s: float) -> None:
+        node = self._nodes[number]
+        if number in self._repair_at_s or node.process.poll() is not None:
+            return
+        node.process.send_signal(which)
+        self._repair_at_s[number] = time.monotonic() + for_s
+
+    def _repair(self) -> None:
+        """Wake and start the nodes whose time has come."""
+        for number, at_s in list(self._repair_at_s.items()):
+            node = self._nodes[number]
+            if time.monotonic() < at_s:
+                continue
+            node.process.send_signal(signal.SIGCONT)
+            if at_s == 0.0 and node.process.poll() is None:
+                node.process.kill()
+                node.process.wait()
+            if node.process.poll() is not None:
+                node.start()
+            elif time.monotonic() - at_s < 1.0:
+                # Woken, or still on its way to a graceful end.
+                continue
+            del self._repair_at_s[number]
+
+
+def doubled(history: typing.Iterable[tuple[float, str, str, int]]) -> list:
+    """Return the starts of tasks that ran elsewhere or were done."""
+    running: dict[str, int] = {}
+    done: set[str] = set()
+    found = []
+    for at_s, what, task, run_id in history:
+        if what == 'start':
+            if task in running or task in done:
+                found.append((at_s, task, run_id))
+            running[task] = run_id
+        else:
+            running.pop(task, None)
+            if what == 'done':
+                done.add(task)
+    return found
+
+
+def main(arguments: typing.Sequence[str]) -> int:
+    """Run a soak; return the exit status."""
+    seconds, seed = float(arguments[0]), int(arguments[1])
+    with tempfile.TemporaryDirectory() as directory:
+        with Soak(directory, seed) as soak:
+            soak.run(seconds)
+            left = soak.heal()
+            history = soak.history()
+    twice = doubled(history)
+    account = {
+        'seed': seed,
+        'seconds': seconds,
+        'accepted': len(soak.accepted),
+        'answers': dict(soak.answers),
+        'faults': dict(soak.faults),
+        'starts': sum(1 for row in history if row[1] == 'start'),
+        'not completed': left,
+        'doubled': twice,
+    }
+    print(json.dumps(account, indent=2), flush=True)
+    return 1 if left or twice or not soak.accepted else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main(sys.argv[1:]))
--- a/standins/platform_http.py
+++ b/standins/platform_http.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import json
+import random
 import sys
 import time
 
@@ -24,6 +25,9 @@
 WORK_MS = 600
 TICK_S = 0.02
 POLL_S = 0.02
+# A store that is silent holds a call for so long; nodes give up before.
+SILENCE_S = 5.0
+LOST_SHARE = 0.3
 CONFIG = {
     'version': 1,
     'routes': [
@@ -46,12 +50,36 @@
 
     def __init__(self) -> None:
         self.log = keyed_log.KeyedLog()
+        # What the store does instead of answering, and until when.
+        self.fault = ''
+        self.fault_until_s = 0.0
+
+    async def set_fault(self, request: web.Request) -> web.Response:
+        """Begin a fault: busy, silent, lost, late or forgetful."""
+        body = await request.json()
+        self.fault = body['how']
+        self.fault_until_s = time.monotonic() + body['for_s']
+        if self.fault == 'forgetful':
+            self.log.drop_history()
+        return _json(200, {})
 
     async def handle(self, request: web.Request) -> web.Response:
-        """Carry out one call."""
+        """Carry out one call, or what the present fault makes of it."""
         body = await request.read()
         target = request.path_qs
+        fault = self.fault if time.monotonic() < self.fault_until_s else ''
+        if fault == 'busy':
+            return web.Response(status=503)
+        if fault == 'silent':
+            return await _hang_up(request, SILENCE_S)
+        is_write = request.path == '/-/log-append'
+        if is_write and fault == 'late':
+            await asyncio.sleep(random.uniform(0.5, 3.0))
+            self.log.send(request.method, target, body)
+            return await _hang_up(request, 0)
         status, answer = self.log.send(request.method, target, body)
+        if is_write and fault == 'lost' and random.random() < LOST_SHARE:
+            return await _hang_up(request, 0)
         wait_ms = int(request.query.get('wait_ms', '0'))
         until_s = time.monotonic() + wait_ms / 1_000
         while status == 200 and _is_empty_read(request, answer):
@@ -62,11 +90,24 @@
         return web.Response(status=status, body=answer)
 
 
+async def _hang_up(request: web.Request, after_s: float) -> web.Response:
+    """Close the connection without an answer."""
+    await asyncio.sleep(after_s)
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response(status=500)
+
+
 class RunnerServer:
     """Answers the calls to one runner."""
 
     def __init__(self, runner_id: str):
         self.runner = runner_mod.RunnerStandin(runner_id)
+        # Rows of time in s, what happened, task and run.
+        self.history: list[tuple[float, str, str, int]] = []
+        self.runner.on_change = lambda what, task, run_id: self.history.append(
+            (time.monotonic(), what, task, run_id)
+        )
 
     async def keep_time(self) -> None:
         """Let the runner's clock follow the real one."""
@@ -125,7 +166,9 @@
 
     async def show(self, request: web.Request) -> web.Response:
         """Return all starts, for the test's own check."""
-        return _json(200, {'started': self.runner.started})
+        return _json(
+            200, {'started': self.runner.started, 'history': self.history}
+        )
 
 
 def _is_empty_read(request: web.Request, answer: bytes) -> bool:
@@ -175,6 +218,7 @@
         await _listen(app, port)
         tasks.append(asyncio.create_task(server.keep_time()))
     app = web.Application()
+    app.router.add_post('/fault', store.set_fault)
     app.router.add_route('*', '/{tail:.*}', store.handle)
     await _listen(app, store_port)
     print('ready', flush=True)
--- /dev/null
+++ b/standins/platform_nodes.py
@@ -0,0 +1,120 @@
+"""Node processes on loopback over the stand-in of the users' platform.
+
+The scenarios and the soak start them; each node has an address of its own.
+"""
+
+import json
+import os
+import pathlib
+import subprocess
+import sys
+import urllib.error
+import urllib.request
+
+from standins import deployment
+from standins import platform_http
+
+__all__ = [
+    'FRONT_PORT',
+    'METRICS_PORT',
+    'Node',
+    'READY_PORT',
+    'start_platform',
+]
+
+INTERNAL_PORT = 7_720
+FRONT_PORT = 8_161
+READY_PORT = 8_167
+METRICS_PORT = 9_464
+SETTINGS = """
+node_name = "{name}"
+ip = "{ip}"
+zone = "westlands"
+internal_port_range = [{internal}, {internal}]
+[listen]
+front = "{ip}:{front}"
+ready = "{ip}:{ready}"
+[limits]
+max_fds = 4000
+cpu_share = 0.5
+cores = 2
+[bounds]
+hold_max_ms = 10000
+drain_ms = 2000
+grace_s = 6
+status_s = 120
+[platform]
+address = "127.0.0.1:{store}"
+"""
+
+
+class Node:
+    """One carawaymastd on a loopback address of its own."""
+
+    def __init__(self, number, directory, store_port):
+        self.name = f'node-{number}'
+        self.ip = f'127.0.7.{number + 1}'
+        path = pathlib.Path(directory) / f'{self.name}.toml'
+        path.write_text(
+            SETTINGS.format(
+                name=self.name,
+                ip=self.ip,
+                internal=INTERNAL_PORT,
+                front=FRONT_PORT,
+                ready=READY_PORT,
+                store=store_port,
+            )
+        )
+        self._settings_path = path
+        self.log_path = pathlib.Path(directory) / f'{self.name}.log'
+        self.process: subprocess.Popen | None = None
+
+    def start(self) -> None:
+        """Start the process; it adds to the node's log."""
+        with self.log_path.open('a') as log:
+            self.process = subprocess.Popen(
+                [
+                    sys.executable,
+                    '-m',
+                    'carawaymast_node',
+                    '--adapter=carawaymast_platform',
+                ],
+                env=os.environ
+                | {'CARAWAYMAST_NODE_FILE': str(self._settings_path)},
+                stdout=log,
+            )
+
+    def call(self, method, path, body=None, port=FRONT_PORT):
+        """Return the status and the body of an answer, (0, '') if none."""
+        data = None if body is None else json.dumps(body).encode()
+        request = urllib.request.Request(
+            f'http://{self.ip}:{port}{path}',
+            data,
+            {'Host': platform_http.QUEUE_HOST},
+            method=method,
+        )
+        try:
+            with urllib.request.urlopen(request, timeout=5) as response:
+                return response.status, response.read().decode()
+        except urllib.error.HTTPError as error:
+            return error.code, error.read().decode()
+        except OSError:
+            return 0, ''
+
+    def is_leader(self):
+        """Whether the node says that it leads."""
+        _, text = self.call('GET', '/metrics', port=METRICS_PORT)
+        return 'carawaymast_is_leader 1.0' in text
+
+
+def start_platform(runners: int) -> tuple[subprocess.Popen, list[int]]:
+    """Start store and runners; return the process and their ports."""
+    ports = [deployment.free_port() for _ in range(runners + 1)]
+    platform = subprocess.Popen(
+        [sys.executable, '-m', 'standins.platform_http', *map(str, ports)],
+        cwd=deployment.ROOT,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    assert platform.stdout.readline() == 'ready\n'
+    return platform, ports
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -5,6 +5,8 @@
 clock, moved by ``advance``.
 """
 
+import typing
+
 from carawaymast_core.cell import worker as worker_mod
 
 __all__ = ['RunnerStandin']
@@ -41,6 +43,9 @@
         self.running: dict[str, _Running] = {}
         self.ended: list[worker_mod.End] = []
         self._end_number = 0
+        # Told of each start and end: what, task and run.
+        self.on_change: typing.Callable[[str, str, int], None]
+        self.on_change = lambda what, task, run_id: None
         self._highest_ended: dict[str, int] = {}
 
     def hold(
@@ -83,6 +88,7 @@
             return worker_mod.StartOutcome(True, STALE_RUN)
         self.running[task] = _Running(run_id, work_ms, fails)
         self.started.append((task, run_id))
+        self.on_change('start', task, run_id)
         return worker_mod.StartOutcome(True)
 
     def stop(self, epoch: int, task: str, run_id: int) -> bool:
@@ -130,6 +136,7 @@
 
     def _end(self, task: str, how: worker_mod.EndKind) -> None:
         run = self.running.pop(task)
+        self.on_change(how.value, task, run.run_id)
         self._end_number += 1
         highest = self._highest_ended.get(task, 0)
         self._highest_ended[task] = max(highest, run.run_id)
