--- a/packages/carawaymast-core/carawaymast_core/cell/placing.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/placing.py
@@ -18,9 +18,6 @@
 
 # A step that holds workers is noted in the log so often.
 HOLDING_NOTE_MS = 2_000
-# So many workers more cost nothing that matters: the time of a plan.
-CHEAP_MS = 15
-LEAST_MS_A_WORKER = 0.1
 # The users' rules reckon with a call about 30 workers for each step.
 LEAST_ASKED = 30
 # Workers asked about for each that a step would need if it were empty: a third
@@ -95,16 +92,17 @@
 ) -> typing.Iterable[str]:
     """Return the workers that a step may need tickets for.
 
-    A gang that waits needs them only while it holds workers, and then for
-    all that it may use, as it may hold others a moment later. It asks about
-    more only if those that it knows to be allowed could never hold it.
+    A gang that waits needs them for the workers that it holds; it asks about
+    others only if those that it knows to be allowed could never hold it.
     """
     if not step.spec.is_gang or not step.advice.grant_by_worker:
         return (w.worker_id for w in candidates)
+    if step.held_ids:
+        return step.held_ids
     granted = step.advice.grant_by_worker
     known = [w for w in candidates if w.worker_id in granted]
     if rooms.could_fit(step, known):
-        return [w.worker_id for w in known] if step.held_ids else ()
+        return ()
     return (w.worker_id for w in candidates if w.worker_id not in granted)
 
 
@@ -116,9 +114,7 @@
     """
     fitting = rooms.fitting_when_empty(step, candidates[0])
     needed = math.ceil(len(step.waiting()) / max(1, fitting))
-    policy = step.job.submission.queue.advice
-    cheap = int(CHEAP_MS / max(policy.per_worker_ms, LEAST_MS_A_WORKER))
-    return max(LEAST_ASKED, cheap, ASKED_FOR_EACH_NEEDED * needed)
+    return max(LEAST_ASKED, ASKED_FOR_EACH_NEEDED * needed)
 
 
 def _preempt(
--- a/packages/carawaymast-core/carawaymast_core/cell/planner.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/planner.py
@@ -107,14 +107,10 @@
     misses = 0
     for step in ordered:
         step.held_ids = ()
-    looked_at = 0
-    for step in ordered:
-        if looked_at >= MAX_STEPS_A_PLAN or misses >= MAX_MISSES_A_PLAN:
+    startable = (s for s in ordered if _may_start(s, now_ms))
+    for position, step in enumerate(startable):
+        if position >= MAX_STEPS_A_PLAN or misses >= MAX_MISSES_A_PLAN:
             return
-        may_hold = not held or len(held) < most_held
-        if not _may_start(step, may_hold, now_ms):
-            continue
-        looked_at += 1
         open_workers = [
             w for w in workers if w.key not in held and admits(step, w)
         ]
@@ -124,7 +120,7 @@
         if not step.waiting():
             continue
         misses += 1
-        if not may_hold:
+        if held and len(held) >= most_held:
             continue
         hold = _hold(step, open_workers, allowed, now_ms, wall_ms)
         if hold is not None:
@@ -133,7 +129,7 @@
             actions.hold(step, hold)
 
 
-def _may_start(step: 'jobs.StepState', may_hold: bool, now_ms: int) -> bool:
+def _may_start(step: 'jobs.StepState', now_ms: int) -> bool:
     """Whether a step has tickets, or may hold workers until it has.
 
     Other steps that wait for tickets take no turn: a fleet of 176 workers is
@@ -142,7 +138,7 @@
     advice = step.advice
     if advice is None or advice.has_tickets(now_ms):
         return True
-    return may_hold and step.spec.is_gang and bool(advice.grant_by_worker)
+    return step.spec.is_gang and bool(advice.grant_by_worker)
 
 
 def _hold(
