--- a/packages/carawaymast-core/carawaymast_core/cell/placing.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/placing.py
@@ -6,6 +6,7 @@
 from carawaymast_core.cell import admission
 from carawaymast_core.cell import jobs
 from carawaymast_core.cell import planner
+from carawaymast_core.cell import rooms
 from carawaymast_core.cell import worker as worker_mod
 
 if typing.TYPE_CHECKING:
@@ -39,7 +40,7 @@
             size=list(step.spec.size),
             waited_ms=now_ms - step.ready_at_ms,
             held=len(allowed),
-            room=planner.room_for(step, allowed),
+            room=rooms.room_for(step, allowed),
         )
 
     planner.plan(ordered, workers, now_ms, place, note_holding)
@@ -58,7 +59,7 @@
     what they hold may be enough.
     """
     usable = [w for w in cell.worker_by_key.values() if w.is_usable(now_ms)]
-    by_room = sorted(usable, key=planner.free_share, reverse=True)
+    by_room = sorted(usable, key=rooms.free_share, reverse=True)
     by_speed = sorted(by_room, key=planner.urgent_preference)
     for step in planner.order(cell.ready_by_name.values(), wall_ms):
         policy = step.job.submission.queue.advice
--- a/packages/carawaymast-core/carawaymast_core/cell/planner.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/planner.py
@@ -7,8 +7,8 @@
 
 import typing
 
-from carawaymast_core import resources
 from carawaymast_core.cell import pace
+from carawaymast_core.cell import rooms
 
 if typing.TYPE_CHECKING:
     from carawaymast_core.cell import jobs
@@ -17,16 +17,11 @@
 __all__ = [
     'Placement',
     'choose',
-    'free_share',
     'order',
     'plan',
-    'room_for',
     'urgent_preference',
 ]
 
-# Share of a worker that only the most urgent rank may use: Kilima's
-# placement checks need 11% of the fleet on average.
-URGENT_HEADROOM_SHARE = 0.08
 # Gangs that wait for room at a time while others may not fill it: two of the
 # users' gangs need about a fifth of the fleet.
 MAX_HOLDING_GANGS = 2
@@ -123,7 +118,7 @@
         misses += 1
         is_whole = len(step.waiting()) == len(step.tasks)
         if step.spec.is_gang and is_whole and holding < MAX_HOLDING_GANGS:
-            if could_fit(step, allowed, _kept_share(step, allowed)):
+            if rooms.could_fit(step, allowed, rooms.kept_share(step, allowed)):
                 holding += 1
                 held.update(w.key for w in allowed)
                 note_holding(step, allowed)
@@ -170,7 +165,7 @@
     if step.spec.is_gang and len(tasks) < len(step.tasks):
         # Members of the run before are still being stopped.
         return []
-    kept = _kept_share(step, workers)
+    kept = rooms.kept_share(step, workers)
     for group in _groups(step, workers):
         chosen = _fill(step, tasks, group, kept, now_ms)
         if len(chosen) == len(tasks) or not step.spec.is_gang and chosen:
@@ -178,52 +173,6 @@
     return []
 
 
-def could_fit(
-    step: 'jobs.StepState',
-    workers: typing.Iterable['worker_mod.Worker'],
-    kept_share: float = 0.0,
-) -> bool:
-    """Tell whether a step would fit on these workers if they were empty.
-
-    ``kept_share`` of each worker is left for the most urgent rank.
-    """
-    limit = step.spec.max_per_worker or step.spec.count
-    room = sum(
-        min(limit, _fitting(step.spec.size, w, w.entry.capacity, kept_share))
-        for w in workers
-    )
-    return room >= step.spec.count
-
-
-def room_for(
-    step: 'jobs.StepState', workers: typing.Sequence['worker_mod.Worker']
-) -> int:
-    """Return how many tasks of a step these workers have room for now."""
-    kept = _kept_share(step, workers)
-    return sum(_fitting(step.spec.size, w, w.free, kept) for w in workers)
-
-
-def _kept_share(
-    step: 'jobs.StepState', workers: typing.Sequence['worker_mod.Worker']
-) -> float:
-    """Return the share of a worker that a step must leave to the urgent.
-
-    Nothing if the step, or a gang as a whole, would then never fit.
-    """
-    if step.job.submission.queue.rank == 0:
-        return 0.0
-    if step.spec.is_gang:
-        fits = could_fit(step, workers, URGENT_HEADROOM_SHARE)
-    else:
-        fits = any(
-            step.spec.size.fits_in(
-                _open_room(w, w.entry.capacity, URGENT_HEADROOM_SHARE)
-            )
-            for w in workers
-        )
-    return URGENT_HEADROOM_SHARE if fits else 0.0
-
-
 def _groups(step, workers) -> list[list['worker_mod.Worker']]:
     """Return sets of workers to try in turn: near the data, one rack, all."""
     wanted_rack = step.spec.data_rack
@@ -243,18 +192,18 @@
 ) -> list[Placement]:
     """Fill workers with tasks, the tightest first."""
     size = step.spec.size
-    rooms = []
+    options = []
     for worker in workers:
-        count = _fitting(size, worker, worker.free, kept_share)
+        count = rooms.fitting(size, worker, worker.free, kept_share)
         limit = step.spec.max_per_worker
         if limit:
             count = min(count, limit - _here(step, worker))
         if count > 0:
-            rooms.append((_preference(step, worker), count, worker))
-    rooms.sort(key=lambda row: row[0])
+            options.append((_preference(step, worker), count, worker))
+    options.sort(key=lambda row: row[0])
     chosen = []
     waiting = iter(tasks)
-    for _, count, worker in rooms:
+    for _, count, worker in options:
         ticket = ''
         if step.advice is not None:
             ticket = step.advice.ticket(worker.worker_id, now_ms) or ''
@@ -271,7 +220,7 @@
 
     Fast ones, if they have any room worth asking about.
     """
-    is_full = free_share(worker) < URGENT_HEADROOM_SHARE
+    is_full = rooms.free_share(worker) < rooms.URGENT_HEADROOM_SHARE
     return is_full, URGENT_TIERS.index(worker.tier)
 
 
@@ -286,53 +235,9 @@
     is_urgent = step.job.submission.queue.rank == 0
     tiers = URGENT_TIERS if is_urgent else PATIENT_TIERS
     tier = tiers.index(worker.tier)
-    return tier, free_share(worker), worker.worker_id
-
-
-def _fitting(
-    size: resources.Resources,
-    worker: 'worker_mod.Worker',
-    room: resources.Resources,
-    kept_share: float,
-) -> int:
-    """Return how many tasks fit into a worker's room less what is kept."""
-    return _times(size, _open_room(worker, room, kept_share))
-
-
-def _open_room(
-    worker: 'worker_mod.Worker', room: resources.Resources, kept_share: float
-) -> resources.Resources:
-    """Return a worker's room less a share of its capacity."""
-    capacity = worker.entry.capacity
-    return resources.Resources(
-        room.cpu_millis - int(capacity.cpu_millis * kept_share),
-        room.memory_mb - int(capacity.memory_mb * kept_share),
-        room.accelerators,
-    )
-
-
-def _times(size: resources.Resources, room: resources.Resources) -> int:
-    """Return how many times a size fits into a room."""
-    counts = [
-        have // need for have, need in zip(room, size, strict=True) if need
-    ]
-    return max(0, min(counts, default=MAX_PER_WORKER))
-
-
-# A task of no size at all: the slots of an endpoint bound how many run.
-MAX_PER_WORKER = 64
+    return tier, rooms.free_share(worker), worker.worker_id
 
 
 def _here(step, worker) -> int:
     """Count the tasks of a step's occurrence that may be at a worker."""
     return sum(1 for t in step.tasks if t.name in worker.run_by_task)
-
-
-def free_share(worker: 'worker_mod.Worker') -> float:
-    """Return the free share of a worker's scarcer resource."""
-    free = worker.free
-    capacity = worker.entry.capacity
-    return min(
-        free.cpu_millis / max(1, capacity.cpu_millis),
-        free.memory_mb / max(1, capacity.memory_mb),
-    )
