--- a/features/steps/load_steps.py
+++ b/features/steps/load_steps.py
@@ -448,7 +448,7 @@
     '{count:d} small nodes of {slow:g} cores and a node "{fast}" of {most:g}'
 )
 def nodes_of_speeds(context, count, slow, fast, most):
-    speed_by_name = {f'small{n}': slow for n in range(count)} | {fast: most}
+    speed_by_name = {fast: most} | {f'small{n}': slow for n in range(count)}
     context.members = [
         records.MemberRecord(name, 'host', 1, 'd', 'boot', speed)
         for name, speed in speed_by_name.items()
