The lease of a lost worker lapses while the leader goes on calling

Worker i-62d7b76768 refused connections from 9.8 s on, was unlisted at 14.2 s, and its runs were still counted there at 51 s: each attempt to renew the lease moved the lease's end 4.5 s on, since a call without an answer may take effect. Change: after a call without an answer the leader only looks, without a new deadline, until the worker answers. Ruled out: the order of steps, tickets (all granted at 9.7 s), room. Tests: 'The lease of a lost worker lapses while the leader goes on calling' and 'One call that is not answered costs no lease' fail before.

--- a/features/cell.feature
+++ b/features/cell.feature
@@ -157,3 +157,15 @@
       | 0.5   | 60000 | 0.5 0.6   | yes   | 0    |
       | 2.1   | 60000 | 0.5 2.1   | yes   | 0    |
       | 0.5   | 60000 |           | yes   | 0    |
+
+  Scenario: The lease of a lost worker lapses while the leader goes on calling
+    Given a leader that has renewed the lease of a worker
+    When 4 calls in 6 s are not answered
+    Then the worker's lease counts as lapsed
+    And none of the unanswered calls but the first renewed it
+
+  Scenario: One call that is not answered costs no lease
+    Given a leader that has renewed the lease of a worker
+    When 1 calls in 1 s are not answered
+    And the next 2 are answered
+    Then the last of them renewed the lease
--- a/features/steps/cell_steps.py
+++ b/features/steps/cell_steps.py
@@ -1,14 +1,21 @@
 """Steps on one cell, its leaders and in-memory runners."""
 
+import asyncio
+
 from behave import given
 from behave import then
 from behave import when
 
+from carawaymast_core import clock as clock_mod
 from carawaymast_core.cell import candidacy
+from carawaymast_core.cell import cell as cell_mod
 from carawaymast_core.cell import lag
 from carawaymast_core.cell import lives
 from carawaymast_core.cell import records
 from carawaymast_core.cell import worker as worker_mod
+from carawaymast_node.cells import orders
+from carawaymast_node.cells import ports
+from carawaymast_node.cells import telemetry
 from features import cell_world
 
 FAILED = worker_mod.EndKind.FAILED
@@ -300,3 +307,86 @@
     assert is_better == (stays == 'no'), is_better
     found = candidacy.deference_ms(context.speed, context.peer_speeds)
     assert found == wait, found
+
+
+class LostWorker:
+    """A worker port: by turns, calls are answered or not."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self.answered = [True, True]
+        self.pause_ms = 100
+        self.deadlines = []
+
+    async def hold(self, worker, epoch, deadline_ms, wait_ms):
+        is_answered = self.answered[len(self.deadlines)]
+        self.deadlines.append(deadline_ms)
+        self._clock.advance(self.pause_ms)
+        worker.is_gone = len(self.deadlines) == len(self.answered)
+        if not is_answered:
+            raise ports.WorkerError('no answer')
+        return worker_mod.HoldAnswer(self._clock.now(), 1, (), ())
+
+
+def go_on_holding(context):
+    context.worker.is_gone = False
+    asyncio.run(context.orders.keep_holding(context.worker))
+
+
+@given('a leader that has renewed the lease of a worker')
+def renewed(context):
+    context.clock = clock_mod.ManualClock(10_000)
+    metrics = telemetry.Metrics()
+    cell = cell_mod.Cell(1, orders.LEASE_MS, lambda what, **fields: None)
+    context.port = LostWorker(context.clock)
+    signals = orders.Signals(
+        lambda: None, lambda why: None, context.clock.now, asyncio.Event
+    )
+    context.orders = orders.Orders(
+        context.clock,
+        telemetry.Telemetry(context.clock, metrics),
+        metrics,
+        context.port,
+        cell,
+        signals,
+    )
+    entry = worker_mod.WorkerEntry(
+        'w0', 'a:1', 1, 's', 'd', False, cell_world.CAPACITY, (), 0, None
+    )
+    context.worker = worker_mod.Worker(entry)
+    cell.worker_by_key[context.worker.key] = context.worker
+    go_on_holding(context)
+    assert context.port.deadlines[-1] is not None
+
+
+@when('{count:d} calls in {seconds:d} s are not answered')
+def unanswered(context, count, seconds):
+    context.unanswered = count
+    context.port.answered += [False] * count
+    context.port.pause_ms = seconds * 1_000 // count
+    go_on_holding(context)
+
+
+@when('the next {count:d} are answered')
+def next_answered(context, count):
+    context.port.answered += [True] * count
+    context.port.pause_ms = 100
+    go_on_holding(context)
+
+
+@then("the worker's lease counts as lapsed")
+def lapsed(context):
+    assert context.worker.has_lapsed(context.clock.now())
+
+
+@then('none of the unanswered calls but the first renewed it')
+def not_renewed(context):
+    last = context.port.deadlines[-context.unanswered + 1 :]
+    assert set(last) == {None}, last
+
+
+@then('the last of them renewed the lease')
+def renewed_again(context):
+    assert context.port.deadlines[-2] is None, context.port.deadlines
+    assert context.port.deadlines[-1] is not None, context.port.deadlines
+    assert not context.worker.has_lapsed(context.clock.now())
--- a/packages/carawaymast-node/carawaymast_node/cells/orders.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/orders.py
@@ -136,7 +136,10 @@
         deadline_ms = None
         wait_ms = 0
         if worker.is_adopted:
-            deadline_ms = worker.next_deadline(sent_at_ms, self._lease_ms)
+            # Without an answer to the last call it only looks: any call may
+            # take effect, so renewing would keep a lost worker's lease.
+            if not worker.is_doubtful:
+                deadline_ms = worker.next_deadline(sent_at_ms, self._lease_ms)
             if worker.ack_number >= worker.seen_number:
                 is_lossy = sent_at_ms < self._lossy_until_ms
                 wait_ms = LOSSY_HOLD_WAIT_MS if is_lossy else HOLD_WAIT_MS
