The soak repairs nodes by what was done to them

A frozen node is woken, one that was told to stop is started once it has ended; before, one rule by the clock did for all.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -28,9 +28,21 @@
 FAULT_PAUSE_S = 3.0
 # All nodes are up and the store is well again; then every job has to end.
 HEAL_S = 60.0
+SIGNAL_BY_FAULT = {
+    'kill': signal.SIGKILL,
+    'freeze': signal.SIGSTOP,
+    'stop': signal.SIGTERM,
+}
 STORE_FAULTS = ('busy', 'silent', 'lost', 'late', 'forgetful')
 
 
+class _Repair(typing.NamedTuple):
+    """When a node is repaired, in s; a frozen one is only woken."""
+
+    at_s: float
+    is_frozen: bool
+
+
 class Soak:
     """One run: the nodes, the jobs accepted so far and the faults so far."""
 
@@ -41,8 +53,8 @@
             platform_nodes.Node(number, directory, self._ports[0])
             for number in range(NODES)
         ]
-        # When to start or wake a node again, in s.
-        self._repair_at_s: dict[int, float] = {}
+        # Nodes that are down, frozen or on their way down, by number.
+        self._repair_by_number: dict[int, _Repair] = {}
         self.answers: collections.Counter[int] = collections.Counter()
         self.faults: collections.Counter[str] = collections.Counter()
         self.accepted: list[str] = []
@@ -73,9 +85,12 @@
 
     def heal(self) -> list[str]:
         """Repair all; return the accepted jobs that do not complete."""
-        for number in list(self._repair_at_s):
-            self._repair_at_s[number] = 0.0
-        self._repair()
+        for number in self._repair_by_number:
+            node = self._nodes[number]
+            node.process.kill()
+            node.process.wait()
+            node.start()
+        self._repair_by_number.clear()
         left = list(self.accepted)
         until_s = time.monotonic() + HEAL_S
         while left and time.monotonic() < until_s:
@@ -119,7 +134,7 @@
         return '"completed"' in text
 
     def _break_something(self) -> None:
-        how = self._random.choice(['kill', 'freeze', 'stop', 'store', 'all'])
+        how = self._random.choice([*SIGNAL_BY_FAULT, 'store', 'all'])
         for_s = self._random.uniform(0.5, 5.0)
         if how == 'store':
             how = self._random.choice(STORE_FAULTS)
@@ -130,37 +145,32 @@
                 self._signal(number, signal.SIGKILL, 0.5)
         else:
             number = self._random.randrange(NODES)
-            number_signal = {
-                'kill': signal.SIGKILL,
-                'freeze': signal.SIGSTOP,
-                'stop': signal.SIGTERM,
-            }[how]
-            self._signal(number, number_signal, for_s)
+            self._signal(number, SIGNAL_BY_FAULT[how], for_s)
         self.faults[how] += 1
 
     def _signal(self, number: int, which: int, for_s: float) -> None:
         node = self._nodes[number]
-        if number in self._repair_at_s or node.process.poll() is not None:
+        if number in self._repair_by_number:
             return
         node.process.send_signal(which)
-        self._repair_at_s[number] = time.monotonic() + for_s
+        at_s = time.monotonic() + for_s
+        is_frozen = which == signal.SIGSTOP
+        self._repair_by_number[number] = _Repair(at_s, is_frozen)
 
     def _repair(self) -> None:
         """Wake and start the nodes whose time has come."""
-        for number, at_s in list(self._repair_at_s.items()):
+        for number, repair in list(self._repair_by_number.items()):
+            if time.monotonic() < repair.at_s:
+                continue
             node = self._nodes[number]
-            if time.monotonic() < at_s:
+            if repair.is_frozen:
+                node.process.send_signal(signal.SIGCONT)
+            elif node.process.poll() is None:
+                # Still on its way to a graceful end.
                 continue
-            node.process.send_signal(signal.SIGCONT)
-            if at_s == 0.0 and node.process.poll() is None:
-                node.process.kill()
-                node.process.wait()
-            if node.process.poll() is not None:
+            else:
                 node.start()
-            elif time.monotonic() - at_s < 1.0:
-                # Woken, or still on its way to a graceful end.
-                continue
-            del self._repair_at_s[number]
+            del self._repair_by_number[number]
 
 
 def doubled(history: typing.Iterable[tuple[float, str, str, int]]) -> list:
