Scenarios set up a leader's orders and calls for advice in one place

From a last read of the change: two scenarios of renewals and two of advice set up the same parts, each in full. features/leader_parts.py does so for all four.

--- /dev/null
+++ b/features/leader_parts.py
@@ -0,0 +1,53 @@
+"""Parts of a leader that run alone: its orders and its calls for advice."""
+
+import asyncio
+
+from carawaymast_core.cell import cell as cell_mod
+from carawaymast_core.cell import placing
+from carawaymast_core.cell import worker as worker_mod
+from carawaymast_node.cells import advice_desk
+from carawaymast_node.cells import orders
+from carawaymast_node.cells import telemetry
+from features import cell_world
+
+__all__ = ['ask_for_advice', 'orders_to_one']
+
+
+def orders_to_one(clock, port):
+    """Return the orders of a leader through a port, and its one worker."""
+    metrics = telemetry.Metrics()
+    cell = cell_mod.Cell(1, orders.LEASE_MS, lambda what, **fields: None)
+    signals = orders.Signals(
+        lambda: None, lambda why: None, clock.now, asyncio.Event
+    )
+    log = telemetry.Telemetry(clock, metrics)
+    sender = orders.Orders(clock, log, metrics, port, cell, signals)
+    entry = worker_mod.WorkerEntry(
+        'w0', 'a:1', 1, 's', 'd', False, cell_world.CAPACITY, (), 0, None
+    )
+    worker = worker_mod.Worker(entry)
+    cell.worker_by_key[worker.key] = worker
+    return sender, worker
+
+
+def ask_for_advice(world, advise, most_workers, peers, times=1):
+    """Let a leader ask for what its cell wants, and wait for the answers."""
+
+    async def ask():
+        metrics = telemetry.Metrics()
+        desk = advice_desk.AdviceDesk(
+            world.clock,
+            advise,
+            most_workers,
+            peers,
+            telemetry.Telemetry(world.clock, metrics),
+            metrics,
+            lambda: None,
+        )
+        now_ms = world.clock.now()
+        for _ in range(times):
+            desk.ask(placing.advice_wanted(world.cell, now_ms, now_ms))
+            while desk.is_asking:
+                await asyncio.sleep(0)
+
+    asyncio.run(ask())
--- a/features/steps/cell_steps.py
+++ b/features/steps/cell_steps.py
@@ -8,15 +8,13 @@
 
 from carawaymast_core import clock as clock_mod
 from carawaymast_core.cell import candidacy
-from carawaymast_core.cell import cell as cell_mod
 from carawaymast_core.cell import lag
 from carawaymast_core.cell import lives
 from carawaymast_core.cell import records
 from carawaymast_core.cell import worker as worker_mod
-from carawaymast_node.cells import orders
 from carawaymast_node.cells import ports
-from carawaymast_node.cells import telemetry
 from features import cell_world
+from features import leader_parts
 
 FAILED = worker_mod.EndKind.FAILED
 BROKEN = worker_mod.EndKind.BROKEN
@@ -336,25 +334,10 @@
 @given('a leader that has renewed the lease of a worker')
 def renewed(context):
     context.clock = clock_mod.ManualClock(10_000)
-    metrics = telemetry.Metrics()
-    cell = cell_mod.Cell(1, orders.LEASE_MS, lambda what, **fields: None)
     context.port = LostWorker(context.clock)
-    signals = orders.Signals(
-        lambda: None, lambda why: None, context.clock.now, asyncio.Event
+    context.orders, context.worker = leader_parts.orders_to_one(
+        context.clock, context.port
     )
-    context.orders = orders.Orders(
-        context.clock,
-        telemetry.Telemetry(context.clock, metrics),
-        metrics,
-        context.port,
-        cell,
-        signals,
-    )
-    entry = worker_mod.WorkerEntry(
-        'w0', 'a:1', 1, 's', 'd', False, cell_world.CAPACITY, (), 0, None
-    )
-    context.worker = worker_mod.Worker(entry)
-    cell.worker_by_key[context.worker.key] = context.worker
     go_on_holding(context)
     assert context.port.deadlines[-1] is not None
 
--- a/features/steps/load_steps.py
+++ b/features/steps/load_steps.py
@@ -8,17 +8,13 @@
 
 from carawaymast_core import clock as clock_mod
 from carawaymast_core.cell import advice
-from carawaymast_core.cell import cell as cell_mod
-from carawaymast_core.cell import placing
 from carawaymast_core.cell import records
 from carawaymast_core.cell import spec as spec_mod
 from carawaymast_core.cell import worker as worker_mod
 from carawaymast_node import channels
-from carawaymast_node.cells import advice_desk
-from carawaymast_node.cells import orders
 from carawaymast_node.cells import ports
-from carawaymast_node.cells import telemetry
 from features import cell_world
+from features import leader_parts
 
 VALID_MS = 2_000
 
@@ -180,25 +176,10 @@
 @given('orders to a worker that loses the second of five answers')
 def make_orders(context):
     clock = clock_mod.ManualClock(10_000)
-    metrics = telemetry.Metrics()
-    cell = cell_mod.Cell(1, 4_500, lambda what, **fields: None)
     context.waits = []
-    signals = orders.Signals(
-        lambda: None, lambda why: None, clock.now, asyncio.Event
+    context.orders, context.worker = leader_parts.orders_to_one(
+        clock, LossyWorkers(clock, context.waits)
     )
-    context.orders = orders.Orders(
-        clock,
-        telemetry.Telemetry(clock, metrics),
-        metrics,
-        LossyWorkers(clock, context.waits),
-        cell,
-        signals,
-    )
-    entry = worker_mod.WorkerEntry(
-        'w0', 'a:1', 1, 's', 'd', False, cell_world.CAPACITY, (), 0, None
-    )
-    context.worker = worker_mod.Worker(entry)
-    cell.worker_by_key[context.worker.key] = context.worker
 
 
 @when('its lease is renewed, the last time 6 s after the others')
@@ -406,25 +387,9 @@
         context.asked.append(list(worker_ids))
         return ports.Advice({w: 'ticket' for w in worker_ids}, VALID_MS)
 
-    async def ask():
-        world = context.world
-        now_ms = world.clock.now()
-        metrics = telemetry.Metrics()
-        desk = advice_desk.AdviceDesk(
-            world.clock,
-            advise,
-            context.most_asked,
-            NoPeers(),
-            telemetry.Telemetry(world.clock, metrics),
-            metrics,
-            lambda: None,
-        )
-        for _ in range(2):
-            desk.ask(placing.advice_wanted(world.cell, now_ms, now_ms))
-            while desk.is_asking:
-                await asyncio.sleep(0)
-
-    asyncio.run(ask())
+    leader_parts.ask_for_advice(
+        context.world, advise, context.most_asked, NoPeers(), times=2
+    )
 
 
 @then('each of the {count:d} workers was asked about, the emptiest first')
@@ -491,23 +456,7 @@
             cell_world.job(f'a{number}', cell_world.step(), policy=policy)
         )
 
-    async def ask():
-        metrics = telemetry.Metrics()
-        desk = advice_desk.AdviceDesk(
-            world.clock,
-            advise,
-            9,
-            context.peers,
-            telemetry.Telemetry(world.clock, metrics),
-            metrics,
-            lambda: None,
-        )
-        now_ms = world.clock.now()
-        desk.ask(placing.advice_wanted(world.cell, now_ms, now_ms))
-        while desk.is_asking:
-            await asyncio.sleep(0)
-
-    asyncio.run(ask())
+    leader_parts.ask_for_advice(world, advise, 9, context.peers)
 
 
 @then('the nodes that asked are the leader, "{fast}" and a small one')
