A malformed message costs a call, never the process

Cause: seen by operators of similar systems, and it could happen here. Names of tasks are looked up by checked numbers. A request that nothing foresaw is logged (request_broken) and answered 504, since its fate is unknown; broken invariants still stop the node. Negative targets and may_miss are refused with a reason.

--- /dev/null
+++ b/features/malformed.feature
@@ -0,0 +1,73 @@
+Feature: A malformed message costs a call, never the process
+
+  Scenario Outline: The store answers with bytes that cannot be read
+    When the store answers a <call> with "<bytes>"
+    Then the call fails as one of the store
+
+    Examples:
+      | call   | bytes                                          |
+      | append | {"offset":"x"}                                 |
+      | append | {"off                                          |
+      | newest | {"items":[{"key":1}],"end_offset":0}           |
+      | newest | {"items":[{"key":"k","offset":0,"value":"%"}]  |
+      | read   | short                                          |
+
+  Scenario: A read that is cut short skips no record
+    When the store answers a read with a record of 9 bytes that has 4
+    Then the call fails as one of the store
+
+  Scenario Outline: A worker answers with lists that cannot be read
+    When a worker answers a hold with <lists>
+    Then the call fails as one of a worker
+
+    Examples:
+      | lists                                |
+      | "running":[["j1.0.0.0"]]             |
+      | "running":[[7,1,"",100]]             |
+      | "running":[["j1.0.0.0","x","",100]]  |
+      | "running":[["j1.0.0.0",1,"","fast"]] |
+      | "ended":[[1,"j1.0.0.0",1]]           |
+      | "ended":[["x","j1.0.0.0",1,"done"]]  |
+      | "ended":7                            |
+
+  Scenario: A figure of a run that is no number leaves the run as it is
+    When a worker answers a hold with "running":[["j1.0.0.0",1,"",100,"hot"]]
+    Then the run is listed with a use of 0
+
+  Scenario Outline: A worker names a task that no job has
+    Given a cell of 2 workers
+    And a job "j1" of 4 tasks and then 2 tasks
+    When worker "w0" lists "<name>" as running and as ended
+    Then the leader stops it there and goes on
+
+    Examples:
+      | name        |
+      | j1          |
+      | j1.0        |
+      | j1.0.0.99   |
+      | j1.0.9.0    |
+      | j1.5.0.0    |
+      | j1.0.0.-1   |
+      | j1.0.0.²    |
+      | j1.a.b.c    |
+      | j1.0.0.0.0  |
+      | .0.0.0      |
+
+  Scenario Outline: A caller's time that is no number
+    When a caller says that it waits for "<time>" ms
+    Then it is taken to wait for 3000 ms
+
+    Examples:
+      | time |
+      | ²    |
+      | -5   |
+      | 1e3  |
+
+  Scenario: A request that nothing foresaw ends alone
+    Given a front whose queues raise an error
+    When a caller asks for a job
+    Then the front has logged the request and serves on
+
+  Scenario: A job with a negative target is refused with its reason
+    When a job with a latency target of -1 ms is checked
+    Then it is refused for its "latency_target_ms"
--- a/packages/carawaymast-core/carawaymast_core/cell/cell.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/cell.py
@@ -263,13 +263,15 @@
         return starts
 
     def find_task(self, name: str) -> jobs.Task | None:
-        """Return the task that a worker names, None if its job is over."""
+        """Return the task that a worker names.
+
+        None if its job is over, or if no task has such a name.
+        """
         job_id, _, rest = name.partition('.')
         job = self.job_by_id.get(job_id)
         if job is None:
             return None
-        occurrence, number, index = (int(part) for part in rest.split('.'))
-        return job.steps_by_occurrence[occurrence][number].tasks[index]
+        return job.find_task(rest)
 
     # -- used by the rules on ends -----------------------------------------
 
--- a/packages/carawaymast-core/carawaymast_core/cell/jobs.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/jobs.py
@@ -128,6 +128,19 @@
             return 0
         return spec.first_at_ms + occurrence * spec.interval_ms
 
+    def find_task(self, place: str) -> Task | None:
+        """Return the task at ``OCCURRENCE.STEP.INDEX``, None if none is."""
+        parts = place.split('.')
+        if len(parts) != 3:
+            return None
+        if not all(part.isascii() and part.isdigit() for part in parts):
+            return None
+        occurrence, number, index = map(int, parts)
+        try:
+            return self.steps_by_occurrence[occurrence][number].tasks[index]
+        except IndexError:
+            return None
+
     def steps(self) -> typing.Iterator[StepState]:
         """Yield all steps of all occurrences."""
         for steps in self.steps_by_occurrence:
--- a/packages/carawaymast-core/carawaymast_core/cell/spec.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/spec.py
@@ -27,6 +27,12 @@
 MAX_PAYLOAD_BYTES = 4_000
 # A scheduled job of one occurrence a minute for a week.
 MAX_OCCURRENCES = 10_080
+NOT_NEGATIVE = (
+    'estimate_ms',
+    'max_per_worker',
+    'latency_target_ms',
+    'may_miss',
+)
 
 
 class AdvicePolicy(typing.NamedTuple):
@@ -137,7 +143,7 @@
         raise InvalidSpecError('count', f'is {step.count}', number)
     if min(step.size) < 0:
         raise InvalidSpecError('size', f'is {tuple(step.size)}', number)
-    for field in ('estimate_ms', 'max_per_worker'):
+    for field in NOT_NEGATIVE:
         value = getattr(step, field)
         if value < 0:
             raise InvalidSpecError(field, f'is {value}', number)
--- a/packages/carawaymast-core/carawaymast_core/cell/worker.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/worker.py
@@ -80,12 +80,18 @@
 
 
 class Listed(typing.NamedTuple):
-    """A run that a worker says is running; ``percent`` is its pace."""
+    """A run that a worker says is running.
+
+    ``percent`` is how much of its pace it has now; ``use`` is a rough figure
+    of the last half second: the tail of a service's response times in ms, of
+    other tasks the processor time in thousandths of a core.
+    """
 
     task: str
     run_id: int
     checkpoint: str
-    percent: int
+    percent: float
+    use: float = 0.0
 
 
 class End(typing.NamedTuple):
--- a/packages/carawaymast-node/carawaymast_node/cells/front.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/front.py
@@ -106,6 +106,22 @@
                 path=request.path,
                 deadline_ms=deadline_ms,
             )
+        except errors.InvariantError:
+            raise
+        except Exception as error:
+            # One request must not end the process that serves the others.
+            answer = _error_answer(
+                errors.SchedulerError(
+                    errors.ErrorKind.OUTCOME_UNKNOWN, repr(error)
+                )
+            )
+            self._parts.metrics.count('requests_broken_total')
+            self._parts.log.note(
+                'request_broken',
+                method=method,
+                path=request.path,
+                error=repr(error),
+            )
         finally:
             self.in_flight -= 1
         elapsed_ms = self._parts.clock.now() - started_ms
@@ -244,7 +260,8 @@
 
 def _deadline_ms(request, ingress: ports.Ingress) -> int:
     text = request.headers.get(ingress.deadline_header, '')
-    return int(text) if text.isdigit() else DEFAULT_DEADLINE_MS
+    is_number = text.isascii() and text.isdigit()
+    return int(text) if is_number else DEFAULT_DEADLINE_MS
 
 
 def _time_left_s(deadline_ms: int) -> float:
