A quarter of the nodes is kept for short calls for advice

Change: long calls leave a quarter of the nodes idle, two at least as before. Ruled out: the number of calls (772 s of work for 32 nodes in 54 s). Test: 'Flood of steps with long calls for advice, short calls go on' fails before.

--- a/features/leader_parts.py
+++ b/features/leader_parts.py
@@ -10,7 +10,7 @@
 from carawaymast_node.cells import telemetry
 from features import cell_world
 
-__all__ = ['ask_for_advice', 'orders_to_one']
+__all__ = ['ask_for_advice', 'begin_calls', 'orders_to_one']
 
 
 def orders_to_one(clock, port):
@@ -34,20 +34,52 @@
     """Let a leader ask for what its cell wants, and wait for the answers."""
 
     async def ask():
-        metrics = telemetry.Metrics()
-        desk = advice_desk.AdviceDesk(
-            world.clock,
-            advise,
-            most_workers,
-            peers,
-            telemetry.Telemetry(world.clock, metrics),
-            metrics,
-            lambda: None,
-        )
-        now_ms = world.clock.now()
+        desk = _desk(world, advise, most_workers, peers)
         for _ in range(times):
-            desk.ask(placing.advice_wanted(world.cell, now_ms, now_ms))
+            _ask(desk, world)
             while desk.is_asking:
                 await asyncio.sleep(0)
 
     asyncio.run(ask())
+
+
+def begin_calls(world, peers, change):
+    """Let a leader ask, change its cell and ask again, with no answer yet.
+
+    Returns the steps that it asked about by itself.
+    """
+    asked = []
+
+    async def advise(step_name, worker_ids):
+        asked.append(step_name)
+        await asyncio.Event().wait()
+
+    async def begin():
+        desk = _desk(world, advise, 100, peers)
+        _ask(desk, world)
+        await asyncio.sleep(0)
+        change()
+        _ask(desk, world)
+        await asyncio.sleep(0)
+        desk.close()
+
+    asyncio.run(begin())
+    return asked
+
+
+def _desk(world, advise, most_workers, peers):
+    metrics = telemetry.Metrics()
+    return advice_desk.AdviceDesk(
+        world.clock,
+        advise,
+        most_workers,
+        peers,
+        telemetry.Telemetry(world.clock, metrics),
+        metrics,
+        lambda: None,
+    )
+
+
+def _ask(desk, world):
+    now_ms = world.clock.now()
+    desk.ask(placing.advice_wanted(world.cell, now_ms, now_ms))
--- a/features/load.feature
+++ b/features/load.feature
@@ -115,3 +115,8 @@
     Given 3 small nodes of 0.5 cores and a node "big" of 2.1
     When the leader asks for 2 steps of 9 ms and then 1 step of 500 ms
     Then the nodes that asked are the leader, "big" and a small one
+
+  Scenario: Flood of steps with long calls for advice, short calls go on
+    Given 11 nodes of one speed beside the leader
+    When 40 steps with calls of 500 ms wait, and 3 with calls of 9 ms come
+    Then all 3 short calls are under way at once
--- a/features/steps/load_steps.py
+++ b/features/steps/load_steps.py
@@ -465,3 +465,54 @@
     called = context.peers.called
     assert called[0] == fast, called
     assert len(called) == 2 and called[1].startswith('small'), called
+
+
+@given('{count:d} nodes of one speed beside the leader')
+def nodes_of_one_speed(context, count):
+    context.members = [
+        records.MemberRecord(f'n{number}', 'host', 1, 'd', 'boot', 1.0)
+        for number in range(count)
+    ]
+
+
+@when(
+    '{count:d} steps with calls of {long:d} ms wait, and {few:d} with calls '
+    'of {short:d} ms come'
+)
+def flood_of_long_calls(context, count, long, few, short):
+    world = cell_world.CellWorld(2)
+    context.asked = []
+
+    def submit(prefix, number, decide_ms, rank):
+        policy = cell_world.queue(
+            rank=rank, advice=spec_mod.AdvicePolicy(decide_ms, 0.1, VALID_MS)
+        )
+        job_id = f'{prefix}{number}'
+        world.submit(cell_world.job(job_id, cell_world.step(), policy=policy))
+
+    for number in range(count):
+        submit('long', number, long, 1)
+    peers = SilentMembers(context.members, context.asked)
+    context.asked += leader_parts.begin_calls(
+        world,
+        peers,
+        lambda: [submit('short', n, short, 0) for n in range(few)],
+    )
+
+
+@then('all {few:d} short calls are under way at once')
+def short_under_way(context, few):
+    short = [name for name in context.asked if name.startswith('short')]
+    assert len(short) == few, context.asked
+
+
+class SilentMembers(Members):
+    """Peers whose calls stay under way."""
+
+    def __init__(self, members, asked):
+        super().__init__(members)
+        self._asked = asked
+
+    async def call(self, member, method, message, timeout_ms):
+        self._asked.append(message.step)
+        await asyncio.Event().wait()
--- a/packages/carawaymast-node/carawaymast_node/cells/advice_desk.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/advice_desk.py
@@ -20,10 +20,11 @@
 __all__ = ['AdviceDesk', 'answer_peer']
 
 OWN = ''
-# Calls longer than this never take the last nodes: short calls belong to
-# tasks that must start within a second.
+# Longer calls leave some nodes idle: short ones belong to tasks that must
+# start within a second, and a flood of long ones lasts for many seconds.
 LONG_CALL_MS = 150
-KEPT_FOR_SHORT = 2
+KEPT_FOR_SHORT_SHARE = 0.25
+LEAST_KEPT_FOR_SHORT = 2
 # A call takes up to 0.7 s for today's fleet; the service queues for a VM.
 PEER_TIMEOUT_MS = 3_300
 
@@ -71,15 +72,19 @@
         """
         members = sorted(self._peers.candidates(), key=lambda m: m.speed)
         member_by_id = {m.node_id: m for m in members}
-        idle = [n for n in [*member_by_id, OWN] if n not in self._busy]
+        nodes = [*member_by_id, OWN]
+        idle = [n for n in nodes if n not in self._busy]
         if not idle:
             return
+        kept = max(
+            LEAST_KEPT_FOR_SHORT, int(KEPT_FOR_SHORT_SHARE * len(nodes))
+        )
         for step, wanted_ids in wanted:
             worker_ids = wanted_ids[: self._max_workers]
             policy = step.job.submission.queue.advice
             takes_ms = advice_mod.call_ms(policy, len(worker_ids))
             is_long = takes_ms > LONG_CALL_MS
-            if is_long and len(idle) <= KEPT_FOR_SHORT:
+            if is_long and len(idle) <= kept:
                 continue
             node_id = idle.pop(0 if is_long else -1)
             self._busy.add(node_id)
