While the store is away, what was not sent is refused at once as not run

The leader took jobs into a cell whose write hung. Change: a store that a node has not heard from for 1 s is asked (a read, 0.5 s) before it is written to; while it is away jobs are refused without a wait, and probes every 0.2 s find out when it is back; a job that waits behind a write is given up after 0.7 s if it was not sent. A leader whose write is 0.5 s old gives back what no write holds. A submit whose connection was refused was not sent. Retry-After grows with the outage, 1 to 5 s: an outage that has lasted for some time is likely to last for as long again. Ruled out: answering 503 for what was sent and not answered (it may be stored).

--- /dev/null
+++ b/features/steps/outage_steps.py
@@ -0,0 +1,211 @@
+"""Steps on a store that is away, on a virtual clock."""
+
+import asyncio
+
+from behave import given
+from behave import then
+from behave import when
+
+from carawaymast_core import clock as clock_mod
+from carawaymast_core import errors
+from carawaymast_core.cell import outage
+from carawaymast_node.cells import intake as intake_mod
+from carawaymast_node.cells import ports
+from carawaymast_node.cells import telemetry
+from carawaymast_platform import store as store_mod
+from features import cell_world
+from standins import keyed_log
+from standins import virtual
+
+MS_PER_S = 1_000
+
+
+class Desk:
+    """A node that stores jobs without a leader, and what callers heard."""
+
+    def __init__(self):
+        self.loop = virtual.VirtualLoop()
+        asyncio.set_event_loop(self.loop)
+        self.clock = clock_mod.Clock(lambda: int(self.loop.time() * MS_PER_S))
+        self.log = keyed_log.KeyedLog()
+        store = store_mod.Store(self.log.transport('n1'))
+        self.intake = intake_mod.Intake(
+            store, self.clock, telemetry.Metrics(), 0, self._deliver
+        )
+        self._running = self.loop.create_task(self.intake.run())
+        # What became of each job, and after how many ms.
+        self.outcome_by_id = {}
+        self._calls = []
+
+    async def _deliver(self, items):
+        return None
+
+    async def _submit(self, submission):
+        return ports.Taken.NO
+
+    def hand_in(self, job_id):
+        """Begin to hand in a job."""
+        self._calls.append(self.loop.create_task(self._hand_in(job_id)))
+
+    async def _hand_in(self, job_id):
+        submission = cell_world.job(job_id, cell_world.step())
+        began_ms = self.clock.now()
+        outcome = None
+        try:
+            await intake_mod.store_job(submission, self._submit, self.intake)
+        except errors.SchedulerError as error:
+            outcome = error
+        took_ms = self.clock.now() - began_ms
+        self.outcome_by_id[job_id] = (outcome, took_ms)
+
+    def play(self, seconds):
+        """Let time pass."""
+        self.loop.run_until_complete(asyncio.sleep(seconds))
+
+    def close(self):
+        """End what still runs."""
+        self._running.cancel()
+        self.play(0.01)
+        self.loop.close()
+
+
+@given('a node that stores jobs by itself, over a store')
+def make_desk(context):
+    context.desk = Desk()
+    context.stack.callback(context.desk.close)
+
+
+@when(
+    'a job comes, the store falls silent, and then {count:d} jobs come in '
+    '{seconds:d} s'
+)
+def flood_in_silence(context, count, seconds):
+    desk = context.desk
+    desk.hand_in('first')
+    # Longer than the store counts as having answered just now.
+    desk.play(2.0)
+    desk.log.is_silent = True
+    for number in range(count):
+        desk.hand_in(f'j{number}')
+        desk.play(seconds / count)
+    desk.play(2.0)
+
+
+@then('the first job is accepted')
+def first_accepted(context):
+    assert context.desk.outcome_by_id['first'][0] is None
+
+
+@then('the others are refused as not run, each within {seconds:g} s')
+def others_refused(context, seconds):
+    found = dict(context.desk.outcome_by_id)
+    del found['first']
+    assert len(found) == 20, found
+    for job_id, (error, took_ms) in found.items():
+        assert error.kind is errors.ErrorKind.LOG_UNAVAILABLE, (job_id, error)
+        assert error.answer.ran is errors.Ran.NO
+        assert took_ms <= seconds * MS_PER_S, (job_id, took_ms)
+
+
+@then('none of the refused jobs was sent to the store')
+def none_sent(context):
+    appends = context.desk.log.calls.count('/-/log-append')
+    assert appends == 1, context.desk.log.calls
+    assert context.desk.intake._waiting == []
+
+
+@when('another job comes {seconds:d} s later')
+def comes_later(context, seconds):
+    context.desk.play(seconds)
+    context.desk.hand_in('late')
+    context.desk.play(1.0)
+
+
+@then(
+    'it is refused within {seconds:g} s and asked to come back after '
+    '{least:d} s or later'
+)
+def refused_at_once(context, seconds, least):
+    error, took_ms = context.desk.outcome_by_id['late']
+    assert error.kind is errors.ErrorKind.LOG_UNAVAILABLE, error
+    assert took_ms <= seconds * MS_PER_S, took_ms
+    assert error.retry_after_s >= least, error.retry_after_s
+
+
+@when('the store answers again for {seconds:d} s and another job comes')
+def store_back(context, seconds):
+    context.desk.log.is_silent = False
+    context.desk.play(seconds)
+    context.desk.hand_in('late')
+    context.desk.play(1.0)
+
+
+@then('it is accepted')
+def late_accepted(context):
+    assert context.desk.outcome_by_id['late'][0] is None
+
+
+@when('a job comes, and the store falls silent as the next is written')
+def silent_midway(context):
+    desk = context.desk
+    desk.hand_in('first')
+    desk.play(0.1)
+    desk.log.is_silent = True
+    desk.hand_in('next')
+    desk.play(0.1)
+    desk.hand_in('after')
+    desk.play(6.0)
+
+
+@then('the caller of the next is told that the outcome is unknown')
+def next_unknown(context):
+    error, _ = context.desk.outcome_by_id['next']
+    assert error.kind is errors.ErrorKind.OUTCOME_UNKNOWN, error
+
+
+@then('a job that came after it is refused as not run')
+def after_refused(context):
+    error, took_ms = context.desk.outcome_by_id['after']
+    assert error.kind is errors.ErrorKind.LOG_UNAVAILABLE, error
+    assert took_ms <= intake_mod.PATIENCE_MS + 10, took_ms
+
+
+@when('the leader accepts "{first}", writes it, and accepts "{second}"')
+def accept_two(context, first, second):
+    world = context.world
+    now_ms = world.clock.now()
+    submissions = [
+        cell_world.job(job_id, cell_world.step(), accepted_at_ms=now_ms)
+        for job_id in (first, second)
+    ]
+    world.cell.accept(submissions[0], now_ms, now_ms)
+    context.batch = world.cell.take_batch(now_ms)
+    world.cell.accept(submissions[1], now_ms, now_ms)
+
+
+@then('"{second}" can be withdrawn and "{first}" cannot')
+def withdrawn(context, second, first):
+    assert context.world.cell.withdraw(second)
+    assert not context.world.cell.withdraw(first)
+
+
+@then('no task of "{job_id}" starts when the leader plans')
+def nothing_starts(context, job_id):
+    context.world.plan()
+    running = context.world.running()
+    assert not any(task.startswith(job_id) for task in running), running
+
+
+@given('a store that has been away for {seconds:d} s')
+def away_for(context, seconds):
+    context.outage = outage.Outage()
+    context.outage.note_answer(0)
+    context.outage.note_failure(1_000)
+    context.now_ms = 1_000 + seconds * MS_PER_S
+
+
+@then('callers are asked to come back after {least:d} to {most:d} s')
+def come_back(context, least, most):
+    for _ in range(100):
+        seconds = context.outage.retry_after_s(context.now_ms)
+        assert least <= seconds <= most, seconds
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -375,7 +375,7 @@
 
     async def store():
         intake = intake_mod.Intake(
-            context.store, telemetry.Metrics(), 0, deliver
+            context.store, context.clock, telemetry.Metrics(), 0, deliver
         )
         running = asyncio.create_task(intake.run())
         submission = cell_world.job('j1', cell_world.step())
--- a/packages/carawaymast-core/carawaymast_core/cell/cell.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/cell.py
@@ -108,6 +108,24 @@
         self._new_by_id[submission.job_id] = submission
         self.refresh(job, now_ms, wall_ms)
 
+    def withdraw(self, job_id: str) -> bool:
+        """Give up a job that no batch holds yet; False if one may.
+
+        A job that was withdrawn before, for another call, is given up too.
+        """
+        job = self.job_by_id.get(job_id)
+        if job is None:
+            return True
+        if job_id not in self._new_by_id or any(job.runs()):
+            return False
+        del self.job_by_id[job_id]
+        del self._new_by_id[job_id]
+        self._dirty.discard(job_id)
+        for step in job.steps():
+            self.ready_by_name.pop(step.name, None)
+            self.timed_steps.pop(step.name, None)
+        return True
+
     def submit(
         self,
         view: view_mod.JobView,
--- a/packages/carawaymast-node/carawaymast_node/cells/intake.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/intake.py
@@ -3,7 +3,9 @@
 import asyncio
 import typing
 
+from carawaymast_core import clock as clock_mod
 from carawaymast_core import errors
+from carawaymast_core.cell import outage as outage_mod
 from carawaymast_core.cell import records
 from carawaymast_core.cell import spec as spec_mod
 from carawaymast_node import background
@@ -17,11 +19,24 @@
 MAX_TRIES = 2
 # Bytes of one append; the platform takes 2 MB.
 MAX_APPEND_BYTES = 1_000_000
+# A store that has not answered for so long is asked before it is written to:
+# what was not sent can be refused, what was sent without an answer cannot.
+FRESH_MS = 1_000
+# A store that is 80 times slower than usual answers within 0.35 s.
+PROBE_MS = 500
+# Between probes of a store that is away.
+PROBE_PAUSE_MS = 200
+# What waits for a write before it is refused, if it was not sent by then.
+PATIENCE_MS = 700
 
 
-class _Waiting(typing.NamedTuple):
-    item: ports.KeyValue
-    stored: asyncio.Future
+class _Waiting:
+    """A record that a caller waits for."""
+
+    def __init__(self, item: ports.KeyValue):
+        self.item = item
+        self.is_sent = False
+        self.stored = asyncio.get_running_loop().create_future()
 
 
 class Intake:
@@ -30,6 +45,7 @@
     def __init__(
         self,
         store: ports.StorePort,
+        clock: clock_mod.Clock,
         metrics: telemetry.Metrics,
         part: int,
         deliver: typing.Callable[
@@ -39,10 +55,12 @@
         self._deliver = deliver
         self._tasks = background.TaskSet()
         self._store = store
+        self._clock = clock
         self._metrics = metrics
         self._part = part
         self._waiting: list[_Waiting] = []
         self._news = asyncio.Event()
+        self._outage = outage_mod.Outage()
 
     async def store(self, item: ports.KeyValue) -> None:
         """Return once a record is stored.
@@ -50,29 +68,55 @@
         Raises ``SchedulerError``: ``LOG_UNAVAILABLE`` if it certainly is
         not and will not be, ``OUTCOME_UNKNOWN`` otherwise.
         """
-        stored = asyncio.get_running_loop().create_future()
-        self._waiting.append(_Waiting(item, stored))
+        if self._outage.is_on:
+            raise self._refusal('the store is away')
+        waiting = _Waiting(item)
+        self._waiting.append(waiting)
         self._news.set()
-        await stored
+        try:
+            async with asyncio.timeout(PATIENCE_MS / 1000):
+                await asyncio.shield(waiting.stored)
+                return
+        except TimeoutError:
+            if not waiting.is_sent:
+                self._waiting.remove(waiting)
+                detail = f'a write before it waits for {PATIENCE_MS} ms'
+                raise self._refusal(detail) from None
+        except asyncio.CancelledError:
+            waiting.stored.cancel()
+            raise
+        await waiting.stored
 
     async def run(self) -> typing.NoReturn:
         """Append until cancelled."""
         while True:
-            await self._news.wait()
-            self._news.clear()
-            while self._waiting:
+            if not self._outage.is_on:
+                await self._news.wait()
+                self._news.clear()
+            failure = await self._probe()
+            if failure is not None:
+                self._settle(self._take_all(), failure)
+                await asyncio.sleep(PROBE_PAUSE_MS / 1000)
+            while self._waiting and not self._outage.is_on:
                 batch = self._take()
-                items = [w.item for w in batch]
-                error = await self._append(items)
-                if error is None and items:
-                    self._tasks.spawn(self._deliver(items))
-                for waiting in batch:
-                    if waiting.stored.done():
-                        continue
-                    if error is None:
-                        waiting.stored.set_result(None)
-                    else:
-                        waiting.stored.set_exception(error)
+                self._settle(batch, await self._append(batch))
+
+    def _settle(
+        self,
+        batch: typing.Iterable[_Waiting],
+        failure: errors.SchedulerError | None,
+    ) -> None:
+        for waiting in batch:
+            if waiting.stored.done():
+                continue
+            if failure is None:
+                waiting.stored.set_result(None)
+            else:
+                waiting.stored.set_exception(failure)
+
+    def _take_all(self) -> list[_Waiting]:
+        batch, self._waiting = self._waiting, []
+        return batch
 
     def _take(self) -> list[_Waiting]:
         size = 0
@@ -87,11 +131,32 @@
         # Callers that went away before the append need no record.
         return [w for w in batch if not w.stored.cancelled()]
 
+    async def _probe(self) -> errors.SchedulerError | None:
+        """Ask a store that was silent for a while before writing to it."""
+        if self._outage.is_sound(self._clock.now(), FRESH_MS):
+            return None
+        try:
+            # By another node if the store turns this one away.
+            async with asyncio.timeout(2 * PROBE_MS / 1000):
+                await self._store.read(TOPIC, self._part, 0, 0, PROBE_MS)
+        except ports.TrimmedError:
+            self._outage.note_answer(self._clock.now())
+        except (ports.StoreError, TimeoutError) as error:
+            self._metrics.count('intake_probes_failed_total')
+            self._outage.note_failure(self._clock.now())
+            return self._refusal(f'the store does not answer: {error!r}')
+        else:
+            self._outage.note_answer(self._clock.now())
+        return None
+
     async def _append(
-        self, items: list[ports.KeyValue]
+        self, batch: typing.Sequence[_Waiting]
     ) -> errors.SchedulerError | None:
+        items = [waiting.item for waiting in batch]
         if not items:
             return None
+        for waiting in batch:
+            waiting.is_sent = True
         is_unknown = False
         detail = ''
         for _ in range(MAX_TRIES):
@@ -99,14 +164,25 @@
                 await self._store.append(TOPIC, self._part, items)
             except ports.StoreError as error:
                 self._metrics.count('intake_errors_total')
+                self._outage.note_failure(self._clock.now())
                 is_unknown = is_unknown or error.is_unknown
                 detail = str(error)
                 continue
+            self._outage.note_answer(self._clock.now())
+            self._tasks.spawn(self._deliver(items))
             return None
-        kind = errors.ErrorKind.LOG_UNAVAILABLE
         if is_unknown:
             kind = errors.ErrorKind.OUTCOME_UNKNOWN
-        return errors.SchedulerError(kind, detail)
+            return errors.SchedulerError(kind, detail)
+        return self._refusal(detail)
+
+    def _refusal(self, detail: str) -> errors.SchedulerError:
+        """Return that a record is not stored, and when to come back."""
+        return errors.SchedulerError(
+            errors.ErrorKind.LOG_UNAVAILABLE,
+            detail,
+            self._outage.retry_after_s(self._clock.now()),
+        )
 
 
 async def store_job(
--- a/packages/carawaymast-node/carawaymast_node/cells/journal.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/journal.py
@@ -15,6 +15,8 @@
 
 WRITER = 'leader'
 RETRY_MS = 100
+# A store that is 80 times slower than usual answers within 0.35 s.
+STALL_MS = 500
 
 
 class Journal:
@@ -37,7 +39,17 @@
         self._epoch = epoch
         self._sequence = 0
         # Whether the last answer of the store was none, or an error.
-        self.is_failing = False
+        self._is_failing = False
+        self._sent_at_ms: int | None = None
+
+    @property
+    def is_stalled(self) -> bool:
+        """Whether the store fails, or has left a write without an answer."""
+        if self._is_failing:
+            return True
+        if self._sent_at_ms is None:
+            return False
+        return self._clock.now() - self._sent_at_ms > STALL_MS
 
     async def open(self) -> None:
         """Fence former leaders and read all that they wrote.
@@ -93,6 +105,7 @@
         """Repeat an append; the store finds repeats by their number."""
         while True:
             writer = ports.Writer(WRITER, self._epoch, self._sequence)
+            self._sent_at_ms = self._clock.now()
             try:
                 appended = await self._store.append(
                     'state', self._tail.part, items, writer=writer
@@ -105,9 +118,10 @@
                 continue
             except ports.StoreError:
                 self._metrics.count('journal_errors_total')
-                self.is_failing = True
+                self._is_failing = True
                 await asyncio.sleep(RETRY_MS / 1000)
                 continue
             self._sequence += 1
-            self.is_failing = False
+            self._is_failing = False
+            self._sent_at_ms = None
             return appended
--- a/packages/carawaymast-node/carawaymast_node/cells/leader.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/leader.py
@@ -25,6 +25,8 @@
 PLAN_PAUSE_MS = 8
 IDLE_PLAN_MS = 100
 RETRY_MS = 150
+# A caller waits for the store; so often it is asked whether that is in vain.
+STALL_POLL_MS = 100
 
 
 class Leader:
@@ -140,7 +142,7 @@
         job_id = submission.job_id
         if self._context.view.knows(job_id):
             return ports.Taken.YES
-        if not self.is_open or self._journal.is_failing:
+        if not self.is_open or self._journal.is_stalled:
             # Unless an earlier try of the same job is under way.
             is_new = job_id not in self.cell.job_by_id
             return ports.Taken.NO if is_new else ports.Taken.UNKNOWN
@@ -154,9 +156,18 @@
         while not self._context.view.knows(job_id):
             if self._is_over:
                 return ports.Taken.UNKNOWN
-            await self._committed.wait()
+            if self._journal.is_stalled and self.cell.withdraw(job_id):
+                return ports.Taken.NO
+            await self._wait_for_commit()
         return ports.Taken.YES
 
+    async def _wait_for_commit(self) -> None:
+        try:
+            async with asyncio.timeout(STALL_POLL_MS / 1000):
+                await self._committed.wait()
+        except TimeoutError:
+            return
+
     async def finish(self, timeout_ms: int) -> None:
         """Wait until what was decided is written, before a hand-over."""
         self.is_open = False
--- a/packages/carawaymast-node/carawaymast_node/cells/leader_calls.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/leader_calls.py
@@ -74,8 +74,8 @@
             answer = await self._peers.call(
                 leader, 'Submit', message, SUBMIT_TIMEOUT_MS
             )
-        except channels.PeerError:
-            return ports.Taken.UNKNOWN
+        except channels.PeerError as error:
+            return ports.Taken.UNKNOWN if error.is_sent else ports.Taken.NO
         if answer.refusal:
             kind = errors.ErrorKind.IMPOSSIBLE_JOB
             if answer.retry_after_s:
--- a/packages/carawaymast-node/carawaymast_node/cells/ports.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/ports.py
@@ -177,10 +177,17 @@
         """
 
     async def read(
-        self, topic: str, part: int, start: int, wait_ms: int
+        self,
+        topic: str,
+        part: int,
+        start: int,
+        wait_ms: int,
+        timeout_ms: int | None = None,
     ) -> ReadAnswer:
         """Return the records from ``start`` on.
 
+        The store waits ``wait_ms`` for one; an answer that takes longer than
+        ``timeout_ms``, by default what a slow store needs, counts as none.
         Raises ``TrimmedError`` or ``StoreError``.
         """
 
--- a/packages/carawaymast-node/carawaymast_node/cells/service.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/service.py
@@ -107,6 +107,7 @@
         )
         self.intake = intake_mod.Intake(
             self.store,
+            self.clock,
             self.metrics,
             replica_mod.PART,
             self.leader_calls.deliver,
--- a/packages/carawaymast-node/carawaymast_node/channels.py
+++ b/packages/carawaymast-node/carawaymast_node/channels.py
@@ -18,7 +18,11 @@
 
 
 class PeerError(Exception):
-    """A call to a peer failed; whether it took effect is not known."""
+    """A call to a peer failed; unless ``is_sent`` it took no effect."""
+
+    def __init__(self, detail: str, is_sent: bool = True):
+        super().__init__(detail)
+        self.is_sent = is_sent
 
 
 class PeerChannels:
@@ -72,7 +76,10 @@
         ) as error:
             self.close(node_id)
             self.replaced_total += 1
-            raise PeerError(f'{method} to {node_id}: {error!r}') from None
+            # Only a connection that was never opened is refused.
+            is_sent = not isinstance(error, ConnectionRefusedError)
+            detail = f'{method} to {node_id}: {error!r}'
+            raise PeerError(detail, is_sent) from None
 
 
 class Answerer:
--- a/standins/keyed_log.py
+++ b/standins/keyed_log.py
@@ -60,6 +60,8 @@
     def __init__(self) -> None:
         self._part_by_name: dict[tuple[str, int], _Part] = {}
         self.is_down = False
+        # Calls are not answered, and not carried out.
+        self.is_silent = False
         self.refused: set[str] = set()
         self.lose_answers = 0
         self.late: list[tuple[str, str, bytes]] = []
@@ -72,6 +74,9 @@
         async def send(method, target, body, timeout_ms):
             # Calls of one node overtake each other here, as on the wire.
             await asyncio.sleep(0)
+            if self.is_silent:
+                await asyncio.sleep(timeout_ms / 1000)
+                raise ports.StoreError('no answer', True)
             if self.is_down or node_id in self.refused:
                 raise ports.StoreError('status 503', False)
             return self.send(method, target, body)
