What workers say is a module of its own; a task's held size counts once

A step's size was read in seven places, each with its own idea of fillers, and the memory of a filler counted nowhere: its processors are not counted against a worker's capacity, its memory is (the users' page on jobs). Change: core/cell/reports.py holds what workers say. Step.held_size is what a task takes of its worker, read by placing, admission and the lists of runs.

--- a/features/cell_machine.py
+++ b/features/cell_machine.py
@@ -12,7 +12,7 @@
 
 from carawaymast_core.cell import answers
 from carawaymast_core.cell import lives
-from carawaymast_core.cell import worker as worker_mod
+from carawaymast_core.cell import reports
 from features import cell_world
 
 __all__ = ['CellMachine']
@@ -171,9 +171,7 @@
         runners = [r for r in self.world.runner_by_id.values() if r.running]
         if runners:
             runner = runners[which % len(runners)]
-            runner.break_run(
-                sorted(runner.running)[0], worker_mod.EndKind.FAILED
-            )
+            runner.break_run(sorted(runner.running)[0], reports.EndKind.FAILED)
 
     @stateful.invariant()
     def runners_are_sound(self):
--- a/features/cell_world.py
+++ b/features/cell_world.py
@@ -15,6 +15,7 @@
 from carawaymast_core.cell import lives
 from carawaymast_core.cell import placing
 from carawaymast_core.cell import records
+from carawaymast_core.cell import reports
 from carawaymast_core.cell import retention
 from carawaymast_core.cell import spec as spec_mod
 from carawaymast_core.cell import takeover
@@ -28,7 +29,7 @@
 KEEP_ENDED_MS = 120_000
 CAPACITY = resources.Resources(16_000, 65_536, 0)
 SERVICE = 'desk'
-LOST = worker_mod.StartOutcome(False)
+LOST = reports.StartOutcome(False)
 
 
 def queue(rank=1, attempts=2, advice=None, name='renewals'):
@@ -81,7 +82,7 @@
         return runner
 
     def entry(self, runner, is_draining=False, remaining_ms=None):
-        return worker_mod.WorkerEntry(
+        return reports.WorkerEntry(
             runner.runner_id,
             'address',
             runner.born_ms,
--- a/features/leader_parts.py
+++ b/features/leader_parts.py
@@ -4,6 +4,7 @@
 
 from carawaymast_core.cell import cell as cell_mod
 from carawaymast_core.cell import placing
+from carawaymast_core.cell import reports
 from carawaymast_core.cell import worker as worker_mod
 from carawaymast_node.cells import advice_desk
 from carawaymast_node.cells import orders
@@ -22,7 +23,7 @@
     )
     log = telemetry.Telemetry(clock, metrics)
     sender = orders.Orders(clock, log, metrics, port, cell, signals)
-    entry = worker_mod.WorkerEntry(
+    entry = reports.WorkerEntry(
         'w0', 'a:1', 1, 's', 'd', False, cell_world.CAPACITY, (), 0, None
     )
     worker = worker_mod.Worker(entry)
--- a/features/steps/cell_steps.py
+++ b/features/steps/cell_steps.py
@@ -11,13 +11,13 @@
 from carawaymast_core.cell import lag
 from carawaymast_core.cell import lives
 from carawaymast_core.cell import records
-from carawaymast_core.cell import worker as worker_mod
+from carawaymast_core.cell import reports
 from carawaymast_node.cells import ports
 from features import cell_world
 from features import leader_parts
 
-FAILED = worker_mod.EndKind.FAILED
-BROKEN = worker_mod.EndKind.BROKEN
+FAILED = reports.EndKind.FAILED
+BROKEN = reports.EndKind.BROKEN
 
 
 @given('a cell of {count:d} workers')
@@ -323,7 +323,7 @@
         worker.is_gone = len(self.deadlines) == len(self.answered)
         if not is_answered:
             raise ports.WorkerError('no answer')
-        return worker_mod.HoldAnswer(self._clock.now(), 1, (), ())
+        return reports.HoldAnswer(self._clock.now(), 1, (), ())
 
 
 def go_on_holding(context):
--- a/features/steps/load_steps.py
+++ b/features/steps/load_steps.py
@@ -9,8 +9,8 @@
 from carawaymast_core import clock as clock_mod
 from carawaymast_core.cell import advice
 from carawaymast_core.cell import records
+from carawaymast_core.cell import reports
 from carawaymast_core.cell import spec as spec_mod
-from carawaymast_core.cell import worker as worker_mod
 from carawaymast_node import channels
 from carawaymast_node.cells import ports
 from features import cell_world
@@ -170,7 +170,7 @@
         worker.is_gone = number == len(self.pauses)
         if number == 2:
             raise ports.WorkerError('no answer')
-        return worker_mod.HoldAnswer(1_000 + number, 1, (), ())
+        return reports.HoldAnswer(1_000 + number, 1, (), ())
 
 
 @given('orders to a worker that loses the second of five answers')
--- a/features/steps/malformed_steps.py
+++ b/features/steps/malformed_steps.py
@@ -10,6 +10,7 @@
 
 from carawaymast_core import clock as clock_mod
 from carawaymast_core.cell import answers
+from carawaymast_core.cell import reports
 from carawaymast_core.cell import spec as spec_mod
 from carawaymast_core.cell import worker as worker_mod
 from carawaymast_node.cells import front as front_mod
@@ -66,7 +67,7 @@
         async def call(self, *arguments):
             return client_mod.Reply(200, body.encode(), {})
 
-    entry = worker_mod.WorkerEntry(
+    entry = reports.WorkerEntry(
         'w0', 'a:1', 1, 's', 'd', False, cell_world.CAPACITY, (), 0, None
     )
     port = workers_mod.Workers(Client())
@@ -96,11 +97,11 @@
     worker = world.worker(worker_id)
     now_ms = world.clock.now()
     context.listed = name
-    answer = worker_mod.HoldAnswer(
+    answer = reports.HoldAnswer(
         1,
         worker.born_ms,
-        (worker_mod.Listed(name, 1, '', 100),),
-        (worker_mod.End(1, name, 1, worker_mod.EndKind.DONE, ''),),
+        (reports.Listed(name, 1, '', 100),),
+        (reports.End(1, name, 1, reports.EndKind.DONE, ''),),
     )
     answers.take_hold(world.cell, worker, answer, now_ms, now_ms)
 
--- a/packages/carawaymast-core/carawaymast_core/cell/admission.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/admission.py
@@ -63,7 +63,7 @@
             continue
         if queue.service not in total_by_service:
             total_by_service[queue.service] = fleet.total(queue.service)
-        share = _share(step.spec.size, total_by_service[queue.service])
+        share = _share(step.spec.held_size, total_by_service[queue.service])
         ms = share * len(step.waiting()) * step.spec.estimate_ms
         place = (queue.service, queue.rank)
         ms_by_place[place] = ms_by_place.get(place, 0.0) + ms
--- a/packages/carawaymast-core/carawaymast_core/cell/answers.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/answers.py
@@ -5,6 +5,7 @@
 from carawaymast_core import resources
 from carawaymast_core.cell import ends
 from carawaymast_core.cell import lives
+from carawaymast_core.cell import reports
 from carawaymast_core.cell import worker as worker_mod
 
 if typing.TYPE_CHECKING:
@@ -16,7 +17,7 @@
 def take_hold(
     cell: 'cell_mod.Cell',
     worker: worker_mod.Worker,
-    answer: worker_mod.HoldAnswer,
+    answer: reports.HoldAnswer,
     sent_at_ms: int,
     now_ms: int,
 ) -> None:
@@ -51,7 +52,7 @@
         if name in listed or name in ended_names:
             continue
         if _is_absence_certain(run, sent_at_ms):
-            ends.apply(cell, run, worker_mod.EndKind.ABSENT, '', now_ms)
+            ends.apply(cell, run, reports.EndKind.ABSENT, '', now_ms)
 
 
 def _take_running(cell: 'cell_mod.Cell', worker, running, now_ms: int) -> set:
@@ -76,11 +77,11 @@
 
 
 def _size_of(
-    cell: 'cell_mod.Cell', worker, row: worker_mod.Listed
+    cell: 'cell_mod.Cell', worker, row: reports.Listed
 ) -> resources.Resources:
     """Return the room of a run by its name; a whole worker if unknown."""
     task = cell.find_task(row.task)
-    return worker.entry.capacity if task is None else task.step.spec.size
+    return worker.entry.capacity if task is None else task.step.spec.held_size
 
 
 def _is_absence_certain(run: worker_mod.Run, sent_at_ms: int) -> bool:
@@ -103,7 +104,7 @@
 def take_start(
     cell: 'cell_mod.Cell',
     run: worker_mod.Run,
-    outcome: worker_mod.StartOutcome,
+    outcome: reports.StartOutcome,
     now_ms: int,
 ) -> None:
     """Learn from the answer to a start, or from its absence."""
@@ -129,15 +130,12 @@
         cell.stop(run, 'start not answered')
         return
     advice = run.task.step.advice
-    if (
-        outcome.refusal is worker_mod.StartRefusal.TICKET
-        and advice is not None
-    ):
+    if outcome.refusal is reports.StartRefusal.TICKET and advice is not None:
         advice.drop(run.worker.worker_id)
-    if outcome.refusal is worker_mod.StartRefusal.STALE_RUN:
+    if outcome.refusal is reports.StartRefusal.STALE_RUN:
         run.known_at_ms = now_ms
         return
-    ends.apply(cell, run, worker_mod.EndKind.REFUSED, '', now_ms)
+    ends.apply(cell, run, reports.EndKind.REFUSED, '', now_ms)
 
 
 def take_stop(run: worker_mod.Run, is_answered: bool, now_ms: int) -> None:
--- a/packages/carawaymast-core/carawaymast_core/cell/cell.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/cell.py
@@ -16,6 +16,7 @@
 from carawaymast_core.cell import pace
 from carawaymast_core.cell import placing
 from carawaymast_core.cell import records
+from carawaymast_core.cell import reports
 from carawaymast_core.cell import spec as spec_mod
 from carawaymast_core.cell import takeover
 from carawaymast_core.cell import view as view_mod
@@ -272,7 +273,7 @@
                 ends.apply(
                     self,
                     run,
-                    worker_mod.EndKind.WITHDRAWN,
+                    reports.EndKind.WITHDRAWN,
                     '',
                     run.placed_at_ms,
                 )
--- a/packages/carawaymast-core/carawaymast_core/cell/ends.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/ends.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from carawaymast_core.cell import reports
 from carawaymast_core.cell import suspicion
 from carawaymast_core.cell import worker as worker_mod
 
@@ -15,7 +16,7 @@
 def apply(
     cell: 'cell_mod.Cell',
     run: worker_mod.Run,
-    how: worker_mod.EndKind,
+    how: reports.EndKind,
     checkpoint: str,
     now_ms: int,
 ) -> None:
@@ -38,7 +39,7 @@
 
 
 def apply_unplaced(
-    cell: 'cell_mod.Cell', end: worker_mod.End, now_ms: int
+    cell: 'cell_mod.Cell', end: reports.End, now_ms: int
 ) -> None:
     """Apply an end that the cell no longer expected.
 
@@ -46,7 +47,7 @@
     that has ended as done need not run again.
     """
     task = cell.find_task(end.task)
-    if task is None or end.how is not worker_mod.EndKind.DONE:
+    if task is None or end.how is not reports.EndKind.DONE:
         return
     if task.step.job.phase.is_final or task.is_done:
         return
@@ -57,14 +58,14 @@
 
 
 def _settle(
-    cell, task: 'jobs.Task', run_id: int, how: worker_mod.EndKind, now_ms
+    cell, task: 'jobs.Task', run_id: int, how: reports.EndKind, now_ms
 ) -> None:
     step = task.step
-    if how is worker_mod.EndKind.DONE and not step.spec.is_service:
+    if how is reports.EndKind.DONE and not step.spec.is_service:
         _finish(cell, task)
-    elif how is worker_mod.EndKind.FAILED:
+    elif how is reports.EndKind.FAILED:
         _count_failure(cell, task, run_id, now_ms)
-    if step.spec.is_gang and how is not worker_mod.EndKind.DONE:
+    if step.spec.is_gang and how is not reports.EndKind.DONE:
         _break_gang(cell, task, run_id)
     cell.settle(step.job, now_ms)
 
--- a/packages/carawaymast-core/carawaymast_core/cell/lives.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/lives.py
@@ -3,6 +3,7 @@
 import typing
 
 from carawaymast_core.cell import ends
+from carawaymast_core.cell import reports
 from carawaymast_core.cell import suspicion
 from carawaymast_core.cell import worker as worker_mod
 
@@ -23,7 +24,7 @@
 
 
 def take_worker(
-    cell: 'cell_mod.Cell', entry: worker_mod.WorkerEntry, now_ms: int
+    cell: 'cell_mod.Cell', entry: reports.WorkerEntry, now_ms: int
 ) -> worker_mod.Worker | None:
     """Note what a worker says of itself; return it if it is new."""
     key = (entry.worker_id, entry.born_ms)
@@ -74,7 +75,7 @@
     cell.worker_by_key.pop(worker.key, None)
     cell.paces.forget(worker.key)
     for run in list(worker.run_by_task.values()):
-        ends.apply(cell, run, worker_mod.EndKind.LAPSED, '', now_ms)
+        ends.apply(cell, run, reports.EndKind.LAPSED, '', now_ms)
 
 
 def _inherit(
@@ -136,7 +137,7 @@
     )
     worker.is_adopted = False
     for run in list(worker.run_by_task.values()):
-        ends.apply(cell, run, worker_mod.EndKind.LAPSED, '', now_ms)
+        ends.apply(cell, run, reports.EndKind.LAPSED, '', now_ms)
 
 
 def _evacuate(cell: 'cell_mod.Cell', worker: worker_mod.Worker) -> None:
--- a/packages/carawaymast-core/carawaymast_core/cell/rooms.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/rooms.py
@@ -33,10 +33,11 @@
 
     A share ``kept`` of each worker is left for the most urgent rank.
     """
+    size = step.spec.held_size
     limit = step.spec.max_per_worker or step.spec.count
     count_by_capacity = collections.Counter(w.entry.capacity for w in workers)
     room = sum(
-        count * min(limit, fitting(step.spec.size, capacity, capacity, kept))
+        count * min(limit, fitting(size, capacity, capacity, kept))
         for capacity, count in count_by_capacity.items()
     )
     return room >= step.spec.count
@@ -48,7 +49,7 @@
     """Return how many tasks of a step these workers have room for now."""
     kept = kept_share(step, workers)
     return sum(
-        fitting(step.spec.size, w.entry.capacity, w.free, kept)
+        fitting(step.spec.held_size, w.entry.capacity, w.free, kept)
         for w in workers
     )
 
@@ -65,7 +66,7 @@
     if step.spec.is_gang:
         fits = could_fit(step, workers, URGENT_HEADROOM_SHARE)
     else:
-        size = step.spec.size
+        size = step.spec.held_size
         fits = any(
             fitting(size, capacity, capacity, URGENT_HEADROOM_SHARE)
             for capacity in {w.entry.capacity for w in workers}
--- a/packages/carawaymast-core/carawaymast_core/cell/spec.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/spec.py
@@ -75,6 +75,16 @@
     latency_target_ms: int = 0
     may_miss: int = 0
 
+    @property
+    def held_size(self) -> resources.Resources:
+        """What a task takes of its worker's room.
+
+        Fillers use the processor time that other tasks leave.
+        """
+        if self.is_filler:
+            return self.size._replace(cpu_millis=0)
+        return self.size
+
 
 class JobSpec(typing.NamedTuple):
     """A job: its payload, its steps and, if it repeats, its times."""
--- a/packages/carawaymast-core/carawaymast_core/cell/suspicion.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/suspicion.py
@@ -3,6 +3,7 @@
 import typing
 
 from carawaymast_core.cell import pace
+from carawaymast_core.cell import reports
 from carawaymast_core.cell import worker as worker_mod
 
 if typing.TYPE_CHECKING:
@@ -23,15 +24,15 @@
 def judge(
     cell: 'cell_mod.Cell',
     run: worker_mod.Run,
-    how: worker_mod.EndKind,
+    how: reports.EndKind,
     now_ms: int,
 ) -> None:
     """Leave out a worker that fails all that it starts, or is too slow."""
     worker = run.worker
-    if how is worker_mod.EndKind.DONE:
+    if how is reports.EndKind.DONE:
         worker.failures_in_row = 0
         _note_pace(cell, run, now_ms)
-    elif how is worker_mod.EndKind.FAILED:
+    elif how is reports.EndKind.FAILED:
         worker.failures_in_row += 1
     if worker.failures_in_row >= SUSPECT_AFTER_FAILURES:
         worker.failures_in_row = SUSPECT_AFTER_FAILURES - 1
--- a/packages/carawaymast-core/carawaymast_core/cell/takeover.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/takeover.py
@@ -5,6 +5,7 @@
 from carawaymast_core import resources
 from carawaymast_core.cell import jobs
 from carawaymast_core.cell import lives
+from carawaymast_core.cell import reports
 from carawaymast_core.cell import view as view_mod
 from carawaymast_core.cell import worker as worker_mod
 
@@ -86,9 +87,9 @@
     return worker
 
 
-def _unlisted_entry(key: tuple[str, int]) -> worker_mod.WorkerEntry:
+def _unlisted_entry(key: tuple[str, int]) -> reports.WorkerEntry:
     """Return an entry for a worker of which only the identity is known."""
     worker_id, born_ms = key
-    return worker_mod.WorkerEntry(
+    return reports.WorkerEntry(
         worker_id, '', born_ms, '', '', False, resources.ZERO, (), 0, None
     )
--- a/packages/carawaymast-core/carawaymast_core/cell/worker.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/worker.py
@@ -6,126 +6,24 @@
 from carawaymast_core import errors
 from carawaymast_core import resources
 from carawaymast_core.cell import pace
+from carawaymast_core.cell import reports
 
 if typing.TYPE_CHECKING:
     from carawaymast_core.cell import jobs
 
 __all__ = [
-    'End',
-    'EndKind',
-    'HoldAnswer',
-    'Listed',
+    'FULL_PACE',
+    'PaceOrder',
     'Run',
     'RunState',
-    'StartOutcome',
-    'StartRefusal',
     'StopOrder',
     'Worker',
-    'WorkerEntry',
 ]
 
 # The platform's contract: a worker's steady clock may be 2% slow.
 CLOCK_RATE_MIN = 0.98
-
-
-class EndKind(enum.StrEnum):
-    """How a run ended, or why it is certain that it never ran."""
-
-    DONE = 'done'
-    FAILED = 'failed'
-    STOPPED = 'stopped'
-    # The worker's lease ended, or the worker's life did.
-    LAPSED = 'lapsed'
-    # Another member of its gang ended.
-    BROKEN = 'broken'
-    # It waited in vain for the other members of its gang.
-    ALONE = 'alone'
-    # A list of the worker, later than every order, does not have it.
-    ABSENT = 'absent'
-    # The worker refused the start.
-    REFUSED = 'refused'
-    # It was placed, but its start was never sent.
-    WITHDRAWN = 'withdrawn'
-
-
-class StartRefusal(enum.StrEnum):
-    """Why a worker refused a start."""
-
-    # The worker obeys a leader with a higher epoch.
-    FENCED = 'fenced'
-    # It has seen this run, or a later one, end.
-    STALE_RUN = 'stale-run'
-    # The start's deadline had passed.
-    LATE = 'late'
-    NO_ROOM = 'no-room'
-    TICKET = 'ticket'
-    UNHEALTHY = 'unhealthy'
-
-
-class StartOutcome(typing.NamedTuple):
-    """A worker's answer to a start; ``refusal`` is None if it runs.
-
-    If ``is_known`` is false there was no answer, and it may run or not;
-    ``detail`` says more for people.
-    """
-
-    is_known: bool
-    refusal: StartRefusal | None = None
-    detail: str = ''
-
-    @property
-    def is_running(self) -> bool:
-        """Whether the run is certainly there."""
-        return self.is_known and self.refusal is None
-
-
-class Listed(typing.NamedTuple):
-    """A run that a worker says is running.
-
-    ``percent`` is how much of its pace it has now; ``use`` is a rough figure
-    of the last half second: the tail of a service's response times in ms, of
-    other tasks the processor time in thousandths of a core.
-    """
-
-    task: str
-    run_id: int
-    checkpoint: str
-    percent: float
-    use: float = 0.0
-
-
-class End(typing.NamedTuple):
-    """A run that a worker says has ended; ``number`` rises in a life."""
-
-    number: int
-    task: str
-    run_id: int
-    how: EndKind
-    checkpoint: str
-
-
-class HoldAnswer(typing.NamedTuple):
-    """A worker's answer to the renewal of its lease."""
-
-    clock_ms: int
-    born_ms: int
-    running: tuple[Listed, ...]
-    ended: tuple[End, ...]
-
-
-class WorkerEntry(typing.NamedTuple):
-    """What a worker says of itself in the platform's list."""
-
-    worker_id: str
-    address: str
-    born_ms: int
-    service: str
-    domain: str
-    is_draining: bool
-    capacity: resources.Resources
-    labels: tuple[str, ...]
-    clock_ms: int
-    remaining_ms: int | None
+# In percent.
+FULL_PACE = 100
 
 
 class RunState(enum.Enum):
@@ -143,6 +41,9 @@
         'began_at_ms',
         'is_stopping',
         'known_at_ms',
+        'ordered_pace',
+        'paced_at_ms',
+        'percent',
         'placed_at_ms',
         'run_id',
         'state',
@@ -150,6 +51,7 @@
         'stop_reason',
         'task',
         'ticket',
+        'use',
         'worker',
     )
 
@@ -170,6 +72,17 @@
         self.is_stopping = False
         self.stop_reason = ''
         self.stop_answered_at_ms: int | None = None
+        # As the worker last listed it, see ``reports.Listed``.
+        self.percent = 0.0
+        self.use = 0.0
+        # The share of its pace that was ordered last, and when.
+        self.ordered_pace = FULL_PACE
+        self.paced_at_ms = 0
+
+    @property
+    def is_at_work(self) -> bool:
+        """Whether the worker lists it at its full pace."""
+        return self.state is RunState.RUNNING and self.percent >= FULL_PACE
 
 
 class StopOrder(typing.NamedTuple):
@@ -181,10 +94,17 @@
     run: Run | None
 
 
+class PaceOrder(typing.NamedTuple):
+    """A run that shall go on at a share of its pace, in percent."""
+
+    run: Run
+    percent: int
+
+
 class Worker:
     """One life of a worker."""
 
-    def __init__(self, entry: WorkerEntry):
+    def __init__(self, entry: reports.WorkerEntry):
         self._entry = entry
         self.worker_id = entry.worker_id
         self.born_ms = entry.born_ms
@@ -213,12 +133,12 @@
         self.failures_in_row = 0
 
     @property
-    def entry(self) -> WorkerEntry:
+    def entry(self) -> reports.WorkerEntry:
         """What the worker last said of itself."""
         return self._entry
 
     @entry.setter
-    def entry(self, entry: WorkerEntry) -> None:
+    def entry(self, entry: reports.WorkerEntry) -> None:
         self._entry = entry
         self._recount()
 
@@ -263,16 +183,14 @@
             name not in self.run_by_task, f'{name} is twice at {self.key}'
         )
         self.run_by_task[name] = run
-        if not run.task.step.spec.is_filler:
-            self._used = self._used.plus(run.task.step.spec.size)
-            self._recount()
+        self._used = self._used.plus(run.task.step.spec.held_size)
+        self._recount()
 
     def remove(self, run: Run) -> None:
         """Give the room of a run back."""
         del self.run_by_task[run.task.name]
-        if not run.task.step.spec.is_filler:
-            self._used = self._used.minus(run.task.step.spec.size)
-            self._recount()
+        self._used = self._used.minus(run.task.step.spec.held_size)
+        self._recount()
 
     def _recount(self) -> None:
         capacity = self._entry.capacity
--- a/packages/carawaymast-node/carawaymast_node/cells/orders.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/orders.py
@@ -7,6 +7,7 @@
 from carawaymast_core.cell import answers
 from carawaymast_core.cell import cell as cell_mod
 from carawaymast_core.cell import lives
+from carawaymast_core.cell import reports
 from carawaymast_core.cell import worker as worker_mod
 from carawaymast_node.cells import ports
 from carawaymast_node.cells import telemetry
@@ -77,7 +78,7 @@
         outcome = await self._workers.start(run, self._epoch, deadline_ms)
         if not outcome.is_known:
             self._lossy_until_ms = self._clock.now() + LOSSY_MS
-        if outcome.refusal is worker_mod.StartRefusal.FENCED:
+        if outcome.refusal is reports.StartRefusal.FENCED:
             self._on_fenced(f'{run.worker.worker_id} refused a start')
         answers.take_start(self._cell, run, outcome, self._clock.now())
         self._metrics.record_ms('start_call', self._clock.now() - now_ms)
--- a/packages/carawaymast-node/carawaymast_node/cells/ports.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/ports.py
@@ -8,6 +8,7 @@
 import typing
 
 from carawaymast_core.cell import records
+from carawaymast_core.cell import reports
 from carawaymast_core.cell import spec as spec_mod
 from carawaymast_core.cell import worker as worker_mod
 
@@ -204,12 +205,12 @@
         epoch: int,
         deadline_ms: int | None,
         wait_ms: int,
-    ) -> worker_mod.HoldAnswer:
+    ) -> reports.HoldAnswer:
         """Renew a lease and return the worker's lists."""
 
     async def start(
         self, run: worker_mod.Run, epoch: int, deadline_ms: int
-    ) -> worker_mod.StartOutcome:
+    ) -> reports.StartOutcome:
         """Start a run."""
 
     async def stop(self, order: worker_mod.StopOrder, epoch: int) -> bool:
@@ -245,7 +246,7 @@
     """A worker's new entry, or None if it is listed no more."""
 
     worker_id: str
-    entry: worker_mod.WorkerEntry | None
+    entry: reports.WorkerEntry | None
 
 
 class CallerAnswer(typing.NamedTuple):
--- a/standins/cells.py
+++ b/standins/cells.py
@@ -5,6 +5,7 @@
 from carawaymast_core import resources
 from carawaymast_core.cell import cell as cell_mod
 from carawaymast_core.cell import pace
+from carawaymast_core.cell import reports
 from carawaymast_core.cell import spec as spec_mod
 from carawaymast_core.cell import worker as worker_mod
 
@@ -77,7 +78,7 @@
 
 def _add_worker(cell, source, number: int, used_share: float) -> None:
     labels = (source.choice('ab'), f'r{number // WORKERS_A_RACK}')
-    entry = worker_mod.WorkerEntry(
+    entry = reports.WorkerEntry(
         f'w{number:04}',
         'host:1',
         1,
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -7,15 +7,15 @@
 
 import typing
 
-from carawaymast_core.cell import worker as worker_mod
+from carawaymast_core.cell import reports
 
 __all__ = ['RunnerStandin']
 
 MAX_LEASE_MS = 10_000
 STOP_MS = 900
-FENCED = worker_mod.StartRefusal.FENCED
-LATE = worker_mod.StartRefusal.LATE
-STALE_RUN = worker_mod.StartRefusal.STALE_RUN
+FENCED = reports.StartRefusal.FENCED
+LATE = reports.StartRefusal.LATE
+STALE_RUN = reports.StartRefusal.STALE_RUN
 
 
 class _Running:
@@ -41,7 +41,7 @@
         self.is_up = True
         self.started: list[tuple[str, int]] = []
         self.running: dict[str, _Running] = {}
-        self.ended: list[worker_mod.End] = []
+        self.ended: list[reports.End] = []
         self._end_number = 0
         # Told of each start and end: what, task and run.
         self.on_change: typing.Callable[[str, str, int], None]
@@ -50,7 +50,7 @@
 
     def hold(
         self, epoch: int, ack_number: int, deadline_ms: int | None
-    ) -> worker_mod.HoldAnswer | None:
+    ) -> reports.HoldAnswer | None:
         """Renew the lease and answer both lists; None for a lower epoch."""
         if epoch < self.epoch:
             return None
@@ -58,10 +58,10 @@
         self._extend(deadline_ms)
         self.ended = [e for e in self.ended if e.number > ack_number]
         running = tuple(
-            worker_mod.Listed(task, run.run_id, '', 100)
+            reports.Listed(task, run.run_id, '', 100)
             for task, run in self.running.items()
         )
-        return worker_mod.HoldAnswer(
+        return reports.HoldAnswer(
             int(self.clock_ms), self.born_ms, running, tuple(self.ended)
         )
 
@@ -73,23 +73,23 @@
         deadline_ms: int,
         work_ms: int,
         fails: bool = False,
-    ) -> worker_mod.StartOutcome:
+    ) -> reports.StartOutcome:
         """Start a run unless the protocol forbids it."""
         if epoch < self.epoch:
-            return worker_mod.StartOutcome(True, FENCED)
+            return reports.StartOutcome(True, FENCED)
         self.epoch = epoch
         if deadline_ms <= self.clock_ms:
-            return worker_mod.StartOutcome(True, LATE)
+            return reports.StartOutcome(True, LATE)
         self._extend(deadline_ms)
         here = self.running.get(task)
         if here is not None and here.run_id == run_id:
-            return worker_mod.StartOutcome(True)
+            return reports.StartOutcome(True)
         if here is not None or run_id <= self._highest_ended.get(task, 0):
-            return worker_mod.StartOutcome(True, STALE_RUN)
+            return reports.StartOutcome(True, STALE_RUN)
         self.running[task] = _Running(run_id, work_ms, fails)
         self.started.append((task, run_id))
         self.on_change('start', task, run_id)
-        return worker_mod.StartOutcome(True)
+        return reports.StartOutcome(True)
 
     def stop(self, epoch: int, task: str, run_id: int) -> bool:
         """Begin a stop; refuse this run and lower ones from now on."""
@@ -110,19 +110,19 @@
             run.left_ms -= ms
             if run.stops_at_ms is not None:
                 if self.clock_ms >= run.stops_at_ms:
-                    self._end(task, worker_mod.EndKind.STOPPED)
+                    self._end(task, reports.EndKind.STOPPED)
             elif run.left_ms <= 0:
                 self._end(
                     task,
-                    worker_mod.EndKind.FAILED
+                    reports.EndKind.FAILED
                     if run.fails
-                    else worker_mod.EndKind.DONE,
+                    else reports.EndKind.DONE,
                 )
         if self.clock_ms >= self.lease_until_ms:
             for task in list(self.running):
-                self._end(task, worker_mod.EndKind.LAPSED)
+                self._end(task, reports.EndKind.LAPSED)
 
-    def break_run(self, task: str, how: worker_mod.EndKind) -> None:
+    def break_run(self, task: str, how: reports.EndKind) -> None:
         """End a run at once, as broken, alone or failed."""
         self._end(task, how)
 
@@ -134,12 +134,12 @@
             self.lease_until_ms, min(longest_ms, deadline_ms)
         )
 
-    def _end(self, task: str, how: worker_mod.EndKind) -> None:
+    def _end(self, task: str, how: reports.EndKind) -> None:
         run = self.running.pop(task)
         self.on_change(how.value, task, run.run_id)
         self._end_number += 1
         highest = self._highest_ended.get(task, 0)
         self._highest_ended[task] = max(highest, run.run_id)
         self.ended.append(
-            worker_mod.End(self._end_number, task, run.run_id, how, '')
+            reports.End(self._end_number, task, run.run_id, how, '')
         )
