Fillers are paced, services keep enough tasks at work, slow tails get copies

Cause: three things that a step may ask for and did not get (DESIGN.md, 'not built'). A filler beside a service ran at its full pace whatever the service's tail was; its memory counted nowhere. A stop was ordered whoever else of the service was away, and a start of a service that was not answered was stopped though it ran. Workers where both run are looked at each 0.2 s. core/cell/availability.py is the one gate for stops. core/cell/copies.py starts one copy of a task that takes 1.6 times as long as its siblings, in room that is left, first end counts.

--- a/packages/carawaymast-core/carawaymast_core/cell/answers.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/answers.py
@@ -5,6 +5,7 @@
 from carawaymast_core import resources
 from carawaymast_core.cell import ends
 from carawaymast_core.cell import lives
+from carawaymast_core.cell import pacing
 from carawaymast_core.cell import reports
 from carawaymast_core.cell import worker as worker_mod
 
@@ -13,6 +14,8 @@
 
 __all__ = ['take_hold', 'take_start', 'take_stop']
 
+NOT_ANSWERED = 'start not answered'
+
 
 def take_hold(
     cell: 'cell_mod.Cell',
@@ -53,6 +56,11 @@
             continue
         if _is_absence_certain(run, sent_at_ms):
             ends.apply(cell, run, reports.EndKind.ABSENT, '', now_ms)
+        elif run.stop_reason == NOT_ANSWERED and not run.is_stopping:
+            if sent_at_ms >= run.unanswered_at_ms:
+                run.is_missing = True
+                cell.stop(run, NOT_ANSWERED)
+    pacing.judge(cell, worker, now_ms)
 
 
 def _take_running(cell: 'cell_mod.Cell', worker, running, now_ms: int) -> set:
@@ -70,6 +78,14 @@
         if run.state is not worker_mod.RunState.RUNNING:
             run.state = worker_mod.RunState.RUNNING
             run.known_at_ms = now_ms
+            # Another leader may have ordered it.
+            run.ordered_pace = int(row.percent)
+        run.percent = row.percent
+        run.use = row.use
+        if run.stop_reason == NOT_ANSWERED and not run.is_stop_sent:
+            # It is there: nothing speaks against it any more.
+            run.stop_reason = ''
+            run.unanswered_at_ms = 0
         if row.checkpoint:
             run.task.checkpoint = row.checkpoint
     worker.foreign = foreign
@@ -127,7 +143,7 @@
     )
     if not outcome.is_known:
         run.worker.is_doubtful = True
-        cell.stop(run, 'start not answered')
+        _end_unanswered(cell, run, now_ms)
         return
     advice = run.task.step.advice
     if outcome.refusal is reports.StartRefusal.TICKET and advice is not None:
@@ -138,6 +154,21 @@
     ends.apply(cell, run, reports.EndKind.REFUSED, '', now_ms)
 
 
+def _end_unanswered(
+    cell: 'cell_mod.Cell', run: worker_mod.Run, now_ms: int
+) -> None:
+    """Stop a run that may be there or not, or may come late.
+
+    A service's task may be at work already: the worker's next list shows it,
+    and until it does not list it, it is not stopped.
+    """
+    if run.task.step.spec.may_miss:
+        run.stop_reason = NOT_ANSWERED
+        run.unanswered_at_ms = now_ms
+    else:
+        cell.stop(run, NOT_ANSWERED)
+
+
 def take_stop(run: worker_mod.Run, is_answered: bool, now_ms: int) -> None:
     """Learn that a stop was answered, or that it has to be repeated."""
     if is_answered:
--- /dev/null
+++ b/packages/carawaymast-core/carawaymast_core/cell/availability.py
@@ -0,0 +1,41 @@
+"""Keeps enough tasks of a service at work: one gate for all ends we cause.
+
+A step may say how many of its tasks may miss at a time by the system's doing.
+A stop of one that is at work waits while as many others are away, for any
+cause.
+"""
+
+import typing
+
+if typing.TYPE_CHECKING:
+    from carawaymast_core.cell import jobs
+    from carawaymast_core.cell import worker as worker_mod
+
+__all__ = ['count_away', 'may_end']
+
+
+def may_end(run: 'worker_mod.Run') -> bool:
+    """Whether an order may end a run now.
+
+    Always if it is certainly not at work, if its job has ended, or if its
+    worker is leaving or lost anyway.
+    """
+    step = run.task.step
+    worker = run.worker
+    if not step.spec.may_miss or step.job.phase.is_final or worker.is_gone:
+        return True
+    if worker.entry.is_draining or not worker.is_listed:
+        return True
+    if not run.is_at_work:
+        return not run.is_unsure
+    return count_away(step, run.task) < step.spec.may_miss
+
+
+def count_away(step: 'jobs.StepState', but: 'jobs.Task') -> int:
+    """Count the other tasks of a step that are not at work, or will not be."""
+    return sum(
+        1
+        for task in step.tasks
+        if task is not but
+        and not any(r.is_at_work and not r.is_stop_sent for r in task.runs)
+    )
--- a/packages/carawaymast-core/carawaymast_core/cell/cell.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/cell.py
@@ -10,10 +10,12 @@
 
 from carawaymast_core.cell import admission
 from carawaymast_core.cell import advice as advice_mod
+from carawaymast_core.cell import availability
 from carawaymast_core.cell import ends
 from carawaymast_core.cell import fleet as fleet_mod
 from carawaymast_core.cell import jobs
 from carawaymast_core.cell import pace
+from carawaymast_core.cell import pacing
 from carawaymast_core.cell import placing
 from carawaymast_core.cell import records
 from carawaymast_core.cell import reports
@@ -63,6 +65,11 @@
         self.stops: list[worker_mod.StopOrder] = []
         self._wall_offset_ms = 0
         self.paces = pace.PaceBook()
+        self.disturbances = pacing.DisturbanceBook()
+        self.pace_orders: list[worker_mod.PaceOrder] = []
+        # Steps of which copies may run, while tasks of theirs do.
+        self.speculative_by_name: dict[str, jobs.StepState] = {}
+        self.copied_at_ms = 0
         # When workers were last looked at for runs that are overdue.
         self.judged_at_ms = 0
         # The usable workers as of the last plan, and the work that waited
@@ -177,6 +184,7 @@
         for step in job.steps():
             self.ready_by_name.pop(step.name, None)
             self.timed_steps.pop(step.name, None)
+            self.speculative_by_name.pop(step.name, None)
         for run in list(job.runs()):
             self.stop(run, f'job {phase.value}')
         self.drop_if_over(job)
@@ -214,11 +222,17 @@
         self.ready_by_name[step.name] = step
 
     def stop(self, run: worker_mod.Run, reason: str) -> None:
-        """Order the stop of a run; its room stays taken until it ended."""
+        """Order the stop of a run; its room stays taken until it ended.
+
+        The stop of a service's task waits while too many others are away.
+        """
         run.stop_reason = run.stop_reason or reason
         if run.is_stopping or run.state is worker_mod.RunState.PLACED:
             return
+        if not availability.may_end(run):
+            return
         run.is_stopping = True
+        run.is_stop_sent = True
         self.stops.append(
             worker_mod.StopOrder(run.worker, run.task.name, run.run_id, run)
         )
--- /dev/null
+++ b/packages/carawaymast-core/carawaymast_core/cell/copies.py
@@ -0,0 +1,68 @@
+"""Copies of tasks that take far longer than their siblings.
+
+A step may allow copies: the first end counts, and the others are stopped. Only
+the slowest tail is copied, one copy each, into room that is left after all
+waiting work has been placed.
+"""
+
+import typing
+
+from carawaymast_core.cell import fleet as fleet_mod
+from carawaymast_core.cell import planner
+from carawaymast_core.cell import suspicion
+from carawaymast_core.cell import worker as worker_mod
+
+if typing.TYPE_CHECKING:
+    from carawaymast_core.cell import cell as cell_mod
+    from carawaymast_core.cell import jobs
+
+__all__ = ['LOOK_PAUSE_MS', 'choose']
+
+# The users' tasks of one step scatter by 0.15, and slow workers take 1.25
+# times as long; a task of the tail takes seven times as long.
+LATE_FACTOR = 1.6
+LOOK_PAUSE_MS = 100
+
+
+def choose(
+    cell: 'cell_mod.Cell', fleet: fleet_mod.Fleet, now_ms: int
+) -> typing.Iterator[planner.Placement]:
+    """Yield where copies shall start; the caller counts each room at once."""
+    for step in list(cell.speculative_by_name.values()):
+        if step.is_done or not any(task.runs for task in step.tasks):
+            del cell.speculative_by_name[step.name]
+            continue
+        for task in step.tasks:
+            run = _only_run(task)
+            if run is None or not _is_late(cell, run, now_ms):
+                continue
+            option = planner.first_option(
+                step, fleet, now_ms, {run.worker.worker_id}
+            )
+            if option is None:
+                break
+            cell.note(
+                'copy_placed',
+                task=task.name,
+                slow_at=run.worker.worker_id,
+                ran_ms=now_ms - (run.began_at_ms or now_ms),
+                worker=option.worker.worker_id,
+            )
+            yield planner.Placement(task, option.worker, option.ticket)
+
+
+def _only_run(task: 'jobs.Task') -> worker_mod.Run | None:
+    """Return a task's one run, None if it is not known to be at work."""
+    if task.is_done or len(task.runs) != 1:
+        return None
+    (run,) = task.runs
+    is_running = run.state is worker_mod.RunState.RUNNING
+    return run if is_running and not run.stop_reason else None
+
+
+def _is_late(cell: 'cell_mod.Cell', run: worker_mod.Run, now_ms: int) -> bool:
+    timed = suspicion.timed(run, now_ms)
+    if timed is None:
+        return False
+    usual_ms = cell.paces.usual_ms(timed)
+    return usual_ms is not None and timed.ran_ms > LATE_FACTOR * usual_ms
--- a/packages/carawaymast-core/carawaymast_core/cell/lives.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/lives.py
@@ -97,6 +97,7 @@
             run.known_at_ms = now_ms
         run.is_stopping = False
         run.stop_answered_at_ms = None
+        run.percent = run.use = 0.0
         if run.state is not worker_mod.RunState.PLACED:
             run.state = worker_mod.RunState.ORDERED
             cell.stop(run, 'its worker has started anew')
--- a/packages/carawaymast-core/carawaymast_core/cell/pace.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/pace.py
@@ -147,6 +147,17 @@
         most = max(OVERDUE_EXCESS, OVERDUE_DEVIATIONS * queue.deviation)
         return run.excess > queue.mean + most
 
+    def usual_ms(self, run: Timed) -> float | None:
+        """Return how long a run usually takes at its worker, by its siblings.
+
+        None until half of them have ended.
+        """
+        ended = run.siblings.weight
+        if not run.is_measured or not ended or 2 * ended < run.tasks:
+            return None
+        usual = run.estimate_ms * math.exp(run.siblings.mean)
+        return usual * self.factor(run.worker_key)
+
     def factor(self, worker_key: tuple[str, int]) -> float:
         """Return how long runs take there, where 1.0 is typical."""
         average = self._by_worker.get(worker_key)
--- a/packages/carawaymast-core/carawaymast_core/cell/placing.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/placing.py
@@ -3,6 +3,7 @@
 import typing
 
 from carawaymast_core import errors
+from carawaymast_core.cell import copies
 from carawaymast_core.cell import fleet as fleet_mod
 from carawaymast_core.cell import jobs
 from carawaymast_core.cell import planner
@@ -46,6 +47,11 @@
         )
 
     planner.plan(ordered, fleet, now_ms, place, note_holding)
+    if now_ms - cell.copied_at_ms >= copies.LOOK_PAUSE_MS:
+        cell.copied_at_ms = now_ms
+        for placement in copies.choose(cell, fleet, now_ms):
+            place(placement)
+            fleet.update(placement.worker)
     for job in touched.values():
         cell.refresh(job, now_ms, wall_ms)
     cell.end_plan(fleet)
@@ -104,6 +110,8 @@
         step.spec.is_speculative or len(task.runs) == 1,
         f'{task.name} has {len(task.runs)} runs',
     )
+    if step.spec.is_speculative and not step.spec.is_gang:
+        cell.speculative_by_name[step.name] = step
     cell.starts.append(run)
     cell.mark(step.job)
 
--- a/packages/carawaymast-core/carawaymast_core/cell/planner.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/planner.py
@@ -9,6 +9,7 @@
 
 from carawaymast_core.cell import fleet as fleet_mod
 from carawaymast_core.cell import pace
+from carawaymast_core.cell import pacing
 from carawaymast_core.cell import rooms
 
 if typing.TYPE_CHECKING:
@@ -16,8 +17,10 @@
     from carawaymast_core.cell import worker as worker_mod
 
 __all__ = [
+    'Option',
     'Placement',
     'choose',
+    'first_option',
     'order',
     'plan',
     'urgent_preference',
@@ -159,6 +162,19 @@
     )
 
 
+def first_option(
+    step: 'jobs.StepState',
+    fleet: fleet_mod.Fleet,
+    now_ms: int,
+    excluded_ids: typing.Container[str],
+) -> 'Option | None':
+    """Return the best place for one more task of a step, if there is room."""
+    is_urgent = step.job.submission.queue.rank == 0
+    kept = 0.0 if is_urgent else rooms.URGENT_HEADROOM_SHARE
+    found = _options(step, fleet, now_ms, excluded_ids, kept)
+    return next(found, None)
+
+
 def choose(
     step: 'jobs.StepState',
     fleet: fleet_mod.Fleet,
@@ -187,7 +203,7 @@
     )
 
 
-class _Option(typing.NamedTuple):
+class Option(typing.NamedTuple):
     """A worker with room for so many tasks of a step."""
 
     worker: 'worker_mod.Worker'
@@ -201,14 +217,18 @@
     now_ms: int,
     excluded_ids: typing.Container[str],
     kept_share: float,
-) -> typing.Iterator[_Option]:
+) -> typing.Iterator[Option]:
     """Yield where a step's tasks have room, the best first.
 
     Urgent tasks, which have little time to lose, go to fast workers, the
     others to slow ones, and all to those whose speed is to be found out.
     """
+    if step.spec.is_filler:
+        allowed = allowed_workers(step, fleet, now_ms, excluded_ids)
+        yield from _filler_options(step, allowed, now_ms)
+        return
     queue = step.job.submission.queue
-    size = step.spec.size
+    size = step.spec.held_size
     limit = step.spec.max_per_worker
     tiers = URGENT_TIERS if queue.rank == 0 else PATIENT_TIERS
     for worker in fleet.with_room(queue.service, size, tiers, kept_share):
@@ -224,13 +244,45 @@
         if limit:
             count = min(count, limit - _here(step, worker))
         if count > 0:
-            yield _Option(worker, count, ticket)
+            yield Option(worker, count, ticket)
+
+
+def _filler_options(
+    step: 'jobs.StepState',
+    allowed: typing.Iterable['worker_mod.Worker'],
+    now_ms: int,
+) -> typing.Iterator[Option]:
+    """Yield where fillers go: where they disturb least, then most is left.
+
+    All fillers of a worker together may want no more than it has.
+    """
+    rows = []
+    for worker in allowed:
+        if now_ms < worker.no_fillers_until_ms:
+            continue
+        here = pacing.filler_millis(worker)
+        capacity = worker.entry.capacity
+        count = rooms.fitting(step.spec.held_size, capacity, worker.free, 0.0)
+        millis = max(1, step.spec.size.cpu_millis)
+        count = min(count, (capacity.cpu_millis - here) // millis)
+        if step.spec.max_per_worker:
+            count = min(count, step.spec.max_per_worker - _here(step, worker))
+        if count <= 0:
+            continue
+        left = worker.free.cpu_millis - here
+        pressure = pacing.pressure_at(worker)
+        rows.append((pressure, -left, worker.worker_id, worker, count))
+    for *_, worker, count in sorted(rows, key=lambda row: row[:3]):
+        ticket = ''
+        if step.advice is not None:
+            ticket = step.advice.ticket(worker.worker_id, now_ms) or ''
+        yield Option(worker, count, ticket)
 
 
 def _choose(
     step: 'jobs.StepState',
     tasks: list['jobs.Task'],
-    options: typing.Iterator[_Option],
+    options: typing.Iterator[Option],
 ) -> list[Placement]:
     for group in _groups(step, options):
         chosen = _fill(tasks, group)
@@ -240,8 +292,8 @@
 
 
 def _groups(
-    step: 'jobs.StepState', options: typing.Iterator[_Option]
-) -> typing.Iterator[typing.Iterable[_Option]]:
+    step: 'jobs.StepState', options: typing.Iterator[Option]
+) -> typing.Iterator[typing.Iterable[Option]]:
     """Yield workers to try in turn: near the data, one rack, then all."""
     wanted_rack = step.spec.data_rack
     if not wanted_rack and not step.spec.is_rack_local:
@@ -251,7 +303,7 @@
     if wanted_rack:
         yield [o for o in found if o.worker.rack == wanted_rack]
     else:
-        by_rack: dict[str, list[_Option]] = {}
+        by_rack: dict[str, list[Option]] = {}
         for option in found:
             by_rack.setdefault(option.worker.rack, []).append(option)
         yield from by_rack.values()
@@ -259,7 +311,7 @@
 
 
 def _fill(
-    tasks: typing.Iterable['jobs.Task'], options: typing.Iterable[_Option]
+    tasks: typing.Iterable['jobs.Task'], options: typing.Iterable[Option]
 ) -> list[Placement]:
     """Fill workers with tasks in the order given."""
     chosen = []
--- a/packages/carawaymast-core/carawaymast_core/cell/suspicion.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/suspicion.py
@@ -9,7 +9,7 @@
 if typing.TYPE_CHECKING:
     from carawaymast_core.cell import cell as cell_mod
 
-__all__ = ['judge', 'judge_overdue']
+__all__ = ['judge', 'judge_overdue', 'timed']
 
 # Failures of a worker's runs in a row after which it gets nothing for a while.
 SUSPECT_AFTER_FAILURES = 3
@@ -42,10 +42,10 @@
 def _note_pace(cell, run: worker_mod.Run, now_ms: int) -> None:
     """Learn a worker's speed; leave it out for a while if it is faulty."""
     worker = run.worker
-    timed = _timed(run, now_ms)
-    if timed is None or worker.is_gone:
+    sample = timed(run, now_ms)
+    if sample is None or worker.is_gone:
         return
-    cell.paces.note(timed)
+    cell.paces.note(sample)
     worker.tier = cell.paces.tier(worker.key)
     if worker.tier is pace.Tier.FAULTY:
         _leave_out_slow(cell, worker, now_ms)
@@ -60,13 +60,13 @@
     """
     if worker.suspect_until_ms > now_ms:
         return
-    timed = (_timed(run, now_ms) for run in worker.run_by_task.values())
-    overdue = sum(1 for run in timed if run and cell.paces.is_overdue(run))
+    samples = (timed(run, now_ms) for run in worker.run_by_task.values())
+    overdue = sum(1 for run in samples if run and cell.paces.is_overdue(run))
     if overdue >= OVERDUE_RUNS:
         _leave_out_slow(cell, worker, now_ms)
 
 
-def _timed(run: worker_mod.Run, now_ms: int) -> pace.Timed | None:
+def timed(run: worker_mod.Run, now_ms: int) -> pace.Timed | None:
     """Return a run's time so far, None if it says nothing of its worker.
 
     The members of a gang end together, as fast as the slowest of them.
--- a/packages/carawaymast-core/carawaymast_core/cell/worker.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/worker.py
@@ -39,6 +39,8 @@
 
     __slots__ = (
         'began_at_ms',
+        'is_missing',
+        'is_stop_sent',
         'is_stopping',
         'known_at_ms',
         'ordered_pace',
@@ -47,10 +49,12 @@
         'placed_at_ms',
         'run_id',
         'state',
+        'stood_since_ms',
         'stop_answered_at_ms',
         'stop_reason',
         'task',
         'ticket',
+        'unanswered_at_ms',
         'use',
         'worker',
     )
@@ -72,12 +76,25 @@
         self.is_stopping = False
         self.stop_reason = ''
         self.stop_answered_at_ms: int | None = None
+        # Whether a stop was ever sent: without an answer it may take effect.
+        self.is_stop_sent = False
+        # When its start remained without an answer, and whether the worker
+        # has not listed it since.
+        self.unanswered_at_ms = 0
+        self.is_missing = False
         # As the worker last listed it, see ``reports.Listed``.
         self.percent = 0.0
         self.use = 0.0
         # The share of its pace that was ordered last, and when.
         self.ordered_pace = FULL_PACE
         self.paced_at_ms = 0
+        # Since when a filler has had no pace at all.
+        self.stood_since_ms = 0
+
+    @property
+    def is_unsure(self) -> bool:
+        """Whether the worker's next list has to show if it is there."""
+        return self.unanswered_at_ms > 0 and not self.is_missing
 
     @property
     def is_at_work(self) -> bool:
@@ -130,6 +147,9 @@
         self.write_off_at_ms: int | None = None
         self.suspect_until_ms = 0
         self.tier = pace.Tier.UNKNOWN
+        # When a filler here was last sped up, and until when none comes.
+        self.sped_up_at_ms = 0
+        self.no_fillers_until_ms = 0
         self.failures_in_row = 0
 
     @property
--- a/packages/carawaymast-node/carawaymast_node/cells/leader.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/leader.py
@@ -261,6 +261,9 @@
         for order in self.cell.stops:
             self._tasks.spawn(self._orders.stop(order))
         self.cell.stops.clear()
+        for pace_order in self.cell.pace_orders:
+            self._tasks.spawn(self._orders.pace(pace_order))
+        self.cell.pace_orders.clear()
         spent_ms = self._clock.now() - now_ms
         self._metrics.record_ms('plan', spent_ms)
 
--- a/packages/carawaymast-node/carawaymast_node/cells/orders.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/orders.py
@@ -7,6 +7,7 @@
 from carawaymast_core.cell import answers
 from carawaymast_core.cell import cell as cell_mod
 from carawaymast_core.cell import lives
+from carawaymast_core.cell import pacing
 from carawaymast_core.cell import reports
 from carawaymast_core.cell import worker as worker_mod
 from carawaymast_node.cells import ports
@@ -23,6 +24,9 @@
 # For so long after a loss, calls to all workers wait only briefly.
 LOSSY_HOLD_WAIT_MS = 200
 LOSSY_MS = 5_000
+# Where fillers run beside services their figures are needed often: a service
+# must not be over its target for longer than some seconds.
+SHARED_HOLD_WAIT_MS = 200
 # Ends that follow each other closely are taken in one look at the worker.
 HOLD_PAUSE_MS = 30
 HOLD_RETRY_MS = 250
@@ -101,6 +105,11 @@
             answers.take_stop(order.run, is_answered, now_ms)
         self._on_news()
 
+    async def pace(self, order: worker_mod.PaceOrder) -> None:
+        """Order a pace; it is ordered again until the worker shows it."""
+        if not await self._workers.pace(order, self._epoch):
+            self._metrics.count('paces_unanswered_total')
+
     async def keep_holding(self, worker: worker_mod.Worker) -> None:
         """Renew a worker's lease and read its lists, one call at a time."""
         while not worker.is_gone:
@@ -142,8 +151,7 @@
             if not worker.is_doubtful:
                 deadline_ms = worker.next_deadline(sent_at_ms, self._lease_ms)
             if worker.ack_number >= worker.seen_number:
-                is_lossy = sent_at_ms < self._lossy_until_ms
-                wait_ms = LOSSY_HOLD_WAIT_MS if is_lossy else HOLD_WAIT_MS
+                wait_ms = self._wait_ms(worker, sent_at_ms)
         seen_before = worker.seen_number
         was_adopted = worker.is_adopted
         self._metrics.count('holds_total')
@@ -157,7 +165,8 @@
             sent_at_ms,
             self._clock.now(),
         )
-        if worker.seen_number > seen_before or not was_adopted:
+        is_news = worker.seen_number > seen_before or not was_adopted
+        if is_news or self._cell.pace_orders:
             self._on_news()
         if worker.ack_number < worker.seen_number:
             await self._wait_for_ack(worker)
@@ -165,6 +174,14 @@
             return
         await asyncio.sleep(HOLD_PAUSE_MS / 1000)
 
+    def _wait_ms(self, worker: worker_mod.Worker, now_ms: int) -> int:
+        """Return how long the worker may wait for an end before it answers."""
+        if pacing.is_shared(worker):
+            return SHARED_HOLD_WAIT_MS
+        if now_ms < self._lossy_until_ms:
+            return LOSSY_HOLD_WAIT_MS
+        return HOLD_WAIT_MS
+
     async def _wait_for_ack(self, worker: worker_mod.Worker) -> None:
         until_ms = self._clock.now() + ACK_WAIT_MS
         while worker.ack_number < worker.seen_number:
--- a/packages/carawaymast-node/carawaymast_node/cells/ports.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/ports.py
@@ -216,6 +216,9 @@
     async def stop(self, order: worker_mod.StopOrder, epoch: int) -> bool:
         """Stop a run; return whether the worker answered."""
 
+    async def pace(self, order: worker_mod.PaceOrder, epoch: int) -> bool:
+        """Set a run's pace; return whether the worker answered."""
+
 
 class Advice(typing.NamedTuple):
     """The workers that a step may use, with their tickets."""
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -13,6 +13,7 @@
 
 MAX_LEASE_MS = 10_000
 STOP_MS = 900
+PACE_MS = 100
 FENCED = reports.StartRefusal.FENCED
 LATE = reports.StartRefusal.LATE
 STALE_RUN = reports.StartRefusal.STALE_RUN
@@ -26,6 +27,9 @@
         self.left_ms = left_ms
         self.fails = fails
         self.stops_at_ms: int | None = None
+        self.percent = 100
+        # A pace that was ordered, and when it takes effect.
+        self.next_pace: tuple[float, int] | None = None
 
 
 class RunnerStandin:
@@ -47,6 +51,8 @@
         self.on_change: typing.Callable[[str, str, int], None]
         self.on_change = lambda what, task, run_id: None
         self._highest_ended: dict[str, int] = {}
+        # The figure of each running task, see ``reports.Listed``.
+        self.use_of: typing.Callable[[str], float] = lambda task: 0.0
 
     def hold(
         self, epoch: int, ack_number: int, deadline_ms: int | None
@@ -58,7 +64,9 @@
         self._extend(deadline_ms)
         self.ended = [e for e in self.ended if e.number > ack_number]
         running = tuple(
-            reports.Listed(task, run.run_id, '', 100)
+            reports.Listed(
+                task, run.run_id, '', run.percent, self.use_of(task)
+            )
             for task, run in self.running.items()
         )
         return reports.HoldAnswer(
@@ -103,11 +111,23 @@
             run.stops_at_ms = run.stops_at_ms or self.clock_ms + STOP_MS
         return True
 
+    def pace(self, epoch: int, task: str, run_id: int, percent: int) -> bool:
+        """Let a run go on at a share of its pace, a little later."""
+        run = self.running.get(task)
+        if epoch < self.epoch or run is None or run.run_id != run_id:
+            return False
+        self.epoch = epoch
+        run.next_pace = self.clock_ms + PACE_MS, percent
+        return True
+
     def advance(self, ms: int) -> None:
         """Let time pass: runs end, stops take effect, the lease lapses."""
         self.clock_ms += ms * self.rate
         for task, run in list(self.running.items()):
-            run.left_ms -= ms
+            if run.next_pace and self.clock_ms >= run.next_pace[0]:
+                run.percent = run.next_pace[1]
+                run.next_pace = None
+            run.left_ms -= ms * run.percent / 100
             if run.stops_at_ms is not None:
                 if self.clock_ms >= run.stops_at_ms:
                     self._end(task, reports.EndKind.STOPPED)
