--- a/features/steps/load_steps.py
+++ b/features/steps/load_steps.py
@@ -569,9 +569,7 @@
         return
 
 
-@then(
-    'it is no candidate for {long:d} s, and can be reached after {short:d} s'
-)
+@then('it is no candidate for {long:d} s, but reachable after {short:d} s')
 def avoided(context, long, short):
     clock, peers = context.clock, context.peers
     assert peers.reachable('n1') is None
