Late urgent work keeps its place while it is of use

Change: a late step is ordered by the time until which its job is of use, three times the objective, if that is sooner than the 20 s (8 s for gangs). Ruled out: headroom (8% of each worker are kept for checks all the while). Tests: two scenarios of load.feature; the first fails before.

--- a/features/load.feature
+++ b/features/load.feature
@@ -15,6 +15,20 @@
     And the leader plans
     Then its task is among those that run
 
+  Scenario: Flood of patient work in time, a late urgent task is still of use
+    Given a cell of 1 workers
+    And an urgent job that is late for 0.5 s and of use for 5.5 s more
+    And a flood of 40 patient tasks that are in time for 10 s
+    When the leader plans
+    Then the urgent task runs
+
+  Scenario: Flood of patient work in time, an urgent task that is of no use
+    Given a cell of 1 workers
+    And an urgent job that is late for 7 s and of use for 0 s more
+    And a flood of 40 patient tasks that are in time for 10 s
+    When the leader plans
+    Then the urgent task waits
+
   Scenario: Flood of small tasks, a wide gang waits
     Given a cell of 3 workers
     And a flood of 200 tasks of rank 2
--- a/features/steps/load_steps.py
+++ b/features/steps/load_steps.py
@@ -53,6 +53,31 @@
     assert 'u1.0.0.0' in context.world.running()
 
 
+@given(
+    'an urgent job that is late for {late:g} s and of use for {left:g} s more'
+)
+def late_urgent(context, late, left):
+    # Its objective is 3 s for 1 s of work, so it must start within 2 s.
+    accepted_ms = context.world.clock.now() - 2_000 - int(late * 1_000)
+    policy = cell_world.queue(rank=0, name='urgent')
+    # More than is kept for urgent tasks.
+    step = cell_world.step(1, 2_000)
+    submit(context, 'u1', step, policy=policy, accepted_at_ms=accepted_ms)
+
+
+@given('a flood of {count:d} patient tasks that are in time for {left:d} s')
+def patient_flood(context, count, left):
+    policy = cell_world.queue(rank=2, name='patient')
+    estimate_ms = left * 1_000 - 1_000
+    step = cell_world.step(count, 1_000, estimate_ms=estimate_ms)
+    submit(context, 'patient', step, policy=policy)
+
+
+@then('the urgent task waits')
+def urgent_waits(context):
+    assert 'u1.0.0.0' not in context.world.running()
+
+
 @given('{count:d} jobs that are late already')
 def late_jobs(context, count):
     # Late, but not for so long that age puts them first again.
--- a/packages/carawaymast-core/carawaymast_core/cell/admission.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/admission.py
@@ -18,8 +18,6 @@
 
 __all__ = ['Backlog', 'Refusal', 'backlog', 'judge']
 
-# The users' rule: up to three times its objective a job is late, then lost.
-WORTHLESS_AFTER_OBJECTIVES = 3
 # Steps pack with gaps: what first fit leaves idle in bench.placement.
 USABLE_SHARE = 0.9
 MIN_RETRY_AFTER_S = 1
@@ -85,7 +83,7 @@
     chain = spec_mod.chain_ms(steps)
     objective_ms = spec_mod.objective_ms(queue, steps)
     wait_ms = known.ahead_ms(queue.service, queue.rank) / USABLE_SHARE
-    bound_ms = WORTHLESS_AFTER_OBJECTIVES * objective_ms - chain
+    bound_ms = spec_mod.WORTHLESS_AFTER_OBJECTIVES * objective_ms - chain
     if wait_ms <= bound_ms:
         return None
     in_time_ms = wait_ms - max(0.0, objective_ms - chain)
--- a/packages/carawaymast-core/carawaymast_core/cell/jobs.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/jobs.py
@@ -67,6 +67,10 @@
         self.name = f'{job.job_id}.{occurrence}.{number}'
         # After this a start cannot end within the objective; orders plans.
         self.latest_start_ms = self._find_latest_start_ms()
+        # After this its job is worth nothing to its caller.
+        self.useful_start_ms = self.latest_start_ms + job.objective_ms * (
+            spec_mod.WORTHLESS_AFTER_OBJECTIVES - 1
+        )
         self.tasks = [Task(self, index) for index in range(self.spec.count)]
         self.advice: advice.StepAdvice | None = None
         # How long its tasks took beside their estimate.
--- a/packages/carawaymast-core/carawaymast_core/cell/planner.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/planner.py
@@ -32,7 +32,8 @@
 # Each rank below the most urgent is ordered as if it had this much more time.
 RANK_PENALTY_MS = 1_500
 # A job that cannot meet its objective any more is ordered behind those that
-# can, but moves up as it ages, so that none waits for ever.
+# can, but moves up as it ages, so that none waits for ever. What is of use for
+# a shorter time than this, though late, is ordered by the end of its use.
 LATE_PENALTY_MS = 20_000
 # A late gang moves up sooner: rooms that others leave are of no use to it, so
 # that it never starts before it may hold workers.
@@ -80,11 +81,13 @@
 
 def _start_by_ms(step: 'jobs.StepState', wall_ms: int) -> int:
     """Return the latest useful start, later for ranks that may wait."""
-    penalty_ms = step.job.submission.queue.rank * RANK_PENALTY_MS
-    if step.latest_start_ms < wall_ms:
+    start_by_ms = step.latest_start_ms
+    if start_by_ms < wall_ms:
         is_gang = step.spec.is_gang
-        penalty_ms += LATE_GANG_PENALTY_MS if is_gang else LATE_PENALTY_MS
-    return step.latest_start_ms + penalty_ms
+        start_by_ms += LATE_GANG_PENALTY_MS if is_gang else LATE_PENALTY_MS
+        if wall_ms < step.useful_start_ms:
+            start_by_ms = min(start_by_ms, step.useful_start_ms)
+    return start_by_ms + step.job.submission.queue.rank * RANK_PENALTY_MS
 
 
 def plan(
--- a/packages/carawaymast-core/carawaymast_core/cell/spec.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/spec.py
@@ -25,6 +25,8 @@
 MAX_STEPS = 64
 # The platform's contract: a payload is a string of up to 4,000 bytes.
 MAX_PAYLOAD_BYTES = 4_000
+# The users' rule: up to three times its objective a job is late, then lost.
+WORTHLESS_AFTER_OBJECTIVES = 3
 # A scheduled job of one occurrence a minute for a week.
 MAX_OCCURRENCES = 10_080
 NOT_NEGATIVE = (
