--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -14,3 +14,5 @@
   rm -rf "$deps/$(basename "$package")"
   cp -R "$package" "$deps/"
 done
+# Processes may not write there, and would compile all anew at each start.
+python3 -m compileall -q "$deps"
--- a/packages/carawaymast-core/carawaymast_core/cell/records.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/records.py
@@ -21,6 +21,7 @@
     'RunRecord',
     'SUBMISSION_SUFFIX',
     'TaskRecord',
+    'check_encoded',
     'decode',
     'decode_cancel',
     'encode',
@@ -34,6 +35,8 @@
 COMPRESSION_LEVEL = 1
 # The first byte of what zlib writes; no array of msgpack begins with it.
 ZLIB_MARK = b'\x78'
+# msgpack's first byte of arrays of up to 15 fields, as records are.
+ARRAY_MARKS = tuple(bytes([0x90 + size]) for size in range(1, 16))
 
 CANCEL_SUFFIX = '/cancel'
 # A submission that the leader itself stored, beside the job's state.
@@ -155,6 +158,12 @@
     return zlib.compress(raw, COMPRESSION_LEVEL)
 
 
+def check_encoded(raw: bytes) -> None:
+    """Raise ``ValueError`` unless bytes begin as those of a record do."""
+    if raw[:1] != ZLIB_MARK and raw[:1] not in ARRAY_MARKS:
+        raise ValueError(f'no record begins with {raw[:8]!r}')
+
+
 def decode(kind: type, raw: bytes) -> typing.Any:
     """Return the record of type ``kind`` that ``raw`` holds.
 
--- a/packages/carawaymast-core/carawaymast_core/cell/view.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/view.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from carawaymast_core.cell import lazy
 from carawaymast_core.cell import records
 from carawaymast_core.cell import spec as spec_mod
 
@@ -15,9 +16,16 @@
     id counts, later ones are repeats.
     """
 
-    def __init__(self) -> None:
-        self.submission_by_id: dict[str, spec_mod.Submission] = {}
-        self.record_by_id: dict[str, records.JobRecord] = {}
+    def __init__(
+        self,
+        on_unreadable: typing.Callable[[str, str], None] = (
+            lambda key, error: None
+        ),
+    ):
+        self.submission_by_id = lazy.LazyRecords(
+            spec_mod.Submission, on_unreadable
+        )
+        self.record_by_id = lazy.LazyRecords(records.JobRecord, on_unreadable)
         self.cancelled_at_ms_by_id: dict[str, int] = {}
 
     def take_intake(self, key: str, value: bytes) -> str | None:
@@ -35,8 +43,7 @@
             return job_id
         if key in self.submission_by_id:
             return None
-        submission = records.decode(spec_mod.Submission, value)
-        self.submission_by_id[key] = submission
+        self.submission_by_id.put_encoded(key, value)
         return key
 
     def take_state(self, key: str, value: bytes) -> None:
@@ -55,8 +62,7 @@
             self.record_by_id.pop(job_id, None)
             self.submission_by_id.pop(job_id, None)
             return
-        record = records.decode(records.JobRecord, value)
-        self.record_by_id[job_id] = record
+        self.record_by_id.put_encoded(job_id, value)
 
     def knows(self, job_id: str) -> bool:
         """Whether a job was accepted; also after its submission is gone."""
@@ -84,8 +90,8 @@
         """Count the accepted jobs of a queue of which no task has started."""
         return sum(
             1
-            for job_id, submission in self.submission_by_id.items()
-            if submission.queue.name == queue_name and self._is_pending(job_id)
+            for job_id in self.submission_by_id
+            if self._is_pending(job_id) and self._queue(job_id) == queue_name
         )
 
     def open_ids(self) -> typing.Iterator[str]:
@@ -95,6 +101,10 @@
             if record is None or not record.phase.is_final:
                 yield job_id
 
+    def _queue(self, job_id: str) -> str | None:
+        submission = self.submission_by_id.get(job_id)
+        return None if submission is None else submission.queue.name
+
     def _is_pending(self, job_id: str) -> bool:
         if job_id in self.cancelled_at_ms_by_id:
             return False
--- a/packages/carawaymast-node/carawaymast_node/cells/leadership.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/leadership.py
@@ -15,6 +15,8 @@
 __all__ = ['Leadership']
 
 CLAIM_POLL_MS = 60
+# Who does not lead only looks whether somebody does.
+FOLLOW_POLL_MS = 100
 # Claims of several nodes spread over this; the first one wins.
 CLAIM_JITTER_MS = 120
 # The hand-over waits so long for a write under way and for its own record.
@@ -95,10 +97,11 @@
     async def keep_electing(self) -> typing.NoReturn:
         """Renew while leading, claim while nobody leads."""
         while True:
+            poll_ms = CLAIM_POLL_MS if self.leader else FOLLOW_POLL_MS
             slept_at_ms = self._clock.now()
-            await asyncio.sleep(CLAIM_POLL_MS / 1000)
+            await asyncio.sleep(poll_ms / 1000)
             now_ms = self._clock.now()
-            self._note_lag(now_ms - slept_at_ms - CLAIM_POLL_MS)
+            self._note_lag(now_ms - slept_at_ms - poll_ms)
             if self._is_handing_over:
                 continue
             try:
--- a/packages/carawaymast-node/carawaymast_node/cells/replica.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/replica.py
@@ -20,7 +20,7 @@
 # Pause between reads of jobs. The leader is told of new ones directly, and
 # callers' questions go to it, so that this bounds only what is late when such
 # a call fails.
-FOLLOW_PAUSE_MS = 400
+FOLLOW_PAUSE_MS = 800
 LEAD_PAUSE_MS = 200
 # Members change rarely, and a call to one that is gone fails by itself.
 MEMBER_PAUSE_MS = 3_000
@@ -75,7 +75,8 @@
         self._decode = platform.ingress.decode_declarations
         self._is_leading = is_leading
         self._on_job = on_job
-        self.view = view_mod.JobView()
+        self._log = source.log
+        self.view = view_mod.JobView(self._note_unreadable)
         self.routes = routing.Routes(source.log)
         self.intake_tail = source.tail(
             intake.TOPIC, self._take_intake, self._pause_ms
@@ -125,6 +126,9 @@
         if job_id is not None:
             self._on_job(job_id)
 
+    def _note_unreadable(self, key: str, error: str) -> None:
+        self._log.note('record_unreadable', key=key, error=error)
+
     def _pause_ms(self) -> int:
         return LEAD_PAUSE_MS if self._is_leading() else FOLLOW_PAUSE_MS
 
--- a/packages/carawaymast-node/carawaymast_node/cells/telemetry.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/telemetry.py
@@ -17,7 +17,7 @@
 
 from carawaymast_core import clock as clock_mod
 
-__all__ = ['Metrics', 'Telemetry', 'open_stdout']
+__all__ = ['Metrics', 'Telemetry', 'keep_flushing', 'open_stdout']
 
 # Lines of one kind a second, and in a burst: the busiest decision is a task
 # start, 180 a second at the size to design for, spread over some leaders.
@@ -51,6 +51,7 @@
         self._lines: collections.deque[bytes] = collections.deque()
         self._bytes = 0
         self.dropped_total = 0
+        self.filled = asyncio.Event()
 
     def put(self, line: bytes) -> None:
         """Keep a line until the loop writes it, or drop it."""
@@ -59,6 +60,7 @@
             return
         self._lines.append(line)
         self._bytes += len(line)
+        self.filled.set()
 
     def flush(self) -> None:
         """Write what the reader takes at once."""
@@ -76,6 +78,7 @@
             if written < len(chunk):
                 self._lines.append(chunk[written:])
             self._bytes = len(chunk) - written
+        self.filled.clear()
 
 
 class Telemetry:
@@ -185,6 +188,14 @@
     return lines
 
 
+async def keep_flushing(output: _Output) -> typing.NoReturn:
+    """Write lines soon after they come, many at a time."""
+    while True:
+        await output.filled.wait()
+        await asyncio.sleep(FLUSH_INTERVAL_S)
+        output.flush()
+
+
 async def open_stdout(metrics: Metrics) -> typing.NoReturn:
     """Send eliot's lines to stdout for as long as the loop runs."""
     fd = 1
@@ -200,9 +211,7 @@
     metrics.add_gauges(lambda: {'log_lines_lost_total': output.dropped_total})
     eliot.add_destinations(write)
     try:
-        while True:
-            await asyncio.sleep(FLUSH_INTERVAL_S)
-            output.flush()
+        await keep_flushing(output)
     finally:
         eliot.remove_destination(write)
         deadline_s = time.monotonic() + FLUSH_INTERVAL_S
