Patient jobs wait for a store that is away, urgent ones hear of it at once

Callers try five times within some 4 s, whatever Retry-After says, and each try was refused at once, or after 0.7 s: 195 checks, 43 rosters and renewals ended with a refusal, though rosters and renewals have 16 s and more. Change: a job waits unsent for a quarter of its objective, 1.4 s at most: a check 0.37 s, patient work 1.4 s a try, so that five tries outlast some 10 s. What was not sent by then is still refused as not run, with when to come back. Ruled out: waiting alike for all (an urgent caller learns nothing and has no use of a late start); holding until the deadline. Tests: the scenario of a refusal without a wait gave way to one that asks for the wait of three objectives to 2 ms, and one of an outage that patient work outlasts; the bound of the flood is 0.75 s in place of 1.1.

--- a/features/outages.feature
+++ b/features/outages.feature
@@ -4,14 +4,26 @@
     Given a node that stores jobs by itself, over a store
     When a job comes, the store falls silent, and then 20 jobs come in 1 s
     Then the first job is accepted
-    And the others are refused as not run, each within 1.1 s
+    And the others are refused as not run, each within 0.75 s
     And none of the refused jobs was sent to the store
 
-  Scenario: While the store is away a job is refused without a wait
+  Scenario Outline: A job waits for a store that is away for part of its time
     Given a node that stores jobs by itself, over a store
     When a job comes, the store falls silent, and then 20 jobs come in 1 s
-    And another job comes 3 s later
-    Then it is refused within 0.1 s and asked to come back after 3 s or later
+    And another job comes 3 s later, with an objective of <objective> ms
+    Then it is refused after <wait> ms, to come back after 3 s or later
+
+    Examples:
+      | objective | wait |
+      | 400       | 100  |
+      | 3000      | 750  |
+      | 16000     | 1400 |
+
+  Scenario: Patient jobs outlast an outage, urgent ones hear of it at once
+    Given a node that stores jobs by itself, over a store
+    When a job comes, the store falls silent, and then 20 jobs come in 1 s
+    And an urgent and a patient job come, and the store is back after 1 s
+    Then the patient job is accepted and the urgent one was refused
 
   Scenario: The store is back, so the next job is taken
     Given a node that stores jobs by itself, over a store
--- a/packages/carawaymast-node/carawaymast_node/cells/intake.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/intake.py
@@ -26,8 +26,12 @@
 PROBE_MS = 500
 # Between probes of a store that is away.
 PROBE_PAUSE_MS = 200
-# What waits for a write before it is refused, if it was not sent by then.
+# What is not sent by then is refused. A job waits for a store that is away
+# for a part of its objective: who is urgent has to hear at once, while for
+# patient work, whose callers give up after some tries, waiting costs nothing.
 PATIENCE_MS = 700
+MOST_PATIENCE_MS = 1_400
+PATIENCE_SHARE = 0.25
 
 
 class _Waiting:
@@ -61,27 +65,29 @@
         self._waiting: list[_Waiting] = []
         self._news = asyncio.Event()
         self._outage = outage_mod.Outage()
+        # The last failure of the store, for people.
+        self._failure = ''
 
-    async def store(self, item: ports.KeyValue) -> None:
+    async def store(
+        self, item: ports.KeyValue, patience_ms: float = PATIENCE_MS
+    ) -> None:
         """Return once a record is stored.
 
+        It is given up if it was not sent to the store within ``patience_ms``.
         Raises ``SchedulerError``: ``LOG_UNAVAILABLE`` if it certainly is
         not and will not be, ``OUTCOME_UNKNOWN`` otherwise.
         """
-        if self._outage.is_on:
-            raise self._refusal('the store is away')
         waiting = _Waiting(item)
         self._waiting.append(waiting)
         self._news.set()
         try:
-            async with asyncio.timeout(PATIENCE_MS / 1000):
+            async with asyncio.timeout(patience_ms / 1000):
                 await asyncio.shield(waiting.stored)
                 return
         except TimeoutError:
             if not waiting.is_sent:
                 self._waiting.remove(waiting)
-                detail = f'a write before it waits for {PATIENCE_MS} ms'
-                raise self._refusal(detail) from None
+                raise self._refusal(self._why_waiting()) from None
         except asyncio.CancelledError:
             waiting.stored.cancel()
             raise
@@ -93,9 +99,7 @@
             if not self._outage.is_on:
                 await self._news.wait()
                 self._news.clear()
-            failure = await self._probe()
-            if failure is not None:
-                self._settle(self._take_all(), failure)
+            if not await self._probe():
                 await asyncio.sleep(PROBE_PAUSE_MS / 1000)
             while self._waiting and not self._outage.is_on:
                 batch = self._take()
@@ -114,10 +118,6 @@
             else:
                 waiting.stored.set_exception(failure)
 
-    def _take_all(self) -> list[_Waiting]:
-        batch, self._waiting = self._waiting, []
-        return batch
-
     def _take(self) -> list[_Waiting]:
         size = 0
         count = 0
@@ -131,23 +131,29 @@
         # Callers that went away before the append need no record.
         return [w for w in batch if not w.stored.cancelled()]
 
-    async def _probe(self) -> errors.SchedulerError | None:
+    async def _probe(self) -> bool:
         """Ask a store that was silent for a while before writing to it."""
         if self._outage.is_sound(self._clock.now(), FRESH_MS):
-            return None
+            return True
         try:
             # By another node if the store turns this one away.
             async with asyncio.timeout(2 * PROBE_MS / 1000):
                 await self._store.read(TOPIC, self._part, 0, 0, PROBE_MS)
-        except ports.TrimmedError:
-            self._outage.note_answer(self._clock.now())
         except (ports.StoreError, TimeoutError) as error:
             self._metrics.count('intake_probes_failed_total')
             self._outage.note_failure(self._clock.now())
-            return self._refusal(f'the store does not answer: {error!r}')
-        else:
-            self._outage.note_answer(self._clock.now())
-        return None
+            self._failure = repr(error)
+            return False
+        except ports.TrimmedError:
+            # An answer as good as any other.
+            pass
+        self._outage.note_answer(self._clock.now())
+        return True
+
+    def _why_waiting(self) -> str:
+        if self._outage.is_on:
+            return f'the store does not answer: {self._failure}'
+        return 'a write before it waits for the store'
 
     async def _append(
         self, batch: typing.Sequence[_Waiting]
@@ -166,7 +172,7 @@
                 self._metrics.count('intake_errors_total')
                 self._outage.note_failure(self._clock.now())
                 is_unknown = is_unknown or error.is_unknown
-                detail = str(error)
+                detail = self._failure = str(error)
                 continue
             self._outage.note_answer(self._clock.now())
             self._tasks.spawn(self._deliver(items))
@@ -185,6 +191,14 @@
         )
 
 
+def patience_ms(submission: spec_mod.Submission) -> float:
+    """Return how long a job may wait for a store that is away."""
+    objective_ms = spec_mod.objective_ms(
+        submission.queue, submission.spec.steps
+    )
+    return min(MOST_PATIENCE_MS, PATIENCE_SHARE * objective_ms)
+
+
 async def store_job(
     submission: spec_mod.Submission,
     submit: typing.Callable[
@@ -202,7 +216,7 @@
         return taken
     item = ports.KeyValue(submission.job_id, records.encode(submission))
     try:
-        await intake.store(item)
+        await intake.store(item, patience_ms(submission))
     except errors.SchedulerError as error:
         if taken is ports.Taken.NO:
             raise
