--- a/bench/plans.py
+++ b/bench/plans.py
@@ -14,6 +14,7 @@
 
 import tabulate
 
+from carawaymast_core.cell import choosing
 from carawaymast_core.cell import placing
 from carawaymast_core.cell import planner
 from carawaymast_core.cell import rooms
@@ -35,7 +36,7 @@
     for step in ordered[: planner.MAX_STEPS_A_PLAN]:
         found = []
         for worker in workers:
-            if not planner.admits(step, worker):
+            if not choosing.admits(step, worker):
                 continue
             capacity = worker.entry.capacity
             room = rooms.fitting(step.spec.size, capacity, worker.free, 0.0)
--- a/features/cell_world.py
+++ b/features/cell_world.py
@@ -11,6 +11,7 @@
 from carawaymast_core import clock as clock_mod
 from carawaymast_core import resources
 from carawaymast_core.cell import answers
+from carawaymast_core.cell import batching
 from carawaymast_core.cell import cell as cell_mod
 from carawaymast_core.cell import lives
 from carawaymast_core.cell import placing
@@ -207,7 +208,7 @@
         placing.plan(self.cell, now_ms, now_ms)
         self.send_stops()
         self.send_paces()
-        batch = self.cell.take_batch(now_ms)
+        batch = batching.take(self.cell, now_ms)
         if not is_stored:
             return
         for job_id, submission in batch.submission_by_id.items():
@@ -219,7 +220,7 @@
             self.put_state(key, b'')
         if batch.paces is not None:
             self.put_state(records.PACES_KEY, records.encode(batch.paces))
-        for run in self.cell.commit(batch):
+        for run in batching.commit(self.cell, batch):
             self._check_start(run.task)
             deadline_ms = run.worker.next_deadline(now_ms, LEASE_MS)
             self.pending_starts.append((run, self.epoch, deadline_ms))
--- a/features/steps/load_steps.py
+++ b/features/steps/load_steps.py
@@ -8,9 +8,9 @@
 
 from carawaymast_core import clock as clock_mod
 from carawaymast_core.cell import advice
+from carawaymast_core.cell import choosing
 from carawaymast_core.cell import fleet as fleet_mod
 from carawaymast_core.cell import pace
-from carawaymast_core.cell import planner
 from carawaymast_core.cell import records
 from carawaymast_core.cell import reports
 from carawaymast_core.cell import spec as spec_mod
@@ -641,10 +641,10 @@
         job_id = f's{rank}-{number}'
         submit(context, job_id, cell_world.step(), policy=policy)
         step = world.cell.ready_by_name[f'{job_id}.0.0']
-        if planner.tiers_of(step) is not planner.EXPLORING_TIERS:
+        if choosing.tiers_of(step) is not choosing.EXPLORING_TIERS:
             break
     fleet = fleet_mod.Fleet(world.cell.worker_by_key.values())
-    (placement,) = planner.choose(step, fleet, world.clock.now())
+    (placement,) = choosing.choose(step, fleet, world.clock.now())
     context.place = placement.worker.worker_id
 
 
--- a/features/steps/outage_steps.py
+++ b/features/steps/outage_steps.py
@@ -8,6 +8,7 @@
 
 from carawaymast_core import clock as clock_mod
 from carawaymast_core import errors
+from carawaymast_core.cell import batching
 from carawaymast_core.cell import outage
 from carawaymast_node.cells import intake as intake_mod
 from carawaymast_node.cells import ports
@@ -205,7 +206,7 @@
         for job_id in (first, second)
     ]
     world.cell.accept(submissions[0], now_ms, now_ms)
-    context.batch = world.cell.take_batch(now_ms)
+    context.batch = batching.take(world.cell, now_ms)
     world.cell.accept(submissions[1], now_ms, now_ms)
 
 
--- a/features/steps/planning_steps.py
+++ b/features/steps/planning_steps.py
@@ -8,10 +8,10 @@
 
 from carawaymast_core import resources
 from carawaymast_core.cell import advice as advice_mod
+from carawaymast_core.cell import choosing
 from carawaymast_core.cell import fleet as fleet_mod
 from carawaymast_core.cell import pace
 from carawaymast_core.cell import placing
-from carawaymast_core.cell import planner
 from carawaymast_core.cell import rooms
 from features import cell_world
 from standins import cells
@@ -38,7 +38,7 @@
 @when('a task looks for room')
 def look_for_room(context):
     fleet = fleet_mod.Fleet(usable(context.cell))
-    found = fleet.with_room(cells.SERVICE, TASK, planner.URGENT_TIERS)
+    found = fleet.with_room(cells.SERVICE, TASK, choosing.URGENT_TIERS)
     context.looked_at = [worker.worker_id for worker in found]
 
 
@@ -70,7 +70,7 @@
         for step in cell.ready_by_name.values():
             by_index = [
                 (placement.worker.worker_id, placement.ticket)
-                for placement in planner.choose(step, fleet, cells.NOW_MS)
+                for placement in choosing.choose(step, fleet, cells.NOW_MS)
             ]
             assert by_index == scan(step, usable(cell)), step.name
             chosen += len(by_index)
@@ -79,11 +79,11 @@
 
 def scan(step, workers):
     """Return worker and ticket of each task, by a look at each worker."""
-    tiers = planner.tiers_of(step)
+    tiers = choosing.tiers_of(step)
     allowed = [
         w
         for w in workers
-        if planner.admits(step, w)
+        if choosing.admits(step, w)
         and (
             step.advice is None
             or step.advice.ticket(w.worker_id, cells.NOW_MS)
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -12,7 +12,7 @@
 
 from carawaymast_core import clock as clock_mod
 from carawaymast_core import errors
-from carawaymast_core.cell import cell as cell_mod
+from carawaymast_core.cell import batching
 from carawaymast_core.cell import records
 from carawaymast_core.cell import view as view_mod
 from carawaymast_node import fabric_pb2
@@ -70,7 +70,7 @@
 
 def batch(job_id):
     record = records.JobRecord(records.JobPhase.RUNNING, '', True, 0, ())
-    return cell_mod.Batch({}, {job_id: record}, [], {})
+    return batching.Batch({}, {job_id: record}, [], {})
 
 
 def state_keys(context):
--- /dev/null
+++ b/packages/carawaymast-core/carawaymast_core/cell/batching.py
@@ -0,0 +1,111 @@
+"""What a cell writes with one append, and what may follow it."""
+
+import typing
+
+from carawaymast_core.cell import ends
+from carawaymast_core.cell import placing
+from carawaymast_core.cell import records
+from carawaymast_core.cell import reports
+from carawaymast_core.cell import spec as spec_mod
+from carawaymast_core.cell import worker as worker_mod
+
+if typing.TYPE_CHECKING:
+    from carawaymast_core.cell import cell as cell_mod
+
+__all__ = ['Batch', 'commit', 'take']
+
+# The next leader misses what was learned for so long at most.
+KEEP_PACES_MS = 4_000
+
+
+class Batch(typing.NamedTuple):
+    """What one append writes, and what may follow once it is stored."""
+
+    submission_by_id: dict[str, spec_mod.Submission]
+    records_by_id: dict[str, records.JobRecord]
+    starts: list[worker_mod.Run]
+    acks: dict[tuple[str, int], int]
+    dropped_keys: typing.Sequence[str] = ()
+    paces: records.PaceRecord | None = None
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether there is nothing to write or to acknowledge."""
+        return not (
+            self.submission_by_id
+            or self.records_by_id
+            or self.starts
+            or self.acks
+            or self.dropped_keys
+            or self.paces
+        )
+
+
+def take(cell: 'cell_mod.Cell', wall_ms: int) -> Batch:
+    """Return what has changed since the last call, to be written."""
+    placing.settle_gang_runs(cell)
+    records_by_id = {}
+    for run in cell.starts:
+        run.task.last_run_id = run.run_id
+        job = run.task.step.job
+        if not job.has_started:
+            job.has_started = True
+            job.phase = records.JobPhase.RUNNING
+            job.changed_at_ms = wall_ms
+    for job_id in cell.dirty_ids:
+        job = cell.job_by_id.get(job_id)
+        if job is None:
+            continue
+        records_by_id[job_id] = job.record()
+        if job.phase.is_final and not any(job.runs()):
+            del cell.job_by_id[job_id]
+    batch = Batch(
+        cell.new_by_id,
+        records_by_id,
+        cell.starts,
+        cell.acks,
+        cell.dropped_keys,
+        _due_paces(cell, wall_ms),
+    )
+    cell.new_by_id = {}
+    cell.dirty_ids = set()
+    cell.starts = []
+    cell.acks = {}
+    cell.dropped_keys = []
+    return batch
+
+
+def commit(cell: 'cell_mod.Cell', batch: Batch) -> list[worker_mod.Run]:
+    """Note that a batch is stored; return the runs to start."""
+    for key, number in batch.acks.items():
+        worker = cell.worker_by_key.get(key)
+        if worker is not None:
+            worker.ack_number = max(worker.ack_number, number)
+    starts = []
+    for run in batch.starts:
+        if run.worker.run_by_task.get(run.task.name) is not run:
+            continue
+        run.state = worker_mod.RunState.ORDERED
+        if run.stop_reason or run.task.step.job.phase.is_final:
+            # It was never ordered, so it cannot be there.
+            ends.apply(
+                cell,
+                run,
+                reports.EndKind.WITHDRAWN,
+                '',
+                run.placed_at_ms,
+            )
+            continue
+        starts.append(run)
+    return starts
+
+
+def _due_paces(
+    cell: 'cell_mod.Cell', wall_ms: int
+) -> records.PaceRecord | None:
+    """Return what was learned of workers' speeds, now and then."""
+    if wall_ms - cell.paces_kept_at_ms < KEEP_PACES_MS:
+        return None
+    cell.paces_kept_at_ms = wall_ms
+    rows = cell.paces.rows()
+    return records.PaceRecord(rows) if rows else None
--- a/packages/carawaymast-core/carawaymast_core/cell/cell.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/cell.py
@@ -11,48 +11,20 @@
 from carawaymast_core.cell import admission
 from carawaymast_core.cell import advice as advice_mod
 from carawaymast_core.cell import availability
-from carawaymast_core.cell import ends
 from carawaymast_core.cell import fleet as fleet_mod
 from carawaymast_core.cell import jobs
 from carawaymast_core.cell import pace
 from carawaymast_core.cell import pacing
-from carawaymast_core.cell import placing
 from carawaymast_core.cell import records
-from carawaymast_core.cell import reports
 from carawaymast_core.cell import spec as spec_mod
 from carawaymast_core.cell import takeover
 from carawaymast_core.cell import view as view_mod
 from carawaymast_core.cell import worker as worker_mod
 
-__all__ = ['Batch', 'Cell']
-
-
-class Batch(typing.NamedTuple):
-    """What one append writes, and what may follow once it is stored."""
-
-    submission_by_id: dict[str, spec_mod.Submission]
-    records_by_id: dict[str, records.JobRecord]
-    starts: list[worker_mod.Run]
-    acks: dict[tuple[str, int], int]
-    dropped_keys: typing.Sequence[str] = ()
-    paces: records.PaceRecord | None = None
-
-    @property
-    def is_empty(self) -> bool:
-        """Whether there is nothing to write or to acknowledge."""
-        return not (
-            self.submission_by_id
-            or self.records_by_id
-            or self.starts
-            or self.acks
-            or self.dropped_keys
-            or self.paces
-        )
+__all__ = ['Cell']
 
 
 Log = typing.Callable[..., None]
-# The next leader misses what was learned for so long at most.
-KEEP_PACES_MS = 4_000
 
 
 class Cell:
@@ -74,15 +46,15 @@
         # Steps of which copies may run, while tasks of theirs do.
         self.speculative_by_name: dict[str, jobs.StepState] = {}
         self.copied_at_ms = 0
-        self._paces_kept_at_ms = 0
+        self.paces_kept_at_ms = 0
         # When workers were last looked at for runs that are overdue.
         self.judged_at_ms = 0
         # The usable workers as of the last plan, and the work that waited
         # then, worked out when it is first asked for.
         self.fleet = fleet_mod.Fleet(())
         self._backlog: admission.Backlog | None = None
-        self._new_by_id: dict[str, spec_mod.Submission] = {}
-        self._dirty: set[str] = set()
+        self.new_by_id: dict[str, spec_mod.Submission] = {}
+        self.dirty_ids: set[str] = set()
         self.starts: list[worker_mod.Run] = []
         self.acks: dict[tuple[str, int], int] = {}
         # State records that have expired, see ``retention``.
@@ -118,7 +90,7 @@
             return
         job = jobs.Job(submission, wall_ms)
         self.job_by_id[submission.job_id] = job
-        self._new_by_id[submission.job_id] = submission
+        self.new_by_id[submission.job_id] = submission
         self.refresh(job, now_ms, wall_ms)
 
     def withdraw(self, job_id: str) -> bool:
@@ -129,11 +101,11 @@
         job = self.job_by_id.get(job_id)
         if job is None:
             return True
-        if job_id not in self._new_by_id or any(job.runs()):
+        if job_id not in self.new_by_id or any(job.runs()):
             return False
         del self.job_by_id[job_id]
-        del self._new_by_id[job_id]
-        self._dirty.discard(job_id)
+        del self.new_by_id[job_id]
+        self.dirty_ids.discard(job_id)
         for step in job.steps():
             self.ready_by_name.pop(step.name, None)
             self.timed_steps.pop(step.name, None)
@@ -201,7 +173,7 @@
 
     def mark(self, job: jobs.Job) -> None:
         """Have the next batch write a job's state."""
-        self._dirty.add(job.job_id)
+        self.dirty_ids.add(job.job_id)
 
     def refresh(self, job: jobs.Job, now_ms: int, wall_ms: int) -> None:
         """List the steps of a job that have tasks to start."""
@@ -244,71 +216,6 @@
 
     # -- time and room -----------------------------------------------------
 
-    def take_batch(self, wall_ms: int) -> Batch:
-        """Return what has changed since the last call, to be written."""
-        placing.settle_gang_runs(self)
-        records_by_id = {}
-        for run in self.starts:
-            run.task.last_run_id = run.run_id
-            job = run.task.step.job
-            if not job.has_started:
-                job.has_started = True
-                job.phase = records.JobPhase.RUNNING
-                job.changed_at_ms = wall_ms
-        for job_id in self._dirty:
-            job = self.job_by_id.get(job_id)
-            if job is None:
-                continue
-            records_by_id[job_id] = job.record()
-            if job.phase.is_final and not any(job.runs()):
-                del self.job_by_id[job_id]
-        batch = Batch(
-            self._new_by_id,
-            records_by_id,
-            self.starts,
-            self.acks,
-            self.dropped_keys,
-            self._due_paces(wall_ms),
-        )
-        self._new_by_id = {}
-        self._dirty = set()
-        self.starts = []
-        self.acks = {}
-        self.dropped_keys = []
-        return batch
-
-    def _due_paces(self, wall_ms: int) -> records.PaceRecord | None:
-        """Return what was learned of workers' speeds, now and then."""
-        if wall_ms - self._paces_kept_at_ms < KEEP_PACES_MS:
-            return None
-        self._paces_kept_at_ms = wall_ms
-        rows = self.paces.rows()
-        return records.PaceRecord(rows) if rows else None
-
-    def commit(self, batch: Batch) -> list[worker_mod.Run]:
-        """Note that a batch is stored; return the runs to start."""
-        for key, number in batch.acks.items():
-            worker = self.worker_by_key.get(key)
-            if worker is not None:
-                worker.ack_number = max(worker.ack_number, number)
-        starts = []
-        for run in batch.starts:
-            if run.worker.run_by_task.get(run.task.name) is not run:
-                continue
-            run.state = worker_mod.RunState.ORDERED
-            if run.stop_reason or run.task.step.job.phase.is_final:
-                # It was never ordered, so it cannot be there.
-                ends.apply(
-                    self,
-                    run,
-                    reports.EndKind.WITHDRAWN,
-                    '',
-                    run.placed_at_ms,
-                )
-                continue
-            starts.append(run)
-        return starts
-
     def find_task(self, name: str) -> jobs.Task | None:
         """Return the task that a worker names.
 
--- /dev/null
+++ b/packages/carawaymast-core/carawaymast_core/cell/choosing.py
@@ -0,0 +1,282 @@
+"""Where the tasks of one step may go now, the best workers first.
+
+Pure functions over a step, its tickets and the rooms of the fleet.
+"""
+
+import typing
+import zlib
+
+from carawaymast_core.cell import fleet as fleet_mod
+from carawaymast_core.cell import pace
+from carawaymast_core.cell import pacing
+from carawaymast_core.cell import rooms
+
+if typing.TYPE_CHECKING:
+    from carawaymast_core.cell import jobs
+    from carawaymast_core.cell import worker as worker_mod
+
+__all__ = [
+    'Option',
+    'Placement',
+    'admits',
+    'allowed_workers',
+    'choose',
+    'first_option',
+    'tiers_of',
+    'urgent_preference',
+]
+
+# Which workers suit urgent and other tasks, the best first. Speeds are found
+# out by work that may wait, and by one urgent step in so many.
+URGENT_TIERS = (
+    pace.Tier.FAST,
+    pace.Tier.TYPICAL,
+    pace.Tier.UNKNOWN,
+    pace.Tier.SLOW,
+    pace.Tier.FAULTY,
+)
+EXPLORING_TIERS = (
+    pace.Tier.UNKNOWN,
+    pace.Tier.FAST,
+    pace.Tier.TYPICAL,
+    pace.Tier.SLOW,
+    pace.Tier.FAULTY,
+)
+EXPLORING_ONE_IN = 8
+PATIENT_TIERS = (
+    pace.Tier.UNKNOWN,
+    pace.Tier.SLOW,
+    pace.Tier.TYPICAL,
+    pace.Tier.FAST,
+    pace.Tier.FAULTY,
+)
+
+
+class Placement(typing.NamedTuple):
+    """A task and the worker it shall run on."""
+
+    task: 'jobs.Task'
+    worker: 'worker_mod.Worker'
+    ticket: str
+
+
+Holding = typing.Callable[
+    ['jobs.StepState', typing.Sequence['worker_mod.Worker']], None
+]
+
+
+class Option(typing.NamedTuple):
+    """A worker with room for so many tasks of a step."""
+
+    worker: 'worker_mod.Worker'
+    count: int
+    ticket: str
+
+
+def admits(step: 'jobs.StepState', worker: 'worker_mod.Worker') -> bool:
+    """Tell whether a worker is of the service and kind that a step needs."""
+    entry = worker.entry
+    label = step.spec.required_label
+    return entry.service == step.job.submission.queue.service and (
+        not label or label in entry.labels
+    )
+
+
+def allowed_workers(
+    step: 'jobs.StepState',
+    fleet: fleet_mod.Fleet,
+    now_ms: int,
+    excluded_ids: typing.Container[str] = frozenset(),
+) -> list['worker_mod.Worker']:
+    """Return the workers that admit a step and for which it has tickets."""
+    service = step.job.submission.queue.service
+    workers = fleet.workers_by_service.get(service, ())
+    if step.advice is not None:
+        known = map(fleet.worker_by_id.get, step.advice.grant_by_worker)
+        workers = [
+            w
+            for w in known
+            if w is not None and step.advice.ticket(w.worker_id, now_ms)
+        ]
+    return [
+        w
+        for w in workers
+        if w.worker_id not in excluded_ids and admits(step, w)
+    ]
+
+
+def choose(
+    step: 'jobs.StepState',
+    fleet: fleet_mod.Fleet,
+    now_ms: int,
+    excluded_ids: typing.Container[str] = frozenset(),
+) -> list[Placement]:
+    """Return placements for the waiting tasks of a step.
+
+    All of them for a gang, or none; otherwise as many as fit.
+    """
+    tasks = step.waiting()
+    if step.spec.is_gang and len(tasks) < len(step.tasks):
+        # Members of the run before are still being stopped.
+        return []
+    is_urgent = step.job.submission.queue.rank == 0
+    kept = 0.0 if is_urgent else rooms.URGENT_HEADROOM_SHARE
+    found = _options(step, fleet, now_ms, excluded_ids, kept)
+    chosen = _choose(step, tasks, found)
+    if chosen or is_urgent:
+        return chosen
+    allowed = allowed_workers(step, fleet, now_ms, excluded_ids)
+    if rooms.kept_share(step, allowed):
+        return []
+    return _choose(
+        step, tasks, _options(step, fleet, now_ms, excluded_ids, 0.0)
+    )
+
+
+def first_option(
+    step: 'jobs.StepState',
+    fleet: fleet_mod.Fleet,
+    now_ms: int,
+    excluded_ids: typing.Container[str],
+) -> 'Option | None':
+    """Return the best place for one more task of a step, if there is room."""
+    is_urgent = step.job.submission.queue.rank == 0
+    kept = 0.0 if is_urgent else rooms.URGENT_HEADROOM_SHARE
+    found = _options(step, fleet, now_ms, excluded_ids, kept)
+    return next(found, None)
+
+
+def tiers_of(step: 'jobs.StepState') -> tuple[pace.Tier, ...]:
+    """Return the speeds of workers that suit a step, the best first."""
+    if step.job.submission.queue.rank > 0:
+        return PATIENT_TIERS
+    is_exploring = zlib.crc32(step.name.encode()) % EXPLORING_ONE_IN == 0
+    return EXPLORING_TIERS if is_exploring else URGENT_TIERS
+
+
+def urgent_preference(worker: 'worker_mod.Worker') -> tuple[bool, int]:
+    """Return a key that is smaller for workers to ask about for urgent work.
+
+    Fast ones, if they have any room worth asking about.
+    """
+    is_full = worker.free_share < rooms.URGENT_HEADROOM_SHARE
+    return is_full, URGENT_TIERS.index(worker.tier)
+
+
+def _options(
+    step: 'jobs.StepState',
+    fleet: fleet_mod.Fleet,
+    now_ms: int,
+    excluded_ids: typing.Container[str],
+    kept_share: float,
+) -> typing.Iterator[Option]:
+    """Yield where a step's tasks have room, the best first.
+
+    Urgent tasks, which have little time to lose, go to fast workers, the
+    others to those whose speed is to be found out, and to slow ones.
+    """
+    if step.spec.is_filler:
+        allowed = allowed_workers(step, fleet, now_ms, excluded_ids)
+        yield from _filler_options(step, allowed, now_ms)
+        return
+    queue = step.job.submission.queue
+    size = step.spec.held_size
+    limit = step.spec.max_per_worker
+    tiers = tiers_of(step)
+    for worker in fleet.with_room(queue.service, size, tiers, kept_share):
+        ticket = ''
+        if step.advice is not None:
+            ticket = step.advice.ticket(worker.worker_id, now_ms)
+            if ticket is None:
+                continue
+        if worker.worker_id in excluded_ids or not admits(step, worker):
+            continue
+        capacity = worker.entry.capacity
+        count = rooms.fitting(size, capacity, worker.free, kept_share)
+        if limit:
+            count = min(count, limit - _here(step, worker))
+        if count > 0:
+            yield Option(worker, count, ticket)
+
+
+def _filler_options(
+    step: 'jobs.StepState',
+    allowed: typing.Iterable['worker_mod.Worker'],
+    now_ms: int,
+) -> typing.Iterator[Option]:
+    """Yield where fillers go: where they disturb least, then most is left.
+
+    All fillers of a worker together may want no more than it has.
+    """
+    rows = []
+    for worker in allowed:
+        if now_ms < worker.no_fillers_until_ms:
+            continue
+        here = pacing.filler_millis(worker)
+        capacity = worker.entry.capacity
+        count = rooms.fitting(step.spec.held_size, capacity, worker.free, 0.0)
+        millis = max(1, step.spec.size.cpu_millis)
+        count = min(count, (capacity.cpu_millis - here) // millis)
+        if step.spec.max_per_worker:
+            count = min(count, step.spec.max_per_worker - _here(step, worker))
+        if count <= 0:
+            continue
+        left = worker.free.cpu_millis - here
+        pressure = pacing.pressure_at(worker)
+        rows.append((pressure, -left, worker.worker_id, worker, count))
+    for *_, worker, count in sorted(rows, key=lambda row: row[:3]):
+        ticket = ''
+        if step.advice is not None:
+            ticket = step.advice.ticket(worker.worker_id, now_ms) or ''
+        yield Option(worker, count, ticket)
+
+
+def _choose(
+    step: 'jobs.StepState',
+    tasks: list['jobs.Task'],
+    options: typing.Iterator[Option],
+) -> list[Placement]:
+    for group in _groups(step, options):
+        chosen = _fill(tasks, group)
+        if len(chosen) == len(tasks) or not step.spec.is_gang and chosen:
+            return chosen
+    return []
+
+
+def _groups(
+    step: 'jobs.StepState', options: typing.Iterator[Option]
+) -> typing.Iterator[typing.Iterable[Option]]:
+    """Yield workers to try in turn: near the data, one rack, then all."""
+    wanted_rack = step.spec.data_rack
+    if not wanted_rack and not step.spec.is_rack_local:
+        yield options
+        return
+    found = list(options)
+    if wanted_rack:
+        yield [o for o in found if o.worker.rack == wanted_rack]
+    else:
+        by_rack: dict[str, list[Option]] = {}
+        for option in found:
+            by_rack.setdefault(option.worker.rack, []).append(option)
+        yield from by_rack.values()
+    yield found
+
+
+def _fill(
+    tasks: typing.Iterable['jobs.Task'], options: typing.Iterable[Option]
+) -> list[Placement]:
+    """Fill workers with tasks in the order given."""
+    chosen = []
+    waiting = iter(tasks)
+    for worker, count, ticket in options:
+        for _ in range(count):
+            task = next(waiting, None)
+            if task is None:
+                return chosen
+            chosen.append(Placement(task, worker, ticket))
+    return chosen
+
+
+def _here(step: 'jobs.StepState', worker: 'worker_mod.Worker') -> int:
+    """Count the tasks of a step's occurrence that may be at a worker."""
+    return sum(1 for t in step.tasks if t.name in worker.run_by_task)
--- a/packages/carawaymast-core/carawaymast_core/cell/copies.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/copies.py
@@ -7,8 +7,8 @@
 
 import typing
 
+from carawaymast_core.cell import choosing
 from carawaymast_core.cell import fleet as fleet_mod
-from carawaymast_core.cell import planner
 from carawaymast_core.cell import suspicion
 from carawaymast_core.cell import worker as worker_mod
 
@@ -26,7 +26,7 @@
 
 def choose(
     cell: 'cell_mod.Cell', fleet: fleet_mod.Fleet, now_ms: int
-) -> typing.Iterator[planner.Placement]:
+) -> typing.Iterator[choosing.Placement]:
     """Yield where copies shall start; the caller counts each room at once."""
     for step in list(cell.speculative_by_name.values()):
         if step.is_done or not any(task.runs for task in step.tasks):
@@ -36,7 +36,7 @@
             run = _only_run(task)
             if run is None or not _is_late(cell, run, now_ms):
                 continue
-            option = planner.first_option(
+            option = choosing.first_option(
                 step, fleet, now_ms, {run.worker.worker_id}
             )
             if option is None:
@@ -48,7 +48,7 @@
                 ran_ms=now_ms - (run.began_at_ms or now_ms),
                 worker=option.worker.worker_id,
             )
-            yield planner.Placement(task, option.worker, option.ticket)
+            yield choosing.Placement(task, option.worker, option.ticket)
 
 
 def _only_run(task: 'jobs.Task') -> worker_mod.Run | None:
--- a/packages/carawaymast-core/carawaymast_core/cell/placing.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/placing.py
@@ -3,6 +3,7 @@
 import typing
 
 from carawaymast_core import errors
+from carawaymast_core.cell import choosing
 from carawaymast_core.cell import copies
 from carawaymast_core.cell import fleet as fleet_mod
 from carawaymast_core.cell import jobs
@@ -27,7 +28,7 @@
     ordered = planner.order(cell.ready_by_name.values(), wall_ms)
     touched: dict[str, jobs.Job] = {}
 
-    def place(placement: planner.Placement) -> None:
+    def place(placement: choosing.Placement) -> None:
         _place(cell, placement, now_ms)
         job = placement.task.step.job
         touched[job.job_id] = job
@@ -66,9 +67,6 @@
     all steps have just been planned, those that hold tickets are left out:
     what they hold may be enough.
     """
-    usable = [w for w in cell.worker_by_key.values() if w.is_usable(now_ms)]
-    by_room = sorted(usable, key=lambda w: w.free_share, reverse=True)
-    by_speed = sorted(by_room, key=planner.urgent_preference)
     ids_by_kind: dict[tuple[str, str, bool], list[str]] = {}
     for step in planner.order(cell.ready_by_name.values(), wall_ms):
         advice = step.advice
@@ -80,10 +78,7 @@
         is_urgent = queue.rank == 0
         kind = queue.service, step.spec.required_label, is_urgent
         if kind not in ids_by_kind:
-            ordered = by_speed if is_urgent else by_room
-            ids_by_kind[kind] = [
-                w.worker_id for w in ordered if planner.admits(step, w)
-            ]
+            ids_by_kind[kind] = _ids_to_ask(cell, step, now_ms)
         wanted = advice.wanted(
             ids_by_kind[kind], now_ms, queue.advice.valid_ms
         )
@@ -91,8 +86,26 @@
             yield step, wanted
 
 
+def _ids_to_ask(
+    cell: 'cell_mod.Cell', step: jobs.StepState, now_ms: int
+) -> list[str]:
+    """Return the workers to ask about for a step, the best first.
+
+    Those with most room, for urgent steps the fast ones of these.
+    """
+    found = [
+        worker
+        for worker in cell.worker_by_key.values()
+        if worker.is_usable(now_ms) and choosing.admits(step, worker)
+    ]
+    found.sort(key=lambda worker: worker.free_share, reverse=True)
+    if step.job.submission.queue.rank == 0:
+        found.sort(key=choosing.urgent_preference)
+    return [worker.worker_id for worker in found]
+
+
 def _place(
-    cell: 'cell_mod.Cell', placement: planner.Placement, now_ms: int
+    cell: 'cell_mod.Cell', placement: choosing.Placement, now_ms: int
 ) -> None:
     task, worker, ticket = placement
     step = task.step
--- a/packages/carawaymast-node/carawaymast_node/cells/journal.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/journal.py
@@ -4,7 +4,7 @@
 import typing
 
 from carawaymast_core import clock as clock_mod
-from carawaymast_core.cell import cell as cell_mod
+from carawaymast_core.cell import batching
 from carawaymast_core.cell import records
 from carawaymast_core.cell import view as view_mod
 from carawaymast_node.cells import ports
@@ -66,7 +66,7 @@
         # From here on this process writes all that there is to read.
         self._tail.is_suspended = True
 
-    async def write(self, batch: cell_mod.Batch) -> None:
+    async def write(self, batch: batching.Batch) -> None:
         """Store a batch, however long that takes.
 
         Raises ``FencedError`` once another leader has fenced this one.
--- a/packages/carawaymast-node/carawaymast_node/cells/leader.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/leader.py
@@ -5,6 +5,7 @@
 
 from carawaymast_core import errors
 from carawaymast_core.cell import admission
+from carawaymast_core.cell import batching
 from carawaymast_core.cell import cell as cell_mod
 from carawaymast_core.cell import lives
 from carawaymast_core.cell import placing
@@ -273,15 +274,15 @@
         self._wake.set()
 
     def _begin_commit(self, wall_ms: int) -> None:
-        batch = self.cell.take_batch(wall_ms)
+        batch = batching.take(self.cell, wall_ms)
         if batch.is_empty:
             return
         self._commit = asyncio.ensure_future(self._write(batch))
         self._commit.add_done_callback(lambda task: self._wake.set())
 
-    async def _write(self, batch: cell_mod.Batch) -> None:
+    async def _write(self, batch: batching.Batch) -> None:
         await self._journal.write(batch)
-        starts = self.cell.commit(batch)
+        starts = batching.commit(self.cell, batch)
         for line in orders.start_lines(starts, self._clock.wall()):
             self._log.note('started_step', epoch=self.epoch, **line)
         for run in starts:
