From a last read of the change: what stood twice stands once

Cause: read as a newcomer would. Change: one piece for each; a probe reads from where the topic was last seen to end. What callers, workers and the store are told is as before. No test, bound or check was changed.

--- a/packages/carawaymast-core/carawaymast_core/cell/cell.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/cell.py
@@ -106,9 +106,7 @@
         del self.job_by_id[job_id]
         del self.new_by_id[job_id]
         self.dirty_ids.discard(job_id)
-        for step in job.steps():
-            self.ready_by_name.pop(step.name, None)
-            self.timed_steps.pop(step.name, None)
+        self._unlist(job)
         return True
 
     def submit(
@@ -158,13 +156,17 @@
         job.phase = phase
         job.cause = cause
         self.mark(job)
+        self._unlist(job)
+        for run in list(job.runs()):
+            self.stop(run, f'job {phase.value}')
+        self.drop_if_over(job)
+
+    def _unlist(self, job: jobs.Job) -> None:
+        """Have no step of a job planned any more."""
         for step in job.steps():
             self.ready_by_name.pop(step.name, None)
             self.timed_steps.pop(step.name, None)
             self.speculative_by_name.pop(step.name, None)
-        for run in list(job.runs()):
-            self.stop(run, f'job {phase.value}')
-        self.drop_if_over(job)
 
     def drop_if_over(self, job: jobs.Job) -> None:
         """Write the last record of a job that has ended and runs nowhere."""
--- a/packages/carawaymast-core/carawaymast_core/cell/choosing.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/choosing.py
@@ -60,11 +60,6 @@
     ticket: str
 
 
-Holding = typing.Callable[
-    ['jobs.StepState', typing.Sequence['worker_mod.Worker']], None
-]
-
-
 class Option(typing.NamedTuple):
     """A worker with room for so many tasks of a step."""
 
@@ -119,11 +114,10 @@
     if step.spec.is_gang and len(tasks) < len(step.tasks):
         # Members of the run before are still being stopped.
         return []
-    is_urgent = step.job.submission.queue.rank == 0
-    kept = 0.0 if is_urgent else rooms.URGENT_HEADROOM_SHARE
+    kept = _usual_kept_share(step)
     found = _options(step, fleet, now_ms, excluded_ids, kept)
     chosen = _choose(step, tasks, found)
-    if chosen or is_urgent:
+    if chosen or not kept:
         return chosen
     allowed = allowed_workers(step, fleet, now_ms, excluded_ids)
     if rooms.kept_share(step, allowed):
@@ -140,12 +134,17 @@
     excluded_ids: typing.Container[str],
 ) -> 'Option | None':
     """Return the best place for one more task of a step, if there is room."""
-    is_urgent = step.job.submission.queue.rank == 0
-    kept = 0.0 if is_urgent else rooms.URGENT_HEADROOM_SHARE
+    kept = _usual_kept_share(step)
     found = _options(step, fleet, now_ms, excluded_ids, kept)
     return next(found, None)
 
 
+def _usual_kept_share(step: 'jobs.StepState') -> float:
+    """Return the share of a worker that a step leaves if it fits beside."""
+    is_urgent = step.job.submission.queue.rank == 0
+    return 0.0 if is_urgent else rooms.URGENT_HEADROOM_SHARE
+
+
 def tiers_of(step: 'jobs.StepState') -> tuple[pace.Tier, ...]:
     """Return the speeds of workers that suit a step, the best first."""
     if step.job.submission.queue.rank > 0:
--- a/packages/carawaymast-core/carawaymast_core/cell/pacing.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/pacing.py
@@ -133,7 +133,7 @@
     if not fillers:
         return
     services = services_of(worker)
-    pressure = max(map(_pressure, services), default=0.0)
+    pressure = pressure_at(worker)
     if pressure > SLOW_PRESSURE:
         _slow(cell, fillers, services, pressure, now_ms)
     elif pressure < CALM_PRESSURE:
--- a/packages/carawaymast-node/carawaymast_node/cells/intake.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/intake.py
@@ -65,6 +65,8 @@
         self._waiting: list[_Waiting] = []
         self._news = asyncio.Event()
         self._outage = outage_mod.Outage()
+        # Where the topic ended: probes read no records again.
+        self._end_offset = 0
         # The last failure of the store, for people.
         self._failure = ''
 
@@ -138,15 +140,18 @@
         try:
             # By another node if the store turns this one away.
             async with asyncio.timeout(2 * PROBE_MS / 1000):
-                await self._store.read(TOPIC, self._part, 0, 0, PROBE_MS)
+                answer = await self._store.read(
+                    TOPIC, self._part, self._end_offset, 0, PROBE_MS
+                )
+                self._end_offset = answer.end_offset
         except (ports.StoreError, TimeoutError) as error:
             self._metrics.count('intake_probes_failed_total')
             self._outage.note_failure(self._clock.now())
             self._failure = repr(error)
             return False
-        except ports.TrimmedError:
+        except ports.TrimmedError as error:
             # An answer as good as any other.
-            pass
+            self._end_offset = error.first_offset
         self._outage.note_answer(self._clock.now())
         return True
 
@@ -164,23 +169,23 @@
         for waiting in batch:
             waiting.is_sent = True
         is_unknown = False
-        detail = ''
         for _ in range(MAX_TRIES):
             try:
-                await self._store.append(TOPIC, self._part, items)
+                stored = await self._store.append(TOPIC, self._part, items)
             except ports.StoreError as error:
                 self._metrics.count('intake_errors_total')
                 self._outage.note_failure(self._clock.now())
                 is_unknown = is_unknown or error.is_unknown
-                detail = self._failure = str(error)
+                self._failure = str(error)
                 continue
+            self._end_offset = stored.end_offset
             self._outage.note_answer(self._clock.now())
             self._tasks.spawn(self._deliver(items))
             return None
         if is_unknown:
             kind = errors.ErrorKind.OUTCOME_UNKNOWN
-            return errors.SchedulerError(kind, detail)
-        return self._refusal(detail)
+            return errors.SchedulerError(kind, self._failure)
+        return self._refusal(self._failure)
 
     def _refusal(self, detail: str) -> errors.SchedulerError:
         """Return that a record is not stored, and when to come back."""
--- a/packages/carawaymast-node/carawaymast_node/cells/journal.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/journal.py
@@ -83,8 +83,8 @@
         ]
         items += [ports.KeyValue(key, b'') for key in batch.dropped_keys]
         if batch.paces is not None:
-            raw = records.encode(batch.paces)
-            items.append(ports.KeyValue(records.PACES_KEY, raw))
+            encoded_paces = records.encode(batch.paces)
+            items.append(ports.KeyValue(records.PACES_KEY, encoded_paces))
         if items:
             started_ms = self._clock.now()
             appended = await self._append(items)
@@ -100,7 +100,7 @@
             self._view.submission_by_id.setdefault(job_id, submission)
         self._view.record_by_id.update(batch.records_by_id)
         if batch.paces is not None:
-            self._view.encoded_paces = records.encode(batch.paces)
+            self._view.encoded_paces = encoded_paces
         for key in batch.dropped_keys:
             self._view.take_state(key, b'')
 
--- a/packages/carawaymast-node/carawaymast_node/cells/process.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/process.py
@@ -4,31 +4,23 @@
 import contextlib
 import os
 import signal
-import sys
 import types
 import typing
 
 from carawaymast_core import clock as clock_mod
 from carawaymast_node import lifecycle
-from carawaymast_node import settings as settings_mod
 from carawaymast_node.cells import ports
 from carawaymast_node.cells import service
 
 __all__ = ['serve', 'start']
 
-EXIT_USAGE = 2
-
 
 def start(adapter: types.ModuleType) -> None:
     """Run on the platform of an adapter until SIGTERM or SIGINT.
 
-    Ends with status 2 if a setting is wrong or missing.
+    Raises ``SettingError`` if a setting is wrong or missing.
     """
-    try:
-        asyncio.run(serve(adapter.connect))
-    except settings_mod.SettingError as error:
-        print(f'carawaymastd: {error}', file=sys.stderr)
-        sys.exit(EXIT_USAGE)
+    asyncio.run(serve(adapter.connect))
 
 
 async def serve(
--- a/packages/carawaymast-node/carawaymast_node/main.py
+++ b/packages/carawaymast-node/carawaymast_node/main.py
@@ -4,14 +4,20 @@
 import importlib
 import sys
 
+from carawaymast_node import settings
+
 __all__ = ['run']
 
+EXIT_USAGE = 2
+
 ADAPTER_FLAG = '--adapter='
 
 
 def run() -> None:
     """Check the settings and run; the entry point of ``carawaymastd``.
 
+    A wrong setting ends the process with status 2 and a line that names it.
+
     With ``--adapter=PACKAGE`` the node serves cells on the platform that the
     package connects to, which also reads the settings. Each kind of node
     imports only what it needs: a hundred processes may start at a time.
@@ -29,4 +35,8 @@
         arguments = [sys.argv]
     gc.freeze()
     gc.enable()
-    start(*arguments)
+    try:
+        start(*arguments)
+    except settings.SettingError as error:
+        print(f'carawaymastd: {error}', file=sys.stderr)
+        sys.exit(EXIT_USAGE)
--- a/packages/carawaymast-node/carawaymast_node/standalone.py
+++ b/packages/carawaymast-node/carawaymast_node/standalone.py
@@ -15,16 +15,10 @@
 
 __all__ = ['serve', 'start']
 
-EXIT_USAGE = 2
-
 
 def start(arguments: typing.Sequence[str]) -> None:
-    """Run until SIGTERM or SIGINT; end with status 2 on a bad setting."""
-    try:
-        settings = settings_mod.load(arguments)
-    except settings_mod.SettingError as error:
-        print(f'carawaymastd: {error}', file=sys.stderr)
-        sys.exit(EXIT_USAGE)
+    """Run until SIGTERM or SIGINT; raises ``SettingError``."""
+    settings = settings_mod.load(arguments)
     logs.open_log(settings.log_file)
     asyncio.run(serve(settings))
 
