Set-up works on aarch64: pins with wheels, test tools apart

On a fresh aarch64 machine both README commands ended in 'Failed building wheel for z3-solver': 5.4.1.0 has no wheel there, and its build needs a newer CMake. 4.15.4.0 is the newest with wheels for x86_64 and aarch64.

make run and make up install requirements.txt alone; the linters, the solver and the test runner follow with make test. pip takes wheels only, so a missing one is an error at once.

--- a/Makefile
+++ b/Makefile
@@ -1,30 +1,42 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: setup run up test lint format bench proto
+.PHONY: setup test-setup run up test lint format bench proto
+
+# A missing wheel is an error at once, not a build that fails after minutes.
+WHEELS := $(BIN)/pip install -q --disable-pip-version-check --only-binary :all:
 
 setup: .venv/installed
 
-.venv/installed: requirements.txt requirements-dev.txt packages/*/pyproject.toml platform/pyproject.toml
+test-setup: .venv/test-installed
+
+.venv/installed: requirements.txt requirements-source.txt \
+  packages/*/pyproject.toml platform/pyproject.toml
 	$(PYTHON) -m venv .venv
-	$(BIN)/pip install -q --disable-pip-version-check -r requirements-dev.txt
+	$(WHEELS) -r requirements.txt
+	$(BIN)/pip install -q --disable-pip-version-check \
+	  -r requirements-source.txt
 	$(BIN)/pip install -q --disable-pip-version-check --no-deps \
 	  -e packages/carawaymast-core -e packages/carawaymast-node \
 	  -e packages/carawaymast-cli -e platform
 	touch $@
 
+.venv/test-installed: requirements-dev.txt .venv/installed
+	$(WHEELS) -r requirements-dev.txt
+	touch $@
+
 run: setup
 	$(BIN)/python -m standins.demo
 
 up: setup
 	$(BIN)/python -m standins.up
 
-lint: setup
+lint: test-setup
 	$(BIN)/ruff format --check -q .
 	$(BIN)/ruff check -q .
 	$(BIN)/flake8
 
-format: setup
+format: test-setup
 	$(BIN)/ruff format -q .
 	$(BIN)/ruff check -q --fix .
 	$(BIN)/ruff format -q .
