A crash of a worker is told apart from a lease that expired

Cause: run_ended said 'lapsed' for a lease that expired, for a worker that crashed and for one that left after notice, and worker_gone did not name the runs.

Change: run_ended says 'crashed' or 'left' where an incarnation has ended; the event worker_crashed names address, silence and runs with the time each had been there; the gauge workers_crashed counts them; explain follows them. No decision depends on any of it.

--- a/packages/carawaymast-cli/carawaymast_cli/explain.py
+++ b/packages/carawaymast-cli/carawaymast_cli/explain.py
@@ -13,7 +13,7 @@
 
 PREFIX = 'carawaymast:'
 # Fields that identify a request, job, step or task.
-ID_FIELDS = ('job', 'task', 'step', 'path')
+ID_FIELDS = ('job', 'task', 'step', 'path', 'runs')
 # Fields of every line, which ``Line.fields`` leaves out.
 COMMON_FIELDS = ('timestamp', 'message_type', 'at_node', 'at_ms')
 
@@ -129,6 +129,8 @@
 VERB_BY_HOW: typing.Final[dict[str, str]] = {
     'failed': 'failed',
     'lapsed': 'was lost with its lease',
+    'crashed': 'was on a worker that crashed',
+    'left': 'was on a worker that left',
     'absent': 'did not arrive',
     'refused': 'was refused',
     'broken': 'lost a member of its gang',
--- a/packages/carawaymast-core/carawaymast_core/cell/answers.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/answers.py
@@ -44,7 +44,7 @@
         return
     worker.record_clock(answer.clock_ms, now_ms)
     worker.assumed_lost_at_ms = None
-    worker.is_unresponsive = False
+    worker.silent_since_ms = None
     if not worker.is_adopted:
         worker.is_adopted = True
         worker.assume_lease(cell.lease_ms)
@@ -164,7 +164,7 @@
         detail=outcome.detail,
     )
     if not outcome.is_known:
-        run.worker.is_unresponsive = True
+        run.worker.mark_unresponsive(now_ms)
         _handle_unanswered_start(cell, run, now_ms)
         return
     advice = run.task.step.advice
--- a/packages/carawaymast-core/carawaymast_core/cell/cell.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/cell.py
@@ -53,6 +53,8 @@
         self.speeds_stored_at_ms = 0
         # When workers were last checked for overdue runs.
         self.overdue_checked_at_ms = 0
+        # Crashes of workers with runs, under this leader.
+        self.crashed_workers = 0
         # The usable workers as of the last plan, and the backlog, which is
         # computed when it is first needed after a plan.
         self.fleet = fleet_mod.Fleet(())
--- a/packages/carawaymast-core/carawaymast_core/cell/reports.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/reports.py
@@ -22,8 +22,12 @@
     DONE = 'done'
     FAILED = 'failed'
     STOPPED = 'stopped'
-    # The worker's lease expired, or its incarnation ended.
+    # The worker's lease expired.
     LAPSED = 'lapsed'
+    # The worker's incarnation ended, and it was not about to leave.
+    CRASHED = 'crashed'
+    # The worker's incarnation ended after it was told to leave.
+    LEFT = 'left'
     # Another member of its gang ended.
     BROKEN = 'broken'
     # The other members of its gang did not start in time.
--- a/packages/carawaymast-core/carawaymast_core/cell/worker.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/worker.py
@@ -150,9 +150,9 @@
         self.is_adopted = False
         self.is_gone = False
         self.is_listed = True
-        # Set when a call is not answered, cleared by the next answer to a
-        # lease renewal.
-        self.is_unresponsive = False
+        # When a call was first not answered; None again after the next answer
+        # to a lease renewal.
+        self.silent_since_ms: int | None = None
         # Numbers of ended runs, see ``reports.EndedRun``: the last one of
         # which the effect is stored, and the last one that was received.
         self.ack_number = 0
@@ -207,6 +207,16 @@
         labels = self.entry.labels
         return labels[1] if len(labels) > 1 else ''
 
+    @property
+    def is_unresponsive(self) -> bool:
+        """Whether the last call was not answered."""
+        return self.silent_since_ms is not None
+
+    def mark_unresponsive(self, now_ms: int) -> None:
+        """Record that a call was not answered."""
+        if self.silent_since_ms is None:
+            self.silent_since_ms = now_ms
+
     def is_usable(self, now_ms: int) -> bool:
         """Return whether new runs may be placed here."""
         return (
--- a/packages/carawaymast-core/carawaymast_core/cell/worker_lifecycle.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/worker_lifecycle.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from carawaymast_core.cell import crashes
 from carawaymast_core.cell import reports
 from carawaymast_core.cell import run_ends
 from carawaymast_core.cell import suspicion
@@ -75,8 +76,12 @@
     cell.log_event('worker_gone', worker=worker.worker_id, why=why)
     cell.worker_by_key.pop(worker.key, None)
     cell.speeds.discard(worker.key)
+    has_left = worker.entry.is_draining
+    if not has_left:
+        crashes.record(cell, worker, now_ms)
+    how = reports.EndKind.LEFT if has_left else reports.EndKind.CRASHED
     for run in list(worker.run_by_task.values()):
-        run_ends.apply(cell, run, reports.EndKind.LAPSED, '', now_ms)
+        run_ends.apply(cell, run, how, '', now_ms)
 
 
 def _move_runs(
@@ -90,6 +95,8 @@
     A start that was under way may take effect there, so only the lists of the
     new incarnation, or a stop that it answered, prove that it did not.
     """
+    if not predecessor.entry.is_draining:
+        crashes.record(cell, predecessor, now_ms)
     for run in list(predecessor.run_by_task.values()):
         predecessor.remove(run)
         run.worker = successor
--- a/packages/carawaymast-node/carawaymast_node/cells/gauges.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/gauges.py
@@ -43,6 +43,7 @@
     found: dict[str, float] = {
         'steps_waiting': len(cell.ready_by_name),
         'workers_known': len(cell.worker_by_key),
+        'workers_crashed': cell.crashed_workers,
         'orders_unanswered': sum(
             run.state is worker_mod.RunState.ORDERED
             for worker in cell.worker_by_key.values()
--- a/packages/carawaymast-node/carawaymast_node/cells/orders.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/orders.py
@@ -187,7 +187,7 @@
             except ports.WorkerError as error:
                 self._metrics.count('hold_errors_total')
                 was_unresponsive = worker.is_unresponsive
-                worker.is_unresponsive = True
+                worker.mark_unresponsive(self._clock.now())
                 self._lossy_until_ms = self._clock.now() + LOSSY_PERIOD_MS
                 self._log.log_event(
                     'hold_failed', worker=worker.worker_id, error=str(error)
