--- a/features/cell_world.py
+++ b/features/cell_world.py
@@ -37,6 +37,8 @@
 ]
 
 LEASE_MS = 6_000
+# How long a runner is down after a crash.
+RESTART_MS = 3_200
 KEEP_ENDED_MS = 120_000
 CAPACITY = resources.Resources(16_000, 65_536, 0)
 SERVICE = 'desk'
@@ -83,6 +85,22 @@
         # The factor by which runs at a runner take longer.
         self.slowdown_by_id: dict[str, float] = {}
         self.fails: typing.Callable[[str], bool] = lambda task: False
+        # Whether a task crashes each runner that starts it.
+        self.is_deadly: typing.Callable[[str], bool] = lambda task: False
+        # Whether the runner answers the start before it crashes.
+        self.is_deadly_start_answered = True
+        # How many runners crashed under each task, and how often each task
+        # was started after the third such crash.
+        self.crashes_by_task: collections.Counter[str] = collections.Counter()
+        self.late_starts_by_task: collections.Counter[str] = (
+            collections.Counter()
+        )
+        self._restart_at_ms_by_id: dict[str, int] = {}
+        self._replaced_ids: set[str] = set()
+        # Whether crashed runners restart under the id that they had.
+        self.keeps_id = False
+        # Runners with another capacity than ``capacity``.
+        self.capacity_by_id: dict[str, resources.Resources] = {}
         self.events: list[tuple[str, dict]] = []
         self.done_task_names: set[str] = set()
         self.completed_ids: set[str] = set()
@@ -101,17 +119,57 @@
     def entry(self, runner, is_draining=False, remaining_ms=None):
         return reports.WorkerEntry(
             runner.runner_id,
-            'address',
+            _address(runner.runner_id),
             runner.born_ms,
             SERVICE,
             'domain',
             is_draining,
-            self.capacity,
+            self.capacity_of(runner.runner_id),
             ('a', 'r1'),
             0,
             remaining_ms,
         )
 
+    def capacity_of(self, runner_id):
+        return self.capacity_by_id.get(runner_id, self.capacity)
+
+    def set_capacity(self, runner_id, cpu_millis):
+        """Change a runner's processors; the leader reads it at once."""
+        self.capacity_by_id[runner_id] = self.capacity._replace(
+            cpu_millis=cpu_millis
+        )
+        worker_lifecycle.apply_worker_entry(
+            self.cell,
+            self.entry(self.runner_by_id[runner_id]),
+            self.clock.now(),
+        )
+
+    def crash(self, runner_id):
+        """Crash a runner; it restarts at the same address."""
+        runner = self.runner_by_id[runner_id]
+        self.crashes_by_task.update(list(runner.running))
+        runner.running.clear()
+        runner.is_up = False
+        self._restart_at_ms_by_id[runner_id] = self.clock.now() + RESTART_MS
+
+    def _restart_runners(self):
+        """Restart the crashed runners that are due, and list them."""
+        for runner_id, at_ms in list(self._restart_at_ms_by_id.items()):
+            if self.clock.now() < at_ms:
+                continue
+            del self._restart_at_ms_by_id[runner_id]
+            predecessor = self.runner_by_id.pop(runner_id)
+            if self.keeps_id:
+                new_id = runner_id
+            else:
+                new_id = f'{_address(runner_id)}~{self.clock.now()}'
+                self._replaced_ids.add(runner_id)
+            born_ms = predecessor.born_ms + 1
+            runner = self.add_runner(new_id, born_ms)
+            worker_lifecycle.apply_worker_entry(
+                self.cell, self.entry(runner), self.clock.now()
+            )
+
     def log(self, event_type, **fields):
         self.events.append((event_type, fields))
 
@@ -202,9 +260,12 @@
     def renew_lease(self, runner_id):
         runner = self.runner_by_id[runner_id]
         worker = self.worker(runner_id)
-        if worker is None or not runner.is_up:
+        if worker is None:
             return
         now_ms = self.clock.now()
+        if not runner.is_up:
+            worker.mark_unresponsive(now_ms)
+            return
         deadline_ms = None
         if worker.is_adopted:
             deadline_ms = worker.next_deadline(now_ms, LEASE_MS)
@@ -219,12 +280,20 @@
     def renew_leases(self):
         for runner_id in list(self.runner_by_id):
             self.renew_lease(runner_id)
+        for runner_id in self._replaced_ids:
+            worker = self.worker(runner_id)
+            if worker is not None and worker.is_listed:
+                # The runner at this address has another id.
+                worker_lifecycle.end_incarnation(
+                    self.cell, worker, 'another id answered', self.clock.now()
+                )
 
-    def plan(self, is_stored=True, is_sent=True):
+    def plan(self, is_stored=True, is_sent=True, while_storing=lambda: None):
         """Plan, send stops, store the batch and send its starts.
 
         Without ``is_stored`` the batch is lost. Without ``is_sent`` the
-        starts stay in ``pending_starts``.
+        starts stay in ``pending_starts``. ``while_storing`` is called before
+        the batch is stored.
         """
         now_ms = self.clock.now()
         self.cell.set_clock(now_ms, now_ms)
@@ -233,6 +302,7 @@
         self.send_stops()
         self.send_speed_limits()
         batch = batching.collect(self.cell, now_ms)
+        while_storing()
         if not is_stored:
             return
         for job_id, submission in batch.submission_by_id.items():
@@ -270,7 +340,8 @@
         if runner is None or not runner.is_up:
             return None
         name = run.task.name
-        return runner.start(
+        known_starts = len(runner.started)
+        outcome = runner.start(
             epoch,
             name,
             run.run_id,
@@ -278,6 +349,30 @@
             int(self.work_ms * self.slowdown_by_id.get(runner.runner_id, 1)),
             self.fails(name),
         )
+        if len(runner.started) > known_starts:
+            self._check_new_start(runner, name)
+        return outcome if runner.is_up else self._answer_before_crash(outcome)
+
+    def _check_new_start(self, runner, task):
+        """Assert that a start broke no limit; crash the runner if deadly."""
+        used = resources.total(
+            self._step(name).allocated_size for name in runner.running
+        )
+        capacity = self.capacity_of(runner.runner_id)
+        assert used.fits_in(capacity), (
+            f'the start of {task} at {runner.runner_id} uses {used} '
+            f'of {capacity}'
+        )
+        if not self.is_deadly(task):
+            return
+        self.late_starts_by_task[task] += self.crashes_by_task[task] >= 3
+        assert self.late_starts_by_task[task] <= 2, (
+            f'{task} was started three times after three crashes'
+        )
+        self.crash(runner.runner_id)
+
+    def _answer_before_crash(self, outcome):
+        return outcome if self.is_deadly_start_answered else None
 
     def send_stops(self):
         stops = list(self.cell.stops)
@@ -309,6 +404,7 @@
 
     def advance(self, ms):
         self.clock.advance(ms)
+        self._restart_runners()
         for runner in self.runner_by_id.values():
             if runner.is_up:
                 runner.advance(ms)
@@ -376,6 +472,11 @@
         return self.view.submission_by_id[job_id].spec.steps[int(number)]
 
 
+def _address(runner_id):
+    """Return a runner's address; its next incarnation has it too."""
+    return runner_id.partition('~')[0]
+
+
 def _put(stored, key, value):
     stored.pop(key, None)
     if value:
