A task that crashes its workers is given up, and those beside it are not

Cause: the end of a run with its worker said nothing against the task. It was placed again at once, anywhere, without bound. The class: a retry whose failure is seen by the component that died with it, so that no budget counts it.

Change: each crash is counted in the task's record, in the append that frees the run, so that a new leader knows it first; suspects are kept apart, then alone, which shows who did it; a job fails after three crashes of a task alone, four otherwise. A lost lease becomes a crash when another incarnation answers, and is taken back when the same one does. Suspects get no copies. Workers that leave after notice do not count.

--- a/features/cell_world.py
+++ b/features/cell_world.py
@@ -86,19 +86,31 @@
         self.slowdown_by_id: dict[str, float] = {}
         self.fails: typing.Callable[[str], bool] = lambda task: False
         # Whether a task crashes each runner that starts it.
-        self.is_deadly: typing.Callable[[str], bool] = lambda task: False
+        self.crashes_runners: typing.Callable[[str], bool] = lambda task: False
         # Whether the runner answers the start before it crashes.
-        self.is_deadly_start_answered = True
+        self.is_crashing_start_answered = True
         # How many runners crashed under each task, and how often each task
         # was started after the third such crash.
         self.crashes_by_task: collections.Counter[str] = collections.Counter()
+        # How many other tasks each crash under a task took, oldest first.
+        self.companions_by_task: dict[str, list[int]] = (
+            collections.defaultdict(list)
+        )
         self.late_starts_by_task: collections.Counter[str] = (
             collections.Counter()
         )
         self._restart_at_ms_by_id: dict[str, int] = {}
+        # (name of the step, run id)
+        self._broken_gang_runs: set[tuple[str, int]] = set()
         self._replaced_ids: set[str] = set()
-        # Whether crashed runners restart under the id that they had.
+        # Whether crashed runners restart under the id that they had, and
+        # after how long.
         self.keeps_id = False
+        self.restart_ms = RESTART_MS
+        # Whether the leader's list lacks runners that are down.
+        self.is_unlisted_while_down = False
+        # Whether the leader's list lacks runners that are down.
+        self.is_unlisted_while_down = False
         # Runners with another capacity than ``capacity``.
         self.capacity_by_id: dict[str, resources.Resources] = {}
         self.events: list[tuple[str, dict]] = []
@@ -148,9 +160,27 @@
         """Crash a runner; it restarts at the same address."""
         runner = self.runner_by_id[runner_id]
         self.crashes_by_task.update(list(runner.running))
+        lost = {task: run.run_id for task, run in runner.running.items()}
+        for task in lost:
+            self.companions_by_task[task].append(len(lost) - 1)
         runner.running.clear()
         runner.is_up = False
-        self._restart_at_ms_by_id[runner_id] = self.clock.now() + RESTART_MS
+        for task, run_id in lost.items():
+            if self._step(task).is_gang:
+                self._broken_gang_runs.add((_step_name(task), run_id))
+        self._break_gangs()
+        self._restart_at_ms_by_id[runner_id] = (
+            self.clock.now() + self.restart_ms
+        )
+        if self.is_unlisted_while_down:
+            worker_lifecycle.unlist_worker(self.cell, runner_id)
+
+    def _break_gangs(self):
+        """End the other members of gangs that have lost one."""
+        for runner in self.runner_by_id.values():
+            for task, run in list(runner.running.items()):
+                if (_step_name(task), run.run_id) in self._broken_gang_runs:
+                    runner.end_run(task, reports.EndKind.BROKEN)
 
     def _restart_runners(self):
         """Restart the crashed runners that are due, and list them."""
@@ -282,7 +312,7 @@
             self.renew_lease(runner_id)
         for runner_id in self._replaced_ids:
             worker = self.worker(runner_id)
-            if worker is not None and worker.is_listed:
+            if worker is not None and worker.entry.address:
                 # The runner at this address has another id.
                 worker_lifecycle.end_incarnation(
                     self.cell, worker, 'another id answered', self.clock.now()
@@ -354,7 +384,7 @@
         return outcome if runner.is_up else self._answer_before_crash(outcome)
 
     def _check_new_start(self, runner, task):
-        """Assert that a start broke no limit; crash the runner if deadly."""
+        """Assert that a start broke no limit; let it crash the runner."""
         used = resources.total(
             self._step(name).allocated_size for name in runner.running
         )
@@ -363,7 +393,8 @@
             f'the start of {task} at {runner.runner_id} uses {used} '
             f'of {capacity}'
         )
-        if not self.is_deadly(task):
+        self._break_gangs()
+        if not self.crashes_runners(task):
             return
         self.late_starts_by_task[task] += self.crashes_by_task[task] >= 3
         assert self.late_starts_by_task[task] <= 2, (
@@ -372,7 +403,7 @@
         self.crash(runner.runner_id)
 
     def _answer_before_crash(self, outcome):
-        return outcome if self.is_deadly_start_answered else None
+        return outcome if self.is_crashing_start_answered else None
 
     def send_stops(self):
         stops = list(self.cell.stops)
@@ -477,6 +508,10 @@
     return runner_id.partition('~')[0]
 
 
+def _step_name(task):
+    return task.rpartition('.')[0]
+
+
 def _put(stored, key, value):
     stored.pop(key, None)
     if value:
--- a/packages/carawaymast-core/carawaymast_core/cell/answers.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/answers.py
@@ -3,7 +3,9 @@
 import typing
 
 from carawaymast_core import resources
+from carawaymast_core.cell import crashes
 from carawaymast_core.cell import progress
+from carawaymast_core.cell import records
 from carawaymast_core.cell import reports
 from carawaymast_core.cell import run_ends
 from carawaymast_core.cell import suspicion
@@ -45,6 +47,8 @@
     worker.record_clock(answer.clock_ms, now_ms)
     worker.assumed_lost_at_ms = None
     worker.silent_since_ms = None
+    if worker.lapsed_tasks:
+        crashes.withdraw_lapse(cell, worker)
     if not worker.is_adopted:
         worker.is_adopted = True
         worker.assume_lease(cell.lease_ms)
@@ -94,6 +98,8 @@
             run.known_at_ms = now_ms
             # A previous leader may have set the limit.
             run.speed_limit = int(row.percent)
+        if run.task.crashes != records.NO_CRASHES:
+            crashes.apply_survival(cell, run, now_ms)
         progress.record(run, row.percent, now_ms)
         run.use = row.use
         if run.stop_reason == NOT_ANSWERED and not run.is_stop_sent:
--- a/packages/carawaymast-core/carawaymast_core/cell/choosing.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/choosing.py
@@ -8,6 +8,7 @@
 
 from carawaymast_core.cell import fleet as fleet_mod
 from carawaymast_core.cell import free_capacity
+from carawaymast_core.cell import isolation
 from carawaymast_core.cell import throttling
 from carawaymast_core.cell import worker_speed
 
@@ -117,15 +118,14 @@
         return []
     headroom = _usual_headroom_share(step)
     found = _options(step, fleet, now_ms, excluded_ids, headroom)
-    chosen = _choose(step, tasks, found)
+    chosen = _choose(step, tasks, found, now_ms)
     if chosen or not headroom:
         return chosen
     allowed = allowed_workers(step, fleet, now_ms, excluded_ids)
     if free_capacity.headroom_share(step, allowed):
         return []
-    return _choose(
-        step, tasks, _options(step, fleet, now_ms, excluded_ids, 0.0)
-    )
+    found = _options(step, fleet, now_ms, excluded_ids, 0.0)
+    return _choose(step, tasks, found, now_ms)
 
 
 def first_option(
@@ -215,7 +215,7 @@
     """
     rows = []
     for worker in allowed:
-        if now_ms < worker.no_fillers_until_ms:
+        if now_ms < worker.no_fillers_until_ms or worker.isolated_by_name:
             continue
         fillers_millis = throttling.filler_cpu_millis(worker)
         capacity = worker.entry.capacity
@@ -244,6 +244,7 @@
     step: 'jobs.StepState',
     tasks: list['jobs.Task'],
     options: typing.Iterator[Option],
+    now_ms: int,
 ) -> list[Placement]:
     """Place tasks in the first group of workers that is sufficient.
 
@@ -251,7 +252,7 @@
     any of them.
     """
     for group in _groups(step, options):
-        chosen = _fill(tasks, group)
+        chosen = _fill(tasks, group, now_ms)
         if len(chosen) == len(tasks) or not step.spec.is_gang and chosen:
             return chosen
     return []
@@ -277,10 +278,20 @@
 
 
 def _fill(
-    tasks: typing.Iterable['jobs.Task'], options: typing.Iterable[Option]
+    tasks: list['jobs.Task'], options: typing.Iterable[Option], now_ms: int
 ) -> list[Placement]:
-    """Place tasks on workers in the order given."""
+    """Place tasks on workers in the order given, suspects before others."""
     chosen = []
+    suspects = [task for task in tasks if isolation.is_suspect(task)]
+    if suspects:
+        tasks = [task for task in tasks if not isolation.is_suspect(task)]
+        pairs, options = isolation.place_suspects(
+            suspects, list(options), now_ms
+        )
+        chosen = [
+            Placement(task, option.worker, option.ticket)
+            for task, option in pairs
+        ]
     waiting = iter(tasks)
     for worker, count, ticket in options:
         for _ in range(count):
--- a/packages/carawaymast-core/carawaymast_core/cell/fleet.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/fleet.py
@@ -80,9 +80,14 @@
         return resources.total(w.entry.capacity for w in workers)
 
     def update(self, worker: 'worker_mod.Worker') -> None:
-        """Update the index after a change to a worker's free capacity."""
+        """Update the index after a run was placed at a worker.
+
+        A worker with an isolated task is removed from it.
+        """
         rows = self._rows_by_service_tier[worker.entry.service, worker.tier]
-        rows.remove(self._row_by_id[worker.worker_id])
+        rows.remove(self._row_by_id.pop(worker.worker_id))
+        if worker.isolated_by_name:
+            return
         row = self._row_by_id[worker.worker_id] = _row(worker)
         rows.add(row)
 
--- a/packages/carawaymast-core/carawaymast_core/cell/jobs.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/jobs.py
@@ -18,6 +18,7 @@
 
     __slots__ = (
         'checkpoint',
+        'crashes',
         'failures',
         'index',
         'is_done',
@@ -25,6 +26,7 @@
         'name',
         'runs',
         'step',
+        'waiting_since_ms',
     )
 
     def __init__(self, step: 'StepState', index: int):
@@ -35,7 +37,10 @@
         self.last_run_id = 0
         self.failures = 0
         self.checkpoint = ''
+        self.crashes = records.NO_CRASHES
         self.runs: list[worker.Run] = []
+        # When its last run ended, on the leader's clock.
+        self.waiting_since_ms = 0
 
     @property
     def is_waiting(self) -> bool:
@@ -53,6 +58,7 @@
                 records.RunRecord(run.run_id, *run.worker.key)
                 for run in self.runs
             ),
+            None if self.crashes == records.NO_CRASHES else self.crashes,
         )
 
 
--- a/packages/carawaymast-core/carawaymast_core/cell/records.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/records.py
@@ -15,10 +15,12 @@
 
 __all__ = [
     'CANCEL_SUFFIX',
+    'CrashRecord',
     'Heartbeat',
     'JobPhase',
     'JobRecord',
     'LeaderRecord',
+    'NO_CRASHES',
     'RunRecord',
     'SPEEDS_KEY',
     'SUBMISSION_SUFFIX',
@@ -80,14 +82,36 @@
     born_ms: int
 
 
+class CrashRecord(typing.NamedTuple):
+    """The workers that were lost while a task was on them.
+
+    ``crashed_at`` holds the addresses of those that have certainly crashed,
+    one for each crash. ``lost`` counts those of which only the lease is known
+    to have expired. ``shortest_ms`` and ``longest_ms`` are how long runs of
+    the task had been placed when their workers crashed.
+    """
+
+    crashed_at: tuple[str, ...] = ()
+    lost: int = 0
+    shortest_ms: int = 0
+    longest_ms: int = 0
+
+
+NO_CRASHES = CrashRecord()
+
+
 class TaskRecord(typing.NamedTuple):
-    """A task: its last run id, its failures, and where it may run."""
+    """A task: its last run id, its failures, and where it may run.
+
+    ``crashes`` is None if no worker was lost under it.
+    """
 
     is_done: bool
     last_run_id: int
     failures: int
     checkpoint: str
     runs: tuple[RunRecord, ...]
+    crashes: CrashRecord | None = None
 
 
 class JobRecord(typing.NamedTuple):
--- a/packages/carawaymast-core/carawaymast_core/cell/run_ends.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/run_ends.py
@@ -23,6 +23,7 @@
     """Apply the end of a run that the cell has placed."""
     task = run.task
     cell.release(run)
+    task.waiting_since_ms = now_ms
     cell.log_event(
         'run_ended',
         task=task.name,
--- a/packages/carawaymast-core/carawaymast_core/cell/speculation.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/speculation.py
@@ -9,6 +9,7 @@
 
 from carawaymast_core.cell import choosing
 from carawaymast_core.cell import fleet as fleet_mod
+from carawaymast_core.cell import isolation
 from carawaymast_core.cell import progress
 from carawaymast_core.cell import suspicion
 from carawaymast_core.cell import worker as worker_mod
@@ -58,7 +59,7 @@
 
 def _only_run(task: 'jobs.Task') -> worker_mod.Run | None:
     """Return the only run of a task if it is confirmed, else None."""
-    if task.is_done or len(task.runs) != 1:
+    if task.is_done or len(task.runs) != 1 or isolation.is_suspect(task):
         return None
     (run,) = task.runs
     is_running = run.state is worker_mod.RunState.RUNNING
--- a/packages/carawaymast-core/carawaymast_core/cell/takeover.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/takeover.py
@@ -62,6 +62,8 @@
     task.last_run_id = row.last_run_id
     task.failures = row.failures
     task.checkpoint = row.checkpoint
+    task.crashes = row.crashes or records.NO_CRASHES
+    task.waiting_since_ms = now_ms
     for run_row in row.runs:
         key = (run_row.worker_id, run_row.born_ms)
         worker = _latest_incarnation(cell, key) or _add_unlisted(
--- a/packages/carawaymast-core/carawaymast_core/cell/worker.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/worker.py
@@ -5,6 +5,7 @@
 
 from carawaymast_core import errors
 from carawaymast_core import resources
+from carawaymast_core.cell import isolation
 from carawaymast_core.cell import reports
 from carawaymast_core.cell import worker_speed
 
@@ -47,6 +48,7 @@
         'placed_at_ms',
         'progressed_at_ms',
         'run_id',
+        'is_crash_counted',
         'speed_limit',
         'speed_limited_at_ms',
         'state',
@@ -80,6 +82,9 @@
         # Whether a stop was ever sent: even if it was not answered, it may
         # take effect.
         self.is_stop_sent = False
+        # Whether its worker crashed, and it may still start at the worker's
+        # next incarnation.
+        self.is_crash_counted = False
         # When the call for its start failed without an answer, and whether
         # the worker has not listed the run since.
         self.unanswered_at_ms = 0
@@ -175,6 +180,12 @@
         self.sped_up_at_ms = 0
         self.no_fillers_until_ms = 0
         self.consecutive_failures = 0
+        # The tasks that must have no others beside them here, by name.
+        self.isolated_by_name: dict[str, jobs.Task] = {}
+        # The tasks whose runs ended here when the lease expired, until it is
+        # known whether the worker has crashed, and until when that counts.
+        self.lapsed_tasks: list[jobs.Task] = []
+        self.lapsed_until_ms = 0
 
     @property
     def entry(self) -> reports.WorkerEntry:
@@ -225,6 +236,7 @@
             and not self.is_gone
             and not self.is_unresponsive
             and not self.entry.is_draining
+            and not self.isolated_by_name
             and now_ms >= self.suspect_until_ms
         )
 
@@ -239,12 +251,15 @@
             f'task {name} already has a run on worker {self.key}',
         )
         self.run_by_task[name] = run
+        if isolation.must_be_alone(run.task):
+            self.isolated_by_name[name] = run.task
         self._used = self._used.plus(run.task.step.spec.allocated_size)
         self._update_free()
 
     def remove(self, run: Run) -> None:
         """Remove a run and free its size."""
         del self.run_by_task[run.task.name]
+        self.isolated_by_name.pop(run.task.name, None)
         self._used = self._used.minus(run.task.step.spec.allocated_size)
         self._update_free()
 
--- a/packages/carawaymast-core/carawaymast_core/cell/worker_lifecycle.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/worker_lifecycle.py
@@ -77,11 +77,11 @@
     cell.worker_by_key.pop(worker.key, None)
     cell.speeds.discard(worker.key)
     has_left = worker.entry.is_draining
-    if not has_left:
-        crashes.record(cell, worker, now_ms)
+    to_give_up = [] if has_left else crashes.record(cell, worker, now_ms)
     how = reports.EndKind.LEFT if has_left else reports.EndKind.CRASHED
     for run in list(worker.run_by_task.values()):
         run_ends.apply(cell, run, how, '', now_ms)
+    crashes.give_up(cell, to_give_up, now_ms)
 
 
 def _move_runs(
@@ -95,8 +95,9 @@
     A start that was under way may take effect there, so only the lists of the
     new incarnation, or a stop that it answered, prove that it did not.
     """
+    to_give_up = []
     if not predecessor.entry.is_draining:
-        crashes.record(cell, predecessor, now_ms)
+        to_give_up = crashes.record(cell, predecessor, now_ms)
     for run in list(predecessor.run_by_task.values()):
         predecessor.remove(run)
         run.worker = successor
@@ -111,6 +112,7 @@
             cell.stop(run, 'its worker has restarted')
         cell.mark_dirty(run.task.step.job)
     end_incarnation(cell, predecessor, 'reborn', now_ms)
+    crashes.give_up(cell, to_give_up, now_ms)
 
 
 def sweep(cell: 'cell_mod.Cell', now_ms: int, wall_ms: int) -> None:
@@ -127,7 +129,7 @@
         if worker.run_by_task and worker.is_lease_expired(now_ms):
             _expire_lease(cell, worker, now_ms)
         elif not worker.is_listed and not worker.run_by_task:
-            end_incarnation(cell, worker, 'unlisted and empty', now_ms)
+            _end_unlisted(cell, worker, now_ms)
         elif worker.entry.is_draining:
             _evacuate(cell, worker)
         for run in list(worker.run_by_task.values()):
@@ -149,8 +151,23 @@
         answered_ms_ago=now_ms - worker.last_answer_at_ms,
     )
     worker.is_adopted = False
+    to_give_up = crashes.record_lapse(cell, worker, now_ms)
     for run in list(worker.run_by_task.values()):
         run_ends.apply(cell, run, reports.EndKind.LAPSED, '', now_ms)
+    crashes.give_up(cell, to_give_up, now_ms)
+
+
+def _end_unlisted(
+    cell: 'cell_mod.Cell', worker: worker_mod.Worker, now_ms: int
+) -> None:
+    """Remove an unlisted worker without runs, unless it may have crashed.
+
+    Then its address is asked for a while: another incarnation there shows it.
+    """
+    if worker.lapsed_tasks and now_ms < worker.lapsed_until_ms:
+        return
+    worker.lapsed_tasks = []
+    end_incarnation(cell, worker, 'unlisted and empty', now_ms)
 
 
 def _evacuate(cell: 'cell_mod.Cell', worker: worker_mod.Worker) -> None:
