A placement is checked once more after it was stored

A start would have brought a worker over its capacity, or gone to a worker that is known to leave (DRAIN).

Cause: a placement was judged when it was made. Its record may take seconds on a slow store, and the start followed whatever the worker's entry said by then. The class: a decision that is checked before a wait and acted on after it.

Change: when the batch is stored, runs at workers that are leaving are withdrawn, and the latest ones at workers that have shrunk, until the rest fits; a gang as a whole. They are placed anew by the next plan.

Why it works: between this check and the order no other code runs.

--- a/features/cell_world.py
+++ b/features/cell_world.py
@@ -111,6 +111,8 @@
         self.is_unlisted_while_down = False
         # Whether the leader's list lacks runners that are down.
         self.is_unlisted_while_down = False
+        # Runs that no job of the store has.
+        self.size_by_unknown_task: dict[str, resources.Resources] = {}
         # Runners with another capacity than ``capacity``.
         self.capacity_by_id: dict[str, resources.Resources] = {}
         self.events: list[tuple[str, dict]] = []
@@ -146,9 +148,14 @@
         return self.capacity_by_id.get(runner_id, self.capacity)
 
     def set_capacity(self, runner_id, cpu_millis):
-        """Change a runner's processors; the leader reads it at once."""
-        self.capacity_by_id[runner_id] = self.capacity._replace(
-            cpu_millis=cpu_millis
+        """Change a runner's processors, and its memory to the same share.
+
+        The leader reads it at once.
+        """
+        full = self.capacity
+        self.capacity_by_id[runner_id] = full._replace(
+            cpu_millis=cpu_millis,
+            memory_mb=full.memory_mb * cpu_millis // full.cpu_millis,
         )
         worker_lifecycle.apply_worker_entry(
             self.cell,
@@ -386,7 +393,7 @@
     def _check_new_start(self, runner, task):
         """Assert that a start broke no limit; let it crash the runner."""
         used = resources.total(
-            self._step(name).allocated_size for name in runner.running
+            self._allocated_size(name) for name in runner.running
         )
         capacity = self.capacity_of(runner.runner_id)
         assert used.fits_in(capacity), (
@@ -467,7 +474,8 @@
         """Assert the invariants of the runners.
 
         A task runs at one runner unless copies of it may run, and no
-        runner is over its capacity.
+        runner is over its usual capacity; ``_check_new_start`` compares each
+        start with the present one.
         """
         for task, runner_ids in self.running().items():
             assert len(runner_ids) == 1 or self.may_run_copies(task), (
@@ -475,7 +483,7 @@
             )
         for runner in self.runner_by_id.values():
             used = resources.total(
-                self._step(task).allocated_size for task in runner.running
+                self._allocated_size(task) for task in runner.running
             )
             assert used.fits_in(self.capacity), (
                 f'{runner.runner_id} uses {used}'
@@ -487,6 +495,8 @@
 
     def _lists_progress(self, task):
         """Whether the percent that is listed of a task is its progress."""
+        if task in self.size_by_unknown_task:
+            return True
         step = self._step(task)
         return not (step.is_service or step.is_filler)
 
@@ -498,6 +508,11 @@
             f'the job of {task.name} was completed'
         )
 
+    def _allocated_size(self, task):
+        if task in self.size_by_unknown_task:
+            return self.size_by_unknown_task[task]
+        return self._step(task).allocated_size
+
     def _step(self, task):
         job_id, _, number, _ = task.split('.')
         return self.view.submission_by_id[job_id].spec.steps[int(number)]
--- a/packages/carawaymast-core/carawaymast_core/cell/batching.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/batching.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from carawaymast_core import resources
 from carawaymast_core.cell import placing
 from carawaymast_core.cell import records
 from carawaymast_core.cell import reports
@@ -85,11 +86,15 @@
 
 
 def mark_stored(cell: 'cell_mod.Cell', batch: Batch) -> list[worker_mod.Run]:
-    """Mark a batch as stored; return the runs to start."""
+    """Mark a batch as stored; return the runs to start.
+
+    Those that may not start any more are withdrawn, and placed anew.
+    """
     for key, number in batch.acks.items():
         worker = cell.worker_by_key.get(key)
         if worker is not None:
             worker.ack_number = max(worker.ack_number, number)
+    _withdraw_unfit(batch.starts)
     starts = []
     for run in batch.starts:
         if run.worker.run_by_task.get(run.task.name) is not run:
@@ -109,6 +114,34 @@
     return starts
 
 
+def _withdraw_unfit(runs: typing.Sequence[worker_mod.Run]) -> None:
+    """Mark runs that must not start where they were placed any more.
+
+    Storing them may have taken seconds, in which the worker may have shrunk
+    or been told to leave. All members of a gang are marked with one of them.
+    """
+    free_by_worker: dict[tuple[str, int], resources.Resources] = {}
+    unfit_gang_runs = set()
+    # The latest placements are withdrawn first.
+    for run in reversed(runs):
+        worker, step = run.worker, run.task.step
+        if worker.run_by_task.get(run.task.name) is not run:
+            continue
+        free = free_by_worker.get(worker.key, worker.free)
+        if worker.entry.is_draining:
+            run.stop_reason = run.stop_reason or 'its worker is leaving'
+        elif min(free) < 0:
+            run.stop_reason = run.stop_reason or 'its worker has shrunk'
+        if not run.stop_reason:
+            continue
+        free_by_worker[worker.key] = free.plus(step.spec.allocated_size)
+        if step.spec.is_gang:
+            unfit_gang_runs.add((step.name, run.run_id))
+    for run in runs:
+        if (run.task.step.name, run.run_id) in unfit_gang_runs:
+            run.stop_reason = run.stop_reason or 'its gang has lost a member'
+
+
 def _due_speed_record(
     cell: 'cell_mod.Cell', wall_ms: int
 ) -> records.SpeedRecord | None:
