A worker that restarted under its id gets nothing before its entry is read

What callers saw: nothing yet; found by looking for LIMIT and ROUTE. Starts could bring the new incarnation over its capacity, or need a label that it does not have.

Cause: the answer that shows a new incarnation says nothing of its capacity and labels, and those of the one before were taken for it. Besides, by reading: the leader spawns the renewals of a worker that was not listed before, so one that an answer had registered as listed was never renewed. The class: facts about one incarnation used for the next.

Change: such an incarnation counts as not listed until its own entry is read; then it is renewed and used. Its runs are moved to it as before.

--- a/features/capacity.feature
+++ b/features/capacity.feature
@@ -66,3 +66,16 @@
     Then nothing runs on "w0"
     When 3 s pass
     Then 14 tasks run
+
+  # Guards against starts by the capacity of the incarnation before.
+  Scenario: A worker that restarts under its id may have become smaller
+    Given a cell of 1 workers
+    And tasks that take 60 s
+    And workers that keep their ids
+    When "w0" restarts with 4 processors, of which its list entry comes late
+    And 2 jobs of 8 tasks are submitted
+    And its leases are renewed and the leader plans
+    Then nothing runs
+    When its list entry comes
+    And 1 s pass
+    Then 3 tasks run
--- a/packages/carawaymast-core/carawaymast_core/cell/answers.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/answers.py
@@ -36,13 +36,16 @@
     """Apply the lists of running and ended runs of a worker.
 
     The call was sent at ``sent_at_ms`` and answered at ``now_ms``. If another
-    incarnation of the worker answered, only register that one.
+    incarnation of the worker answered, only register that one; it counts as
+    not listed, since its capacity and labels are not known yet.
     """
     if worker.is_gone:
         return
     if answer.born_ms != worker.born_ms:
         entry = worker.entry._replace(born_ms=answer.born_ms)
-        worker_lifecycle.apply_worker_entry(cell, entry, now_ms)
+        successor = worker_lifecycle.apply_worker_entry(cell, entry, now_ms)
+        if successor is not None:
+            successor.is_listed = False
         return
     worker.record_clock(answer.clock_ms, now_ms)
     worker.assumed_lost_at_ms = None
