A run of unknown size takes the whole worker, also after it has grown

What callers saw: nothing yet; found by looking for LIMIT on capacity that grows. Runs that the leader does not know are being stopped, and still count.

Cause: such a run was taken to be as large as the worker was when it listed it. On a worker that had shrunk and grew again, that left free what the run may take. The class: an unknown amount stored as a number that was true once.

Change: the worker has no free capacity while it lists a run of unknown size.

--- a/features/capacity.feature
+++ b/features/capacity.feature
@@ -79,3 +79,14 @@
     When its list entry comes
     And 1 s pass
     Then 3 tasks run
+
+  # Guards against the size of an unknown run that is taken as too small.
+  Scenario: A worker with a run of unknown size grows
+    Given a cell of 1 workers
+    And an unknown run of 12 processors on "w0"
+    When "w0" shrinks to 4 processors
+    And 1 jobs of 8 tasks are submitted
+    And its leases are renewed and the leader plans
+    And "w0" grows to 16 processors
+    And the leader plans
+    Then nothing of the new jobs runs beside the unknown run
--- a/packages/carawaymast-core/carawaymast_core/cell/answers.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/answers.py
@@ -87,11 +87,17 @@
     """Apply the running runs; return their task names and run ids."""
     listed = set()
     untracked_size = resources.ZERO
+    has_unsized_run = False
     for row in running:
         listed.add((row.task, row.run_id))
         run = worker.run_by_task.get(row.task)
         if run is None or run.run_id != row.run_id:
-            untracked_size = untracked_size.plus(_size_of(cell, worker, row))
+            task = cell.find_task(row.task)
+            if task is None:
+                has_unsized_run = True
+            else:
+                size = task.step.spec.allocated_size
+                untracked_size = untracked_size.plus(size)
             cell.stops.append(
                 worker_mod.StopOrder(worker, row.task, row.run_id, None)
             )
@@ -111,22 +117,10 @@
             run.unanswered_at_ms = 0
         if row.checkpoint:
             run.task.checkpoint = row.checkpoint
-    worker.untracked_size = untracked_size
+    worker.set_untracked(untracked_size, has_unsized_run)
     return listed
 
 
-def _size_of(
-    cell: 'cell_mod.Cell', worker, row: reports.ListedRun
-) -> resources.Resources:
-    """Return the size of a listed run; if unknown, the worker's capacity."""
-    task = cell.find_task(row.task)
-    return (
-        worker.entry.capacity
-        if task is None
-        else task.step.spec.allocated_size
-    )
-
-
 def _is_absence_certain(run: worker_mod.Run, sent_at_ms: int) -> bool:
     """Return whether an answer without a run proves that it is not there.
 
--- a/packages/carawaymast-core/carawaymast_core/cell/isolation.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/isolation.py
@@ -89,4 +89,4 @@
 
 
 def _is_empty(worker: 'worker_mod.Worker') -> bool:
-    return not worker.run_by_task and not any(worker.untracked_size)
+    return not worker.run_by_task and worker.free == worker.entry.capacity
--- a/packages/carawaymast-core/carawaymast_core/cell/worker.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/worker.py
@@ -145,6 +145,7 @@
         self.run_by_task: dict[str, Run] = {}
         self._used = resources.ZERO
         self._untracked_size = resources.ZERO
+        self._has_unsized_run = False
         # The capacity that no run can be using, and the share of the scarcer
         # resource that is free. They are kept up to date, since each plan
         # reads both for each worker and waiting step.
@@ -208,8 +209,20 @@
 
     @untracked_size.setter
     def untracked_size(self, untracked_size: resources.Resources) -> None:
-        if untracked_size != self._untracked_size:
+        self.set_untracked(untracked_size, has_unsized_run=False)
+
+    def set_untracked(
+        self, untracked_size: resources.Resources, has_unsized_run: bool
+    ) -> None:
+        """Set the size of untracked runs, and whether others have no size.
+
+        A run of a job that the leader does not know may take the whole
+        worker, also after the worker has grown.
+        """
+        is_changed = untracked_size != self._untracked_size
+        if is_changed or has_unsized_run is not self._has_unsized_run:
             self._untracked_size = untracked_size
+            self._has_unsized_run = has_unsized_run
             self._update_free()
 
     @property
@@ -265,9 +278,10 @@
 
     def _update_free(self) -> None:
         capacity = self._entry.capacity
-        free = self.free = capacity.minus(self._used).minus(
-            self._untracked_size
-        )
+        free = capacity.minus(self._used).minus(self._untracked_size)
+        if self._has_unsized_run:
+            free = free.lowered_to(resources.ZERO)
+        self.free = free
         self.free_share = min(
             free.cpu_millis / max(1, capacity.cpu_millis),
             free.memory_mb / max(1, capacity.memory_mb),
