A new leader asks workers that are no longer listed

What callers saw: tasks of a worker that had crashed waited 14 s if the leader was lost between the worker's restart and the record of its crash; and the crash was not counted, only a lost lease (seen on the manual clock).

Cause: the record of a run names an incarnation, not its address, so a new leader could not ask a worker that had left the list. The class: evidence kept only in the memory of the leader that is replaced.

Change: the record has the address; a new leader renews the leases of unlisted workers too, and mostly learns at once that another incarnation is there. Each worker has one loop of renewals: by reading, a worker that was unlisted and listed again had two.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -137,6 +137,16 @@
     When one of its workers crashes every 650 s, 6 times
     Then no task of "web" has failed and all run
 
+  # Guards against crashes that a new leader takes for workers out of reach.
+  Scenario: A new leader finds the crash of a worker that is no longer listed
+    Given a cell of 3 workers
+    And tasks that take 60 s
+    And a job "j1" of 4 tasks and then 2 tasks
+    And the leader has started them
+    When a worker crashes and another leader takes over once it has restarted
+    And 1 s pass
+    Then its tasks run again and 1 crash counts against each
+
   # Guards against counts that are lost with the leader.
   Scenario: A new leader knows how often a task crashed its worker
     Given a cell of 6 workers
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -88,6 +88,25 @@
     raise AssertionError(f'{job_id} is {world.view.phase(job_id)}')
 
 
+@when('a worker crashes and another leader takes over once it has restarted')
+def crash_before_takeover(context):
+    world = context.world
+    (first, *_) = world.running()['j1.0.0.0']
+    context.cut_tasks = set(world.runner_by_id[first].running)
+    world.crash(first)
+    world.advance(world.restart_ms)
+    world.take_over()
+
+
+@then('its tasks run again and {count:d} crash counts against each')
+def run_again(context, count):
+    world = context.world
+    assert context.cut_tasks <= set(world.running()), dict(world.running())
+    for name in context.cut_tasks:
+        crashes = world.cell.find_task(name).crashes
+        assert len(crashes.crashed_at) == count, crashes
+
+
 @then('"{task}" crashed at least {least:d} workers and at most {most:d}')
 def crashed_between(context, task, least, most):
     crashes = context.world.crashes_by_task[task]
--- a/packages/carawaymast-core/carawaymast_core/cell/jobs.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/jobs.py
@@ -55,7 +55,9 @@
             self.failures,
             self.checkpoint,
             tuple(
-                records.RunRecord(run.run_id, *run.worker.key)
+                records.RunRecord(
+                    run.run_id, *run.worker.key, run.worker.entry.address
+                )
                 for run in self.runs
             ),
             None if self.crashes == records.NO_CRASHES else self.crashes,
--- a/packages/carawaymast-core/carawaymast_core/cell/records.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/records.py
@@ -74,12 +74,14 @@
 class RunRecord(typing.NamedTuple):
     """A run of a task that may be on a worker.
 
-    ``born_ms`` identifies the worker's incarnation.
+    ``born_ms`` identifies the worker's incarnation. ``address`` is where
+    another one may answer after the worker is no longer listed.
     """
 
     run_id: int
     worker_id: str
     born_ms: int
+    address: str = ''
 
 
 class CrashRecord(typing.NamedTuple):
--- a/packages/carawaymast-core/carawaymast_core/cell/takeover.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/takeover.py
@@ -67,7 +67,7 @@
     for run_row in row.runs:
         key = (run_row.worker_id, run_row.born_ms)
         worker = _latest_incarnation(cell, key) or _add_unlisted(
-            cell, key, now_ms
+            cell, run_row, now_ms
         )
         run = worker_mod.Run(task, run_row.run_id, worker, now_ms)
         run.state = worker_mod.RunState.ORDERED
@@ -98,22 +98,29 @@
 
 
 def _add_unlisted(
-    cell: 'cell_mod.Cell', key, now_ms: int
+    cell: 'cell_mod.Cell', run_row: records.RunRecord, now_ms: int
 ) -> worker_mod.Worker:
     """Add a worker that is in a stored record but not in the list."""
-    entry = _unlisted_entry(key)
-    worker = worker_mod.Worker(entry)
+    worker = worker_mod.Worker(_unlisted_entry(run_row))
     worker.is_listed = False
     worker.assumed_lost_at_ms = (
         now_ms + worker_lifecycle.UNREACHED_WORKER_TIMEOUT_MS
     )
-    cell.worker_by_key[key] = worker
+    cell.worker_by_key[worker.key] = worker
     return worker
 
 
-def _unlisted_entry(key: tuple[str, int]) -> reports.WorkerEntry:
-    """Return an entry for a worker of which only the key is known."""
-    worker_id, born_ms = key
+def _unlisted_entry(run_row: records.RunRecord) -> reports.WorkerEntry:
+    """Return an entry for a worker that only a run's record names."""
     return reports.WorkerEntry(
-        worker_id, '', born_ms, '', '', False, resources.ZERO, (), 0, None
+        run_row.worker_id,
+        run_row.address,
+        run_row.born_ms,
+        '',
+        '',
+        False,
+        resources.ZERO,
+        (),
+        0,
+        None,
     )
--- a/packages/carawaymast-node/carawaymast_node/cells/leader.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/leader.py
@@ -10,6 +10,7 @@
 from carawaymast_core.cell import placing
 from carawaymast_core.cell import spec as spec_mod
 from carawaymast_core.cell import takeover
+from carawaymast_core.cell import worker as worker_mod
 from carawaymast_core.cell import worker_lifecycle
 from carawaymast_node import background
 from carawaymast_node.cells import advice_dispatcher
@@ -90,6 +91,8 @@
             0,
             self._apply_worker_item,
         )
+        # Keys of the workers whose leases are being renewed.
+        self._renewed_keys: set[tuple[str, int]] = set()
         self.is_open = False
         self._is_over = False
         self._fence_reason = ''
@@ -198,8 +201,9 @@
         takeover.load(self.cell, self._context.view, now_ms, wall_ms)
         self.is_open = True
         for worker in list(self.cell.worker_by_key.values()):
-            if worker.is_listed:
-                self._tasks.spawn(self._orders.keep_lease_renewed(worker))
+            # One that is not listed may run on, or have been replaced.
+            if worker.entry.address:
+                self._begin_renewals(worker)
 
     async def _catch_up(self, reader: topic_reader_mod.TopicReader) -> None:
         """Read a topic up to its end at the time of the takeover."""
@@ -234,9 +238,21 @@
                 self.cell, change.entry, now_ms
             )
             if worker is not None and self.is_open:
-                self._tasks.spawn(self._orders.keep_lease_renewed(worker))
+                self._begin_renewals(worker)
         self._wake.set()
 
+    def _begin_renewals(self, worker: worker_mod.Worker) -> None:
+        """Renew a worker's lease from now on, unless this is done already."""
+        if worker.key not in self._renewed_keys:
+            self._renewed_keys.add(worker.key)
+            self._tasks.spawn(self._keep_lease_renewed(worker))
+
+    async def _keep_lease_renewed(self, worker: worker_mod.Worker) -> None:
+        try:
+            await self._orders.keep_lease_renewed(worker)
+        finally:
+            self._renewed_keys.discard(worker.key)
+
     def _on_fenced(self, reason: str) -> None:
         """Stop leading, because another node has a higher epoch."""
         self._fence_reason = reason
