A start that was not answered is no certain crash under its task

Found by the random steps of the cell, which now crash runners, by a task or by themselves, shrink and grow them, and check that a job fails only for failures or two crashes.

Cause: a start that is sent to a worker that has just crashed counted like a run that was there. The class: what is possible taken for what is certain.

Change: the record of a task tells crashes with a confirmed run from others.

--- a/features/cell_machine.py
+++ b/features/cell_machine.py
@@ -2,16 +2,20 @@
 
 Each step does one thing: jobs are submitted and cancelled, time passes,
 starts are lost or arrive late, answers are lost, runners are cut off and
-reconnect or restart, and leaders change with starts still under way. No task
-may ever run in two places, no runner may be over its capacity, and no task
-may start again after the store has it as done. At the end all failures are
-healed and every job must end.
+reconnect or restart, crash by themselves or by a task, shrink and grow, and
+leaders change with starts still under way. No task may ever run in two
+places, no start may bring a runner over its capacity, no task may start again
+after the store has it as done, and one that crashes its runners may start
+only twice after three crashes. At the end all failures are healed and every
+job must end; it may fail only if a task of it failed or was on two runners
+that crashed.
 """
 
 from hypothesis import stateful
 from hypothesis import strategies as st
 
 from carawaymast_core.cell import answers
+from carawaymast_core.cell import records
 from carawaymast_core.cell import reports
 from carawaymast_core.cell import worker_lifecycle
 from features import cell_world
@@ -21,7 +25,8 @@
 # An index, taken modulo the number of choices.
 WHICH = st.integers(0, 1_000)
 MAX_JOBS = 8
-MAX_HEAL_CYCLES = 700
+MAX_HEAL_CYCLES = 1_000
+MAX_CRASHING_JOBS = 2
 # The submission of an ended job expires after some minutes, its state after a
 # day.
 SUBMISSION_EXPIRED_AFTER_MS = 300_000
@@ -39,6 +44,14 @@
         self.cut_off_by_id: dict = {}
         self.job_count = 0
         self.cancelled_ids: set[str] = set()
+        # Jobs of which the first task crashes its runners.
+        self.crashing_ids: set[str] = set()
+        # Jobs of which a run ended as failed.
+        self.failing_ids: set[str] = set()
+        self.world.crashes_runners = lambda task: (
+            task.partition('.')[0] in self.crashing_ids
+            and task.endswith('.0.0.0')
+        )
         self.submission_by_id: dict = {}
         self.ended_ids: set[str] = set()
         # Jobs whose state the leader has dropped, a day after their end.
@@ -74,6 +87,44 @@
         self.submission_by_id[job_id] = submission
         self.world.submit(submission)
 
+    @stateful.precondition(
+        lambda self: (
+            self.job_count < MAX_JOBS
+            and len(self.crashing_ids) < MAX_CRASHING_JOBS
+        )
+    )
+    @stateful.rule(
+        count=st.integers(1, 3),
+        is_gang=st.booleans(),
+        kind=st.sampled_from(['', 'is_speculative']),
+        is_answered=st.booleans(),
+    )
+    def submit_crashing(self, count, is_gang, kind, is_answered):
+        self.world.is_crashing_start_answered = is_answered
+        self.crashing_ids.add(f'j{self.job_count + 1}')
+        self.submit(count, 500, is_gang, 0, 1, False, kind)
+
+    @stateful.rule(which=WHICH, keeps_id=st.booleans())
+    def crash_a_runner(self, which, keeps_id):
+        self.world.keeps_id = keeps_id
+        names = sorted(self.world.runner_by_id)
+        name = names[which % len(names)]
+        if self.world.runner_by_id[name].is_up:
+            self.world.crash(name)
+
+    @stateful.rule(which=WHICH, cpu=st.sampled_from([1_000, 8_000, 16_000]))
+    def resize_a_runner(self, which, cpu):
+        names = sorted(self.world.runner_by_id)
+        self.world.set_capacity(names[which % len(names)], cpu)
+
+    @stateful.rule(which=WHICH, cpu=st.sampled_from([1_000, 16_000]))
+    def resize_a_runner_while_storing(self, which, cpu):
+        names = sorted(self.world.runner_by_id)
+        name = names[which % len(names)]
+        self.world.plan(
+            while_storing=lambda: self.world.set_capacity(name, cpu)
+        )
+
     @stateful.precondition(lambda self: self.job_count)
     @stateful.rule(which=WHICH)
     def cancel(self, which):
@@ -173,6 +224,7 @@
         names = sorted(self.world.runner_by_id)
         name = names[which % len(names)]
         predecessor = self.world.runner_by_id[name]
+        self.world.crashes_by_task.update(list(predecessor.running))
         runner = self.world.add_runner(name, predecessor.born_ms + 1)
         if is_listed:
             self._reconnect_runner(runner)
@@ -182,7 +234,9 @@
         runners = [r for r in self.world.runner_by_id.values() if r.running]
         if runners:
             runner = runners[which % len(runners)]
-            runner.end_run(sorted(runner.running)[0], reports.EndKind.FAILED)
+            task = sorted(runner.running)[0]
+            self.failing_ids.add(task.partition('.')[0])
+            runner.end_run(task, reports.EndKind.FAILED)
 
     @stateful.invariant()
     def runners_are_consistent(self):
@@ -216,6 +270,19 @@
         for _ in range(20):
             world.run_cycle(100)
         assert not world.running(), dict(world.running())
+        for job_id in set(self.submission_by_id) - self.failing_ids:
+            is_failed = world.view.phase(job_id) is records.JobPhase.FAILED
+            assert not is_failed or self._crashes_of(job_id) >= 2, (
+                f'{job_id} failed after {self._crashes_of(job_id)} crashes'
+            )
+
+    def _crashes_of(self, job_id):
+        """Return the most crashes under one of a job's tasks."""
+        crashes = self.world.crashes_by_task.items()
+        return max(
+            (n for task, n in crashes if task.startswith(f'{job_id}.')),
+            default=0,
+        )
 
     def _keep_late_starts(self):
         """Keep the starts under way, each with the incarnation it went to."""
@@ -223,6 +290,7 @@
         self.late_starts += [
             (runners[start[0].worker.worker_id], start)
             for start in self.world.pending_starts
+            if start[0].worker.worker_id in runners
         ]
 
     def _reconnect_runner(self, runner):
@@ -238,6 +306,7 @@
             *self.cut_off_by_id.values(),
             *self.world.runner_by_id.values(),
         ]:
+            self.world.capacity_by_id.clear()
             self._reconnect_runner(runner)
         self.cut_off_by_id = {}
         self.late_starts = []
--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -41,7 +41,7 @@
     And starts that are not answered before a crash
     And a job "bad" of 4 tasks, of which the first crashes its workers
     When time passes until "bad" is failed
-    Then "bad.0.0.0" crashed at least 2 workers and at most 4
+    Then "bad.0.0.0" crashed at least 2 workers and at most 5
 
   # Guards against crashes that only a change of the id shows.
   Scenario: A crash of a worker that keeps its id counts
@@ -152,4 +152,4 @@
     Given a cell of 6 workers
     And a job "bad" of 4 tasks, of which the first crashes its workers
     When another leader takes over during each restart until "bad" is failed
-    Then "bad.0.0.0" crashed at least 2 workers and at most 4
+    Then "bad.0.0.0" crashed at least 2 workers and at most 5
--- a/packages/carawaymast-core/carawaymast_core/cell/crashes.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/crashes.py
@@ -23,14 +23,16 @@
 ]
 
 # Crashes after which a task is given up: if it was alone on the last of the
-# workers, and in any case. The platform allows two starts after the third.
+# workers, and in any case.
 MAX_CRASHES_ALONE = 3
 MAX_CRASHES = 4
-# The same for crashes together with workers of which only the lease has
-# expired, if at least MIN_CRASHES are certain: the platform allows none with
-# fewer.
-MAX_LOST = 5
+# Of these, the task must certainly have been on as many: the platform allows
+# no job to fail with fewer.
 MIN_CRASHES = 2
+# The same for crashes of which that is not certain, together with workers of
+# which only the lease has expired. The platform allows no more than two starts
+# after the third crash.
+MAX_POSSIBLE_CRASHES = 5
 # A task that runs SURVIVAL_FACTOR times as long as before its quickest crash
 # is no longer isolated, and after as many times its slowest one it did not
 # cause any; both after these times at least.
@@ -53,7 +55,8 @@
     Runs whose start was not sent yet have nothing to do with the crash.
     """
     runs = [run for run in worker.run_by_task.values() if _may_have_run(run)]
-    tasks = [run.task for run in runs] + worker.lapsed_tasks
+    lapsed_tasks = worker.lapsed_tasks
+    tasks = [run.task for run in runs] + lapsed_tasks
     if not tasks:
         return []
     silent_since_ms = worker.silent_since_ms or worker.last_answer_at_ms
@@ -73,27 +76,40 @@
             (run.task.name, run.run_id, ran_ms_by_name[run.task.name])
             for run in runs
         ],
-        lapsed=[task.name for task in worker.lapsed_tasks],
+        lapsed=[task.name for task in lapsed_tasks],
     )
     withdraw_lapse(cell, worker)
     was_alone = len(worker.run_by_task) == 1
     for run in runs:
         run.is_crash_counted = True
+    confirmed_names = {
+        run.task.name
+        for run in runs
+        if run.state is worker_mod.RunState.RUNNING
+    }
     for task in tasks:
-        ran_ms = ran_ms_by_name.get(task.name)
-        task.crashes = _add_crash(task.crashes, worker.entry.address, ran_ms)
+        task.crashes = _add_crash(
+            task.crashes,
+            worker.entry.address,
+            task.name in confirmed_names,
+            ran_ms_by_name.get(task.name),
+        )
         cell.mark_dirty(task.step.job)
     return [task for task in tasks if _must_give_up(task, was_alone)]
 
 
 def _add_crash(
-    crashes: records.CrashRecord, address: str, ran_ms: int | None
+    crashes: records.CrashRecord,
+    address: str,
+    is_confirmed: bool,
+    ran_ms: int | None,
 ) -> records.CrashRecord:
     """Add a crash; ``ran_ms`` is None if it is not known how long it took."""
     times_ms = [] if ran_ms is None else [ran_ms]
     known = [crashes.shortest_ms] if crashes.crashed_at else []
     return crashes._replace(
         crashed_at=(*crashes.crashed_at, address),
+        unconfirmed=crashes.unconfirmed + (not is_confirmed),
         shortest_ms=min([*known, *times_ms], default=0),
         longest_ms=max([crashes.longest_ms, *times_ms]),
     )
@@ -106,10 +122,15 @@
 
 
 def _must_give_up(task: 'jobs.Task', was_alone: bool) -> bool:
-    count = len(task.crashes.crashed_at)
-    if count >= (MAX_CRASHES_ALONE if was_alone else MAX_CRASHES):
+    crashes = task.crashes
+    count = len(crashes.crashed_at)
+    if count < MIN_CRASHES:
+        return False
+    if count + crashes.lost >= MAX_POSSIBLE_CRASHES:
         return True
-    return count >= MIN_CRASHES and count + task.crashes.lost >= MAX_LOST
+    is_certain = count - crashes.unconfirmed >= MIN_CRASHES
+    max_crashes = MAX_CRASHES_ALONE if was_alone else MAX_CRASHES
+    return is_certain and count >= max_crashes
 
 
 def give_up(
--- a/packages/carawaymast-core/carawaymast_core/cell/records.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/records.py
@@ -88,12 +88,15 @@
     """The workers that were lost while a task was on them.
 
     ``crashed_at`` holds the addresses of those that have certainly crashed,
-    one for each crash. ``lost`` counts those of which only the lease is known
-    to have expired. ``shortest_ms`` and ``longest_ms`` are how long runs of
-    the task had been placed when their workers crashed.
+    one for each crash. ``unconfirmed`` counts those of them where the task may
+    have ended before or never have started: its start was not answered, or
+    its lease had expired. ``lost`` counts workers of which only the lease is
+    known to have expired. ``shortest_ms`` and ``longest_ms`` are how long runs
+    of the task had been placed when their workers crashed.
     """
 
     crashed_at: tuple[str, ...] = ()
+    unconfirmed: int = 0
     lost: int = 0
     shortest_ms: int = 0
     longest_ms: int = 0
