A gang of suspects starts also where workers are too few for isolation

Cause: after the wait for workers without runs, each such member still took a worker for itself, and a gang starts as a whole. The class: a rule that is right for one task applied to all at once.

Change: a gang shares workers once its members have waited.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -89,6 +89,15 @@
     When time passes until "bad" is failed
     Then "bad.0.0.0" crashed at least 2 workers and at most 4
 
+  # Guards against a gang whose members wait for more workers than there are.
+  Scenario: A gang that was on crashed workers starts in a small fleet
+    Given a cell of 2 workers
+    And a gang "g1" of 6 tasks of 4 processors
+    And the leader has started them
+    When all workers crash twice, 4 s apart
+    And time passes until "g1" is completed
+    Then nothing is left at the workers
+
   # Guards against copies that crash a second worker for each first one.
   Scenario: A task under which a worker crashed gets no copy
     Given a cell of 6 workers
--- a/packages/carawaymast-core/carawaymast_core/cell/fleet.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/fleet.py
@@ -85,7 +85,10 @@
         A worker with an isolated task is removed from it.
         """
         rows = self._rows_by_service_tier[worker.entry.service, worker.tier]
-        rows.remove(self._row_by_id.pop(worker.worker_id))
+        old_row = self._row_by_id.pop(worker.worker_id, None)
+        if old_row is None:
+            return
+        rows.remove(old_row)
         if worker.isolated_by_name:
             return
         row = self._row_by_id[worker.worker_id] = _row(worker)
--- a/packages/carawaymast-core/carawaymast_core/cell/isolation.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/isolation.py
@@ -32,7 +32,7 @@
 
 
 def place_suspects(
-    tasks: typing.Iterable['jobs.Task'],
+    tasks: typing.Sequence['jobs.Task'],
     options: typing.Sequence['choosing.Option'],
     now_ms: int,
 ) -> tuple[
@@ -42,21 +42,33 @@
 
     Each gets the worker with the fewest suspects, then the fewest runs, and
     not one at an address where a worker crashed under it, if there is a
-    choice. A suspect that must be alone may be left out for a while.
+    choice. A suspect that must be alone may be left out for a while. A gang
+    shares workers after that time, since there may be too few for it.
     """
     chosen: list[tuple[jobs.Task, choosing.Option]] = []
     option_by_id = {option.worker.worker_id: option for option in options}
+    alone_ids: set[str] = set()
     for task in sorted(tasks, key=_crash_count, reverse=True):
         option = _best(task, list(option_by_id.values()), chosen, now_ms)
         if option is None:
             continue
         chosen.append((task, option))
         worker_id = option.worker.worker_id
-        if must_be_alone(task) or option.count == 1:
+        may_share = task.step.spec.is_gang and not _may_wait(task, now_ms)
+        if must_be_alone(task):
+            alone_ids.add(worker_id)
+        if option.count == 1 or (must_be_alone(task) and not may_share):
             del option_by_id[worker_id]
         else:
             option_by_id[worker_id] = option._replace(count=option.count - 1)
-    return chosen, list(option_by_id.values())
+    remaining = sorted(
+        option_by_id.values(), key=lambda o: o.worker.worker_id in alone_ids
+    )
+    return chosen, remaining
+
+
+def _may_wait(task: 'jobs.Task', now_ms: int) -> bool:
+    return now_ms - task.waiting_since_ms < ALONE_WAIT_MS
 
 
 def _crash_count(task: 'jobs.Task') -> int:
@@ -70,8 +82,7 @@
     now_ms: int,
 ) -> 'choosing.Option | None':
     """Return the best option for a suspect, or None if it should wait."""
-    may_wait = now_ms - task.waiting_since_ms < ALONE_WAIT_MS
-    if must_be_alone(task) and may_wait:
+    if must_be_alone(task) and _may_wait(task, now_ms):
         options = [o for o in options if _is_empty(o.worker)]
     chosen_ids = [option.worker.worker_id for _, option in chosen]
 
