A new leader counts restarts that no leader saw

What callers saw: a task was started three times after three crashes (BUDGET) where workers restarted under their ids and leaders changed meanwhile (random steps of the cell).

Cause: a new leader moves a run of the state to the latest incarnation of its worker, and did not count that the one before had ended.

Change: it counts as a crash that is not confirmed.

In the test's world, a runner that was replaced no longer restarts a second time, which lost runs without a crash.

--- a/features/cell_world.py
+++ b/features/cell_world.py
@@ -128,6 +128,7 @@
         runner = runner_mod.RunnerStandin(runner_id, born_ms, clock_rate)
         runner.lists_progress = self._lists_progress
         self.runner_by_id[runner_id] = runner
+        self._restart_at_ms_by_id.pop(runner_id, None)
         return runner
 
     def entry(self, runner, is_draining=False, remaining_ms=None):
@@ -204,9 +205,10 @@
                 self._replaced_ids.add(runner_id)
             born_ms = predecessor.born_ms + 1
             runner = self.add_runner(new_id, born_ms)
-            worker_lifecycle.apply_worker_entry(
-                self.cell, self.entry(runner), self.clock.now()
-            )
+            if self.cell is not None:
+                worker_lifecycle.apply_worker_entry(
+                    self.cell, self.entry(runner), self.clock.now()
+                )
 
     def log(self, event_type, **fields):
         self.events.append((event_type, fields))
--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -146,6 +146,17 @@
     When one of its workers crashes every 650 s, 6 times
     Then no task of "web" has failed and all run
 
+  # Guards against restarts that happen while no leader looks.
+  Scenario: A new leader finds that a worker has restarted under its id
+    Given a cell of 3 workers
+    And tasks that take 60 s
+    And workers that keep their ids
+    And a job "j1" of 4 tasks and then 2 tasks
+    And the leader has started them
+    When a worker crashes and another leader takes over once it has restarted
+    And 3 s pass
+    Then its tasks run again and 1 crash counts against each
+
   # Guards against crashes that a new leader takes for workers out of reach.
   Scenario: A new leader finds the crash of a worker that is no longer listed
     Given a cell of 3 workers
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -94,6 +94,8 @@
     (first, *_) = world.running()['j1.0.0.0']
     context.cut_tasks = set(world.runner_by_id[first].running)
     world.crash(first)
+    # The present leader learns nothing of it.
+    world.cell = None
     world.advance(world.restart_ms)
     world.take_over()
 
--- a/packages/carawaymast-core/carawaymast_core/cell/crashes.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/crashes.py
@@ -98,6 +98,30 @@
     return [task for task in tasks if _must_give_up(task, was_alone)]
 
 
+def record_restart(
+    cell: 'cell_mod.Cell', run: worker_mod.Run, now_ms: int
+) -> None:
+    """Record that a run's worker restarted under its id before this leader.
+
+    The run may have been confirmed to the previous leader or not.
+    """
+    task = run.task
+    address = run.worker.entry.address
+    run.is_crash_counted = True
+    task.crashes = _add_crash(task.crashes, address, False, None)
+    cell.log_event(
+        'worker_crashed',
+        worker=run.worker.worker_id,
+        address=address,
+        silent_ms=None,
+        runs=[(task.name, run.run_id, None)],
+        lapsed=[],
+    )
+    cell.mark_dirty(task.step.job)
+    if _must_give_up(task, was_alone=False):
+        give_up(cell, [task], now_ms)
+
+
 def _add_crash(
     crashes: records.CrashRecord,
     address: str,
--- a/packages/carawaymast-core/carawaymast_core/cell/takeover.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/takeover.py
@@ -3,6 +3,7 @@
 import typing
 
 from carawaymast_core import resources
+from carawaymast_core.cell import crashes
 from carawaymast_core.cell import jobs
 from carawaymast_core.cell import records
 from carawaymast_core.cell import reports
@@ -75,6 +76,8 @@
         # on the worker: no order of the previous leader can take effect
         # after it.
         run.known_at_ms = -1
+        if worker.born_ms != run_row.born_ms:
+            crashes.record_restart(cell, run, now_ms)
         worker.add(run)
         task.runs.append(run)
 
