A job that fits no worker just now is not refused for good

What callers saw: nothing yet; found by looking for capacity that shrinks. A job was refused as one that can never run (422) while the only workers that are large enough had shrunk, were restarting or were isolated.

Cause: the largest capacity was that of the workers usable at this moment. The class: a present state taken for a lasting one.

Change: a job that fitted a worker which this leader has had is refused at once as overloaded, with a Retry-After of 3 s and some spread. What never fitted is refused for good as before.

--- a/features/capacity.feature
+++ b/features/capacity.feature
@@ -90,3 +90,15 @@
     And "w0" grows to 16 processors
     And the leader plans
     Then nothing of the new jobs runs beside the unknown run
+
+  # Guards against jobs that are turned away for good for a passing lack.
+  Scenario: A job that only fitted before workers shrank may be tried again
+    Given a cell of 1 workers
+    And the leader plans
+    When "w0" shrinks to 4 processors
+    And the leader plans
+    Then a job of 8 processors is refused with a time to come back
+    And a job of 17 processors is refused for good
+    When "w0" grows to 16 processors
+    And the leader plans
+    Then a job of 8 processors is admitted
--- a/features/steps/capacity_steps.py
+++ b/features/steps/capacity_steps.py
@@ -7,6 +7,7 @@
 from carawaymast_core import resources
 from carawaymast_core.cell import records
 from carawaymast_core.cell import worker_lifecycle
+from features import cell_world
 
 CYCLE_MS = 100
 WAIT_MS = 60_000
@@ -133,3 +134,25 @@
 def none_beside_unknown(context):
     running = context.world.running()
     assert 'gone.0.0.0' not in running or len(running) == 1, dict(running)
+
+
+@then('a job of {cpu:d} processors is refused with a time to come back')
+def refused_for_now(context, cpu):
+    refusal = _check_admission(context, cpu)
+    assert refusal is not None and refusal.retry_after_s > 0, refusal
+
+
+@then('a job of {cpu:d} processors is refused for good')
+def refused_for_good(context, cpu):
+    refusal = _check_admission(context, cpu)
+    assert refusal is not None and refusal.retry_after_s == 0, refusal
+
+
+@then('a job of {cpu:d} processors is admitted')
+def admitted(context, cpu):
+    assert _check_admission(context, cpu) is None
+
+
+def _check_admission(context, cpu):
+    step = cell_world.step(cpu=cpu * 1_000)
+    return context.world.cell.check_admission(cell_world.job('new', step))
--- a/features/steps/cell_steps.py
+++ b/features/steps/cell_steps.py
@@ -83,6 +83,7 @@
         runner.end_run(task, how)
 
 
+@given('the leader plans')
 @when('the leader plans')
 def plan(context):
     context.world.plan()
--- a/packages/carawaymast-core/carawaymast_core/cell/admission.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/admission.py
@@ -20,6 +20,8 @@
 
 # In bench.placement, first fit leaves a tenth of the capacity idle.
 USABLE_CAPACITY_SHARE = 0.9
+# A worker that is large enough may be restarting, or have shrunk for a while.
+LARGE_WORKER_RETRY_MS = 3_000
 MIN_RETRY_AFTER_S = 1
 MAX_RETRY_AFTER_S = 30
 # Retries are spread over this share of the predicted wait; without it, all
@@ -31,11 +33,13 @@
     """Waiting work by service and rank.
 
     It is given as the ms that all workers of the service would take for it.
-    ``largest_by_service`` is as in ``Fleet``.
+    ``largest_by_service`` is as in ``Fleet``; ``largest_seen_by_service`` is
+    the same over all fleets that this leader has had.
     """
 
     ms_by_service_rank: dict[tuple[str, int], float]
     largest_by_service: dict[str, resources.Resources]
+    largest_seen_by_service: dict[str, resources.Resources]
 
     def ahead_ms(self, service: str, rank: int) -> float:
         """Return how long the work of this and more urgent ranks takes.
@@ -62,7 +66,9 @@
 
 
 def compute_backlog(
-    steps: typing.Iterable['jobs.StepState'], fleet: fleet_mod.Fleet
+    steps: typing.Iterable['jobs.StepState'],
+    fleet: fleet_mod.Fleet,
+    largest_seen_by_service: dict[str, resources.Resources],
 ) -> Backlog:
     """Return the waiting work relative to the capacity of all workers."""
     total_by_service: dict[str, resources.Resources] = {}
@@ -79,7 +85,9 @@
         ms = share * len(step.waiting()) * step.spec.estimate_ms
         key = (queue.service, queue.rank)
         ms_by_service_rank[key] = ms_by_service_rank.get(key, 0.0) + ms
-    return Backlog(ms_by_service_rank, fleet.largest_by_service)
+    return Backlog(
+        ms_by_service_rank, fleet.largest_by_service, largest_seen_by_service
+    )
 
 
 def check_admission(
@@ -87,8 +95,9 @@
 ) -> Refusal | None:
     """Return why a job is to be refused, or None to admit it.
 
-    A job is refused if one of its tasks needs more than any worker has, or if
-    its predicted start is too late to be useful. Services and jobs with
+    A job is refused if one of its tasks needs more than any worker has, for
+    good only if none ever had it, or if its predicted start is too late to be
+    useful. Services and jobs with
     occurrences are not refused for a late start.
     """
     queue = submission.queue
@@ -98,7 +107,14 @@
         for number, step in enumerate(steps):
             if not step.size.fits_in(largest):
                 reason = f'step {number} needs {step.size}, workers have'
-                return Refusal(f'{reason} at most {largest}', 0, 0)
+                seen = backlog.largest_seen_by_service[queue.service]
+                is_possible = step.size.fits_in(seen)
+                retry_ms = LARGE_WORKER_RETRY_MS if is_possible else 0
+                return Refusal(
+                    f'{reason} at most {largest}',
+                    retry_ms,
+                    _retry_after_s(retry_ms) if is_possible else 0,
+                )
     if submission.spec.occurrences or any(s.is_service for s in steps):
         return None
     path_ms = spec_mod.critical_path_ms(steps)
--- a/packages/carawaymast-core/carawaymast_core/cell/cell.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/cell.py
@@ -11,6 +11,7 @@
 
 import typing
 
+from carawaymast_core import resources
 from carawaymast_core.cell import admission
 from carawaymast_core.cell import advice as advice_mod
 from carawaymast_core.cell import availability
@@ -59,6 +60,8 @@
         # computed when it is first needed after a plan.
         self.fleet = fleet_mod.Fleet(())
         self._backlog: admission.Backlog | None = None
+        # The largest capacity that workers have had, see ``admission``.
+        self._largest_seen_by_service: dict[str, resources.Resources] = {}
         # For the next batch, see ``batching``: accepted jobs, the ids of jobs
         # whose state has changed, runs to start, and the numbers of the last
         # ended runs by the workers' keys.
@@ -82,13 +85,19 @@
             return None
         if self._backlog is None:
             steps = self.ready_by_name.values()
-            self._backlog = admission.compute_backlog(steps, self.fleet)
+            self._backlog = admission.compute_backlog(
+                steps, self.fleet, self._largest_seen_by_service
+            )
         return admission.check_admission(submission, self._backlog)
 
     def set_fleet(self, fleet: fleet_mod.Fleet) -> None:
         """Set the usable workers after a plan, for the admission of jobs."""
         self.fleet = fleet
         self._backlog = None
+        for service, largest in fleet.largest_by_service.items():
+            seen = self._largest_seen_by_service.get(service, largest)
+            raised = seen.raised_to(largest)
+            self._largest_seen_by_service[service] = raised
 
     def accept(
         self, submission: spec_mod.Submission, now_ms: int, wall_ms: int
