Runs and the following of workers have modules of their own

Run and RunState move to run.py, the list of workers and the loops of renewals to worker_follower.py.

--- a/features/cell_world.py
+++ b/features/cell_world.py
@@ -19,10 +19,10 @@
 from carawaymast_core.cell import records
 from carawaymast_core.cell import reports
 from carawaymast_core.cell import retention
+from carawaymast_core.cell import run as run_mod
 from carawaymast_core.cell import spec as spec_mod
 from carawaymast_core.cell import takeover
 from carawaymast_core.cell import view as view_mod
-from carawaymast_core.cell import worker as worker_mod
 from carawaymast_core.cell import worker_lifecycle
 from standins import runner as runner_mod
 
@@ -118,7 +118,7 @@
         self.events: list[tuple[str, dict]] = []
         self.done_task_names: set[str] = set()
         self.completed_ids: set[str] = set()
-        self.pending_starts: list[tuple[worker_mod.Run, int, int]] = []
+        self.pending_starts: list[tuple[run_mod.Run, int, int]] = []
         self.epoch = 0
         for number in range(workers):
             self.add_runner(f'w{number}')
--- a/packages/carawaymast-core/carawaymast_core/cell/answers.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/answers.py
@@ -7,6 +7,7 @@
 from carawaymast_core.cell import progress
 from carawaymast_core.cell import records
 from carawaymast_core.cell import reports
+from carawaymast_core.cell import run as run_mod
 from carawaymast_core.cell import run_ends
 from carawaymast_core.cell import suspicion
 from carawaymast_core.cell import throttling
@@ -102,8 +103,8 @@
                 worker_mod.StopOrder(worker, row.task, row.run_id, None)
             )
             continue
-        if run.state is not worker_mod.RunState.RUNNING:
-            run.state = worker_mod.RunState.RUNNING
+        if run.state is not run_mod.RunState.RUNNING:
+            run.state = run_mod.RunState.RUNNING
             run.known_at_ms = now_ms
             # A previous leader may have set the limit.
             run.speed_limit = int(row.percent)
@@ -121,12 +122,12 @@
     return listed
 
 
-def _is_absence_certain(run: worker_mod.Run, sent_at_ms: int) -> bool:
+def _is_absence_certain(run: run_mod.Run, sent_at_ms: int) -> bool:
     """Return whether an answer without a run proves that it is not there.
 
     ``sent_at_ms`` is when the call was sent.
     """
-    if run.state is worker_mod.RunState.PLACED:
+    if run.state is run_mod.RunState.PLACED:
         return False
     known_at_ms = run.known_at_ms
     if run.stop_answered_at_ms is not None:
@@ -144,7 +145,7 @@
 
 def apply_start_outcome(
     cell: 'cell_mod.Cell',
-    run: worker_mod.Run,
+    run: run_mod.Run,
     outcome: reports.StartOutcome,
     now_ms: int,
 ) -> None:
@@ -152,7 +153,7 @@
     if run.worker.run_by_task.get(run.task.name) is not run:
         return
     if outcome.is_running:
-        run.state = worker_mod.RunState.RUNNING
+        run.state = run_mod.RunState.RUNNING
         run.known_at_ms = now_ms
         if not run.task.checkpoint:
             run.began_at_ms = now_ms
@@ -181,7 +182,7 @@
 
 
 def _handle_unanswered_start(
-    cell: 'cell_mod.Cell', run: worker_mod.Run, now_ms: int
+    cell: 'cell_mod.Cell', run: run_mod.Run, now_ms: int
 ) -> None:
     """Stop a run whose start may have taken effect or may still do so.
 
@@ -195,13 +196,13 @@
         cell.stop(run, NOT_ANSWERED)
 
 
-def is_start_unanswered(run: worker_mod.Run) -> bool:
+def is_start_unanswered(run: run_mod.Run) -> bool:
     """Return whether a run is stopped because its start had no answer."""
     return run.stop_reason == NOT_ANSWERED
 
 
 def apply_stop_answer(
-    run: worker_mod.Run, is_answered: bool, now_ms: int
+    run: run_mod.Run, is_answered: bool, now_ms: int
 ) -> None:
     """Apply the answer to a stop; without one, the stop is repeated."""
     if is_answered:
--- a/packages/carawaymast-core/carawaymast_core/cell/availability.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/availability.py
@@ -9,12 +9,12 @@
 
 if typing.TYPE_CHECKING:
     from carawaymast_core.cell import jobs
-    from carawaymast_core.cell import worker as worker_mod
+    from carawaymast_core.cell import run as run_mod
 
 __all__ = ['count_unavailable', 'may_stop']
 
 
-def may_stop(run: 'worker_mod.Run') -> bool:
+def may_stop(run: 'run_mod.Run') -> bool:
     """Return whether a run may be stopped now.
 
     Always if it certainly does not run at full speed, if its job has ended,
--- a/packages/carawaymast-core/carawaymast_core/cell/batching.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/batching.py
@@ -6,9 +6,9 @@
 from carawaymast_core.cell import placing
 from carawaymast_core.cell import records
 from carawaymast_core.cell import reports
+from carawaymast_core.cell import run as run_mod
 from carawaymast_core.cell import run_ends
 from carawaymast_core.cell import spec as spec_mod
-from carawaymast_core.cell import worker as worker_mod
 
 if typing.TYPE_CHECKING:
     from carawaymast_core.cell import cell as cell_mod
@@ -29,7 +29,7 @@
 
     submission_by_id: dict[str, spec_mod.Submission]
     records_by_id: dict[str, records.JobRecord]
-    starts: list[worker_mod.Run]
+    starts: list[run_mod.Run]
     acks: dict[tuple[str, int], int]
     dropped_keys: typing.Sequence[str] = ()
     speeds: records.SpeedRecord | None = None
@@ -85,7 +85,7 @@
     return batch
 
 
-def mark_stored(cell: 'cell_mod.Cell', batch: Batch) -> list[worker_mod.Run]:
+def mark_stored(cell: 'cell_mod.Cell', batch: Batch) -> list[run_mod.Run]:
     """Mark a batch as stored; return the runs to start.
 
     Those that may not start any more are withdrawn, and placed anew.
@@ -99,7 +99,7 @@
     for run in batch.starts:
         if run.worker.run_by_task.get(run.task.name) is not run:
             continue
-        run.state = worker_mod.RunState.ORDERED
+        run.state = run_mod.RunState.ORDERED
         if run.stop_reason or run.task.step.job.phase.is_final:
             # Its start was never sent, so it cannot be running.
             run_ends.apply(
@@ -114,7 +114,7 @@
     return starts
 
 
-def _withdraw_unfit(runs: typing.Sequence[worker_mod.Run]) -> None:
+def _withdraw_unfit(runs: typing.Sequence[run_mod.Run]) -> None:
     """Mark runs that must not start where they were placed any more.
 
     Storing them may have taken seconds, in which the worker may have shrunk
--- a/packages/carawaymast-core/carawaymast_core/cell/cell.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/cell.py
@@ -18,6 +18,7 @@
 from carawaymast_core.cell import fleet as fleet_mod
 from carawaymast_core.cell import jobs
 from carawaymast_core.cell import records
+from carawaymast_core.cell import run as run_mod
 from carawaymast_core.cell import spec as spec_mod
 from carawaymast_core.cell import takeover
 from carawaymast_core.cell import throttling
@@ -67,7 +68,7 @@
         # ended runs by the workers' keys.
         self.new_by_id: dict[str, spec_mod.Submission] = {}
         self.dirty_ids: set[str] = set()
-        self.starts: list[worker_mod.Run] = []
+        self.starts: list[run_mod.Run] = []
         self.acks: dict[tuple[str, int], int] = {}
         # State records that have expired, see ``retention``.
         self.dropped_keys: list[str] = []
@@ -224,14 +225,14 @@
             step.advice = advice_mod.StepAdvice()
         self.ready_by_name[step.name] = step
 
-    def stop(self, run: worker_mod.Run, reason: str) -> None:
+    def stop(self, run: run_mod.Run, reason: str) -> None:
         """Order the stop of a run; its capacity stays in use until its end.
 
         The stop of a service's task waits while too many others are
         unavailable.
         """
         run.stop_reason = run.stop_reason or reason
-        if run.is_stopping or run.state is worker_mod.RunState.PLACED:
+        if run.is_stopping or run.state is run_mod.RunState.PLACED:
             return
         if not availability.may_stop(run):
             return
@@ -256,7 +257,7 @@
 
     # -- used when runs end ------------------------------------------------
 
-    def release(self, run: worker_mod.Run) -> None:
+    def release(self, run: run_mod.Run) -> None:
         """Free the capacity of a run that is certainly not running."""
         run.worker.remove(run)
         run.task.runs.remove(run)
--- a/packages/carawaymast-core/carawaymast_core/cell/crashes.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/crashes.py
@@ -8,6 +8,7 @@
 import typing
 
 from carawaymast_core.cell import records
+from carawaymast_core.cell import run as run_mod
 from carawaymast_core.cell import worker as worker_mod
 
 if typing.TYPE_CHECKING:
@@ -83,9 +84,7 @@
     for run in runs:
         run.is_crash_counted = True
     confirmed_names = {
-        run.task.name
-        for run in runs
-        if run.state is worker_mod.RunState.RUNNING
+        run.task.name for run in runs if run.state is run_mod.RunState.RUNNING
     }
     for task in tasks:
         task.crashes = _add_crash(
@@ -99,7 +98,7 @@
 
 
 def record_restart(
-    cell: 'cell_mod.Cell', run: worker_mod.Run, now_ms: int
+    cell: 'cell_mod.Cell', run: run_mod.Run, now_ms: int
 ) -> None:
     """Record that a run's worker restarted under its id before this leader.
 
@@ -139,10 +138,10 @@
     )
 
 
-def _may_have_run(run: worker_mod.Run) -> bool:
+def _may_have_run(run: run_mod.Run) -> bool:
     if run.is_crash_counted:
-        return run.state is worker_mod.RunState.RUNNING
-    return run.state is not worker_mod.RunState.PLACED
+        return run.state is run_mod.RunState.RUNNING
+    return run.state is not run_mod.RunState.PLACED
 
 
 def _must_give_up(task: 'jobs.Task', was_alone: bool) -> bool:
@@ -199,7 +198,7 @@
 
 
 def apply_survival(
-    cell: 'cell_mod.Cell', run: worker_mod.Run, now_ms: int
+    cell: 'cell_mod.Cell', run: run_mod.Run, now_ms: int
 ) -> None:
     """Let a task that runs on, longer than before its crashes, count less.
 
--- a/packages/carawaymast-core/carawaymast_core/cell/jobs.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/jobs.py
@@ -8,7 +8,7 @@
 
 if typing.TYPE_CHECKING:
     from carawaymast_core.cell import advice
-    from carawaymast_core.cell import worker
+    from carawaymast_core.cell import run as run_mod
 
 __all__ = ['Job', 'StepState', 'Task']
 
@@ -38,7 +38,7 @@
         self.failures = 0
         self.checkpoint = ''
         self.crashes = records.NO_CRASHES
-        self.runs: list[worker.Run] = []
+        self.runs: list[run_mod.Run] = []
         # When its last run ended, on the leader's clock.
         self.waiting_since_ms = 0
 
@@ -162,7 +162,7 @@
         for steps in self.steps_by_occurrence:
             yield from steps
 
-    def runs(self) -> typing.Iterator['worker.Run']:
+    def runs(self) -> typing.Iterator['run_mod.Run']:
         """Yield all runs that may be on a worker."""
         for step in self.steps():
             for task in step.tasks:
--- a/packages/carawaymast-core/carawaymast_core/cell/placing.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/placing.py
@@ -8,8 +8,8 @@
 from carawaymast_core.cell import free_capacity
 from carawaymast_core.cell import jobs
 from carawaymast_core.cell import planner
+from carawaymast_core.cell import run as run_mod
 from carawaymast_core.cell import speculation
-from carawaymast_core.cell import worker as worker_mod
 
 if typing.TYPE_CHECKING:
     from carawaymast_core.cell import cell as cell_mod
@@ -122,7 +122,7 @@
     run_id = task.last_run_id + 1
     if step.spec.is_gang:
         run_id = 1 + max(t.last_run_id for t in step.tasks if t.is_waiting)
-    run = worker_mod.Run(task, run_id, worker, now_ms)
+    run = run_mod.Run(task, run_id, worker, now_ms)
     run.ticket = ticket
     worker.add(run)
     task.runs.append(run)
@@ -145,7 +145,7 @@
 
     The members may have had different numbers of runs before.
     """
-    by_step: dict[str, list[worker_mod.Run]] = {}
+    by_step: dict[str, list[run_mod.Run]] = {}
     for run in cell.starts:
         if run.task.step.spec.is_gang:
             by_step.setdefault(run.task.step.name, []).append(run)
--- a/packages/carawaymast-core/carawaymast_core/cell/progress.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/progress.py
@@ -4,7 +4,7 @@
 run will take, and that it stands still, long before it ends or is overdue.
 """
 
-from carawaymast_core.cell import worker as worker_mod
+from carawaymast_core.cell import run as run_mod
 
 __all__ = ['expected_total_ms', 'is_progressing', 'is_stalled', 'record']
 
@@ -17,14 +17,14 @@
 STALL_FACTOR = 8
 
 
-def record(run: worker_mod.Run, percent: float, now_ms: int) -> None:
+def record(run: run_mod.Run, percent: float, now_ms: int) -> None:
     """Record the progress of a run as its worker listed it at ``now_ms``."""
     if run.progressed_at_ms is None or percent > run.percent:
         run.progressed_at_ms = now_ms
     run.percent = percent
 
 
-def expected_total_ms(run: worker_mod.Run, now_ms: int) -> int | None:
+def expected_total_ms(run: run_mod.Run, now_ms: int) -> int | None:
     """Return how long a run takes from its start to its end, in ms.
 
     That is how long it has run, if its progress does not show more. None
@@ -39,11 +39,11 @@
     return max(ran_ms, int(at_rate_ms * 100 / run.percent))
 
 
-def is_stalled(run: worker_mod.Run, now_ms: int) -> bool:
+def is_stalled(run: run_mod.Run, now_ms: int) -> bool:
     """Return whether a run has stood still for too long."""
     if not _has_progress(run) or run.began_at_ms is None:
         return False
-    if run.state is not worker_mod.RunState.RUNNING or run.percent >= 100:
+    if run.state is not run_mod.RunState.RUNNING or run.percent >= 100:
         return False
     still_ms = now_ms - run.progressed_at_ms
     percent_ms = run.task.step.spec.estimate_ms / 100
@@ -52,7 +52,7 @@
     return still_ms > max(MIN_STALL_MS, STALL_FACTOR * percent_ms)
 
 
-def is_progressing(run: worker_mod.Run, now_ms: int) -> bool:
+def is_progressing(run: run_mod.Run, now_ms: int) -> bool:
     """Return whether a run is known to have worked a moment ago."""
     return (
         _has_progress(run)
@@ -61,7 +61,7 @@
     )
 
 
-def _has_progress(run: worker_mod.Run) -> bool:
+def _has_progress(run: run_mod.Run) -> bool:
     """Return whether the worker lists the run's own progress.
 
     It does not for services, fillers may be slowed down by orders, and the
--- a/packages/carawaymast-core/carawaymast_core/cell/run_ends.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/run_ends.py
@@ -3,8 +3,8 @@
 import typing
 
 from carawaymast_core.cell import reports
+from carawaymast_core.cell import run as run_mod
 from carawaymast_core.cell import suspicion
-from carawaymast_core.cell import worker as worker_mod
 
 if typing.TYPE_CHECKING:
     from carawaymast_core.cell import cell as cell_mod
@@ -15,7 +15,7 @@
 
 def apply(
     cell: 'cell_mod.Cell',
-    run: worker_mod.Run,
+    run: run_mod.Run,
     how: reports.EndKind,
     checkpoint: str,
     now_ms: int,
--- a/packages/carawaymast-core/carawaymast_core/cell/speculation.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/speculation.py
@@ -11,8 +11,8 @@
 from carawaymast_core.cell import fleet as fleet_mod
 from carawaymast_core.cell import isolation
 from carawaymast_core.cell import progress
+from carawaymast_core.cell import run as run_mod
 from carawaymast_core.cell import suspicion
-from carawaymast_core.cell import worker as worker_mod
 
 if typing.TYPE_CHECKING:
     from carawaymast_core.cell import cell as cell_mod
@@ -57,16 +57,16 @@
             yield choosing.Placement(task, option.worker, option.ticket)
 
 
-def _only_run(task: 'jobs.Task') -> worker_mod.Run | None:
+def _only_run(task: 'jobs.Task') -> run_mod.Run | None:
     """Return the only run of a task if it is confirmed, else None."""
     if task.is_done or len(task.runs) != 1 or isolation.is_suspect(task):
         return None
     (run,) = task.runs
-    is_running = run.state is worker_mod.RunState.RUNNING
+    is_running = run.state is run_mod.RunState.RUNNING
     return run if is_running and not run.stop_reason else None
 
 
-def _is_late(cell: 'cell_mod.Cell', run: worker_mod.Run, now_ms: int) -> bool:
+def _is_late(cell: 'cell_mod.Cell', run: run_mod.Run, now_ms: int) -> bool:
     if progress.is_stalled(run, now_ms):
         return True
     run_sample = suspicion.run_sample(run, now_ms)
--- a/packages/carawaymast-core/carawaymast_core/cell/suspicion.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/suspicion.py
@@ -4,6 +4,7 @@
 
 from carawaymast_core.cell import progress
 from carawaymast_core.cell import reports
+from carawaymast_core.cell import run as run_mod
 from carawaymast_core.cell import worker as worker_mod
 from carawaymast_core.cell import worker_speed
 
@@ -36,7 +37,7 @@
 
 def record_end(
     cell: 'cell_mod.Cell',
-    run: worker_mod.Run,
+    run: run_mod.Run,
     how: reports.EndKind,
     now_ms: int,
 ) -> None:
@@ -57,7 +58,7 @@
         _suspect(cell, worker, 'failures', now_ms)
 
 
-def _record_speed(cell, run: worker_mod.Run, now_ms: int) -> None:
+def _record_speed(cell, run: run_mod.Run, now_ms: int) -> None:
     """Update the estimate of a worker's speed; suspect a faulty worker."""
     worker = run.worker
     sample = run_sample(run, now_ms)
@@ -74,7 +75,7 @@
 
 def check_overdue(
     cell: 'cell_mod.Cell', worker: worker_mod.Worker, now_ms: int
-) -> list[worker_mod.Run]:
+) -> list[run_mod.Run]:
     """Suspect a worker on which several runs are overdue.
 
     Ends of runs alone would show too late how slow a worker is. Return the
@@ -95,7 +96,7 @@
 
 def check_stalled(
     cell: 'cell_mod.Cell', worker: worker_mod.Worker, now_ms: int
-) -> list[worker_mod.Run]:
+) -> list[run_mod.Run]:
     """Suspect a worker on which all progress has stopped.
 
     Return the runs that are to be stopped, so that they start elsewhere.
@@ -111,16 +112,16 @@
     return _runs_to_move(worker, stalled, now_ms)
 
 
-def _is_overdue(cell, run: worker_mod.Run, now_ms: int) -> bool:
+def _is_overdue(cell, run: run_mod.Run, now_ms: int) -> bool:
     sample = run_sample(run, now_ms)
     return sample is not None and cell.speeds.is_overdue(sample)
 
 
 def _runs_to_move(
     worker: worker_mod.Worker,
-    runs: typing.Iterable[worker_mod.Run],
+    runs: typing.Iterable[run_mod.Run],
     now_ms: int,
-) -> list[worker_mod.Run]:
+) -> list[run_mod.Run]:
     """Return the most urgent runs if their worker is suspected.
 
     The others, which have time to spare, go on, and steps that allow copies
@@ -137,9 +138,7 @@
     ]
 
 
-def run_sample(
-    run: worker_mod.Run, now_ms: int
-) -> worker_speed.RunSample | None:
+def run_sample(run: run_mod.Run, now_ms: int) -> worker_speed.RunSample | None:
     """Return a sample of a run's duration, as far as its progress shows it.
 
     It is None if the duration does not depend on the worker's speed alone:
--- a/packages/carawaymast-core/carawaymast_core/cell/takeover.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/takeover.py
@@ -7,6 +7,7 @@
 from carawaymast_core.cell import jobs
 from carawaymast_core.cell import records
 from carawaymast_core.cell import reports
+from carawaymast_core.cell import run as run_mod
 from carawaymast_core.cell import view as view_mod
 from carawaymast_core.cell import worker as worker_mod
 from carawaymast_core.cell import worker_lifecycle
@@ -70,8 +71,8 @@
         worker = _latest_incarnation(cell, key) or _add_unlisted(
             cell, run_row, now_ms
         )
-        run = worker_mod.Run(task, run_row.run_id, worker, now_ms)
-        run.state = worker_mod.RunState.ORDERED
+        run = run_mod.Run(task, run_row.run_id, worker, now_ms)
+        run.state = run_mod.RunState.ORDERED
         # The first lease renewal with the new epoch shows whether the run is
         # on the worker: no order of the previous leader can take effect
         # after it.
--- a/packages/carawaymast-core/carawaymast_core/cell/throttling.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/throttling.py
@@ -11,6 +11,7 @@
 
 import typing
 
+from carawaymast_core.cell import run as run_mod
 from carawaymast_core.cell import worker as worker_mod
 
 if typing.TYPE_CHECKING:
@@ -93,17 +94,17 @@
         )
 
 
-def fillers_of(worker: worker_mod.Worker) -> list[worker_mod.Run]:
+def fillers_of(worker: worker_mod.Worker) -> list[run_mod.Run]:
     """Return the runs of fillers that the worker has listed as running."""
     return [
         run
         for run in worker.run_by_task.values()
         if run.task.step.spec.is_filler
-        and run.state is worker_mod.RunState.RUNNING
+        and run.state is run_mod.RunState.RUNNING
     ]
 
 
-def services_of(worker: worker_mod.Worker) -> list[worker_mod.Run]:
+def services_of(worker: worker_mod.Worker) -> list[run_mod.Run]:
     """Return the runs on a worker that have a latency target."""
     return [
         run
@@ -157,15 +158,15 @@
             cell.stop(run, 'it disturbs a service at any speed')
 
 
-def _pressure(run: worker_mod.Run) -> float:
+def _pressure(run: run_mod.Run) -> float:
     """Return a service's tail latency divided by its target."""
     return run.use / run.task.step.spec.latency_target_ms
 
 
 def _slow_down(
     cell: 'cell_mod.Cell',
-    fillers: list[worker_mod.Run],
-    services: list[worker_mod.Run],
+    fillers: list[run_mod.Run],
+    services: list[run_mod.Run],
     pressure: float,
     now_ms: int,
 ) -> None:
@@ -198,19 +199,17 @@
 def _speed_up(
     cell: 'cell_mod.Cell',
     worker: worker_mod.Worker,
-    fillers: list[worker_mod.Run],
-    services: list[worker_mod.Run],
+    fillers: list[run_mod.Run],
+    services: list[run_mod.Run],
     now_ms: int,
 ) -> None:
     """Speed up the least disturbing of the fillers that are slowed down."""
     images = _images(services)
     for run in fillers:
-        if run.speed_limit == worker_mod.FULL_SPEED_PERCENT:
+        if run.speed_limit == run_mod.FULL_SPEED_PERCENT:
             for image in images:
                 cell.disturbances.record_calm(_image(run), image)
-    slowed = [
-        r for r in fillers if r.speed_limit < worker_mod.FULL_SPEED_PERCENT
-    ]
+    slowed = [r for r in fillers if r.speed_limit < run_mod.FULL_SPEED_PERCENT]
     if not slowed or now_ms - worker.sped_up_at_ms < SPEED_UP_INTERVAL_MS:
         return
     if any(
@@ -218,7 +217,7 @@
     ):
         return
     run = min(slowed, key=lambda run: _disturbance_key(cell, run, images))
-    percent = worker_mod.FULL_SPEED_PERCENT
+    percent = run_mod.FULL_SPEED_PERCENT
     if services:
         percent = min(percent, run.speed_limit + SPEED_UP_STEP_PERCENT)
     worker.sped_up_at_ms = now_ms
@@ -226,7 +225,7 @@
 
 
 def _repeat_order(
-    cell: 'cell_mod.Cell', run: worker_mod.Run, now_ms: int
+    cell: 'cell_mod.Cell', run: run_mod.Run, now_ms: int
 ) -> None:
     """Repeat an order whose speed limit the worker does not report."""
     is_applied = int(run.percent) == run.speed_limit
@@ -240,7 +239,7 @@
         )
 
 
-def _is_stuck(run: worker_mod.Run, now_ms: int) -> bool:
+def _is_stuck(run: run_mod.Run, now_ms: int) -> bool:
     """Return whether a filler was paused for so long that it must move."""
     if run.speed_limit > 0 or run.is_stopping:
         return False
@@ -251,7 +250,7 @@
 
 def _order_speed_limit(
     cell: 'cell_mod.Cell',
-    run: worker_mod.Run,
+    run: run_mod.Run,
     percent: int,
     pressure: float,
     now_ms: int,
@@ -274,22 +273,22 @@
     cell.speed_limit_orders.append(worker_mod.SpeedLimitOrder(run, percent))
 
 
-def _image(run: worker_mod.Run) -> str:
+def _image(run: run_mod.Run) -> str:
     return run.task.step.spec.image
 
 
-def _images(runs: typing.Iterable[worker_mod.Run]) -> set[str]:
+def _images(runs: typing.Iterable[run_mod.Run]) -> set[str]:
     return {_image(run) for run in runs}
 
 
-def _cpu_share(run: worker_mod.Run) -> float:
+def _cpu_share(run: run_mod.Run) -> float:
     """Return the share of its worker's processors that a filler requests."""
     capacity = run.worker.entry.capacity.cpu_millis
     return run.task.step.spec.size.cpu_millis / max(1, capacity)
 
 
 def _disturbance_key(
-    cell: 'cell_mod.Cell', run: worker_mod.Run, images: typing.Iterable[str]
+    cell: 'cell_mod.Cell', run: run_mod.Run, images: typing.Iterable[str]
 ) -> tuple[float, float]:
     """Return a sort key that is larger for fillers that disturb more."""
     return cell.disturbances.score(_image(run), images), _cpu_share(run)
--- a/packages/carawaymast-core/carawaymast_core/cell/worker.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/worker.py
@@ -1,21 +1,18 @@
 """A cell leader's state of a worker: lease, clock, free capacity and runs."""
 
-import enum
 import typing
 
 from carawaymast_core import errors
 from carawaymast_core import resources
 from carawaymast_core.cell import isolation
 from carawaymast_core.cell import reports
+from carawaymast_core.cell import run as run_mod
 from carawaymast_core.cell import worker_speed
 
 if typing.TYPE_CHECKING:
     from carawaymast_core.cell import jobs
 
 __all__ = [
-    'FULL_SPEED_PERCENT',
-    'Run',
-    'RunState',
     'SpeedLimitOrder',
     'StopOrder',
     'Worker',
@@ -23,96 +20,6 @@
 
 # From the platform's contract: a worker's steady clock may be 2% slow.
 MIN_CLOCK_RATE = 0.98
-FULL_SPEED_PERCENT = 100
-
-
-class RunState(enum.Enum):
-    """What the leader has confirmed of a run."""
-
-    PLACED = 'placed'  # chosen; its record is stored, or will be soon
-    ORDERED = 'ordered'  # its start is sent, but not confirmed
-    RUNNING = 'running'  # confirmed by the worker
-
-
-class Run:
-    """A run of a task that may be on a worker."""
-
-    __slots__ = (
-        'began_at_ms',
-        'is_missing',
-        'is_stop_sent',
-        'is_stopping',
-        'known_at_ms',
-        'paused_since_ms',
-        'percent',
-        'placed_at_ms',
-        'progressed_at_ms',
-        'run_id',
-        'is_crash_counted',
-        'speed_limit',
-        'speed_limited_at_ms',
-        'state',
-        'stop_answered_at_ms',
-        'stop_reason',
-        'task',
-        'ticket',
-        'unanswered_at_ms',
-        'use',
-        'worker',
-    )
-
-    def __init__(
-        self, task: 'jobs.Task', run_id: int, worker: 'Worker', now_ms: int
-    ):
-        self.task = task
-        self.run_id = run_id
-        self.worker = worker
-        self.ticket = ''
-        self.state = RunState.PLACED
-        self.placed_at_ms = now_ms
-        # When its start was confirmed; None if it continued from a checkpoint
-        # or was started by a previous leader.
-        self.began_at_ms: int | None = None
-        # A lease renewal that was sent later than this shows whether the run
-        # is on the worker.
-        self.known_at_ms: int | None = None
-        self.is_stopping = False
-        self.stop_reason = ''
-        self.stop_answered_at_ms: int | None = None
-        # Whether a stop was ever sent: even if it was not answered, it may
-        # take effect.
-        self.is_stop_sent = False
-        # Whether its worker crashed, and it may still start at the worker's
-        # next incarnation.
-        self.is_crash_counted = False
-        # When the call for its start failed without an answer, and whether
-        # the worker has not listed the run since.
-        self.unanswered_at_ms = 0
-        self.is_missing = False
-        # When a list of the worker first showed its present ``percent``.
-        self.progressed_at_ms: int | None = None
-        # As the worker last listed it, see ``reports.ListedRun``.
-        self.percent = 0.0
-        self.use = 0.0
-        # The last ordered limit in percent of full speed, and when it was
-        # ordered.
-        self.speed_limit = FULL_SPEED_PERCENT
-        self.speed_limited_at_ms = 0
-        # When a filler's speed limit was last set to 0.
-        self.paused_since_ms = 0
-
-    @property
-    def is_unconfirmed(self) -> bool:
-        """Whether only the worker's next list can show if the run started."""
-        return self.unanswered_at_ms > 0 and not self.is_missing
-
-    @property
-    def is_at_full_speed(self) -> bool:
-        """Whether the worker lists the run at full speed."""
-        return (
-            self.state is RunState.RUNNING
-            and self.percent >= FULL_SPEED_PERCENT
-        )
 
 
 class StopOrder(typing.NamedTuple):
@@ -124,13 +31,13 @@
     worker: 'Worker'
     task_name: str
     run_id: int
-    run: Run | None
+    run: run_mod.Run | None
 
 
 class SpeedLimitOrder(typing.NamedTuple):
     """An order to limit the speed of a run, in percent of full speed."""
 
-    run: Run
+    run: run_mod.Run
     percent: int
 
 
@@ -142,7 +49,7 @@
         self.worker_id = entry.worker_id
         self.born_ms = entry.born_ms
         self.key = (entry.worker_id, entry.born_ms)
-        self.run_by_task: dict[str, Run] = {}
+        self.run_by_task: dict[str, run_mod.Run] = {}
         self._used = resources.ZERO
         self._untracked_size = resources.ZERO
         self._has_unsized_run = False
@@ -253,7 +160,7 @@
             and now_ms >= self.suspect_until_ms
         )
 
-    def add(self, run: Run) -> None:
+    def add(self, run: run_mod.Run) -> None:
         """Add a run and allocate its size.
 
         Raises ``InvariantError`` if another run of the task is here.
@@ -269,7 +176,7 @@
         self._used = self._used.plus(run.task.step.spec.allocated_size)
         self._update_free()
 
-    def remove(self, run: Run) -> None:
+    def remove(self, run: run_mod.Run) -> None:
         """Remove a run and free its size."""
         del self.run_by_task[run.task.name]
         self.isolated_by_name.pop(run.task.name, None)
--- a/packages/carawaymast-core/carawaymast_core/cell/worker_lifecycle.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/worker_lifecycle.py
@@ -4,6 +4,7 @@
 
 from carawaymast_core.cell import crashes
 from carawaymast_core.cell import reports
+from carawaymast_core.cell import run as run_mod
 from carawaymast_core.cell import run_ends
 from carawaymast_core.cell import suspicion
 from carawaymast_core.cell import worker as worker_mod
@@ -102,13 +103,13 @@
         predecessor.remove(run)
         run.worker = successor
         successor.add(run)
-        if run.state is worker_mod.RunState.RUNNING:
+        if run.state is run_mod.RunState.RUNNING:
             run.known_at_ms = now_ms
         run.is_stopping = False
         run.stop_answered_at_ms = None
         run.percent = run.use = 0.0
-        if run.state is not worker_mod.RunState.PLACED:
-            run.state = worker_mod.RunState.ORDERED
+        if run.state is not run_mod.RunState.PLACED:
+            run.state = run_mod.RunState.ORDERED
             cell.stop(run, 'its worker has restarted')
         cell.mark_dirty(run.task.step.job)
     end_incarnation(cell, predecessor, 'reborn', now_ms)
--- a/packages/carawaymast-node/carawaymast_node/cells/gauges.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/gauges.py
@@ -10,6 +10,7 @@
 
 from carawaymast_core import resources
 from carawaymast_core.cell import cell as cell_mod
+from carawaymast_core.cell import run as run_mod
 from carawaymast_core.cell import worker as worker_mod
 
 if typing.TYPE_CHECKING:
@@ -45,7 +46,7 @@
         'workers_known': len(cell.worker_by_key),
         'workers_crashed': cell.crashed_workers,
         'orders_unanswered': sum(
-            run.state is worker_mod.RunState.ORDERED
+            run.state is run_mod.RunState.ORDERED
             for worker in cell.worker_by_key.values()
             for run in worker.run_by_task.values()
         ),
--- a/packages/carawaymast-node/carawaymast_node/cells/leader.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/leader.py
@@ -10,7 +10,6 @@
 from carawaymast_core.cell import placing
 from carawaymast_core.cell import spec as spec_mod
 from carawaymast_core.cell import takeover
-from carawaymast_core.cell import worker as worker_mod
 from carawaymast_core.cell import worker_lifecycle
 from carawaymast_node import background
 from carawaymast_node.cells import advice_dispatcher
@@ -20,6 +19,7 @@
 from carawaymast_node.cells import orders
 from carawaymast_node.cells import ports
 from carawaymast_node.cells import topic_reader as topic_reader_mod
+from carawaymast_node.cells import worker_follower
 
 __all__ = ['Leader']
 
@@ -83,16 +83,9 @@
                 context.metrics,
                 self._wake.set,
             )
-        self._workers_reader = topic_reader_mod.TopicReader(
-            context.store,
-            context.clock,
-            context.log,
-            context.platform.settings.workers_topic,
-            0,
-            self._apply_worker_item,
+        self._workers = worker_follower.WorkerFollower(
+            context, self.cell, self._orders.keep_lease_renewed, self._wake.set
         )
-        # Keys of the workers whose leases are being renewed.
-        self._renewed_keys: set[tuple[str, int]] = set()
         self.is_open = False
         self._is_over = False
         self._fence_reason = ''
@@ -114,7 +107,7 @@
             )
             self._metrics.count('takeovers_total')
             self._metrics.record_ms('takeover', self._clock.now() - started_ms)
-            self._tasks.spawn(self._workers_reader.run())
+            self._tasks.spawn(self._workers.reader.run())
             self._tasks.spawn(
                 dropping.keep_dropping(self._context, self._drop_state)
             )
@@ -128,6 +121,7 @@
             self._committed.set()
             self._context.state_reader.is_suspended = False
             self._tasks.cancel()
+            self._workers.cancel()
             if self._advice is not None:
                 self._advice.close()
             if self._commit_task is not None:
@@ -194,16 +188,13 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self._journal.open())
             group.create_task(self._catch_up(self._context.intake_reader))
-            group.create_task(self._catch_up(self._workers_reader))
+            group.create_task(self._catch_up(self._workers.reader))
         now_ms = self._clock.now()
         wall_ms = self._clock.wall()
         self.cell.set_clock(now_ms, wall_ms)
         takeover.load(self.cell, self._context.view, now_ms, wall_ms)
         self.is_open = True
-        for worker in list(self.cell.worker_by_key.values()):
-            # One that is not listed may run on, or have been replaced.
-            if worker.entry.address:
-                self._begin_renewals(worker)
+        self._workers.begin_renewals()
 
     async def _catch_up(self, reader: topic_reader_mod.TopicReader) -> None:
         """Read a topic up to its end at the time of the takeover."""
@@ -226,33 +217,6 @@
             except ports.StoreError:
                 await asyncio.sleep(RETRY_INTERVAL_MS / 1000)
 
-    def _apply_worker_item(self, item: ports.StoredItem) -> None:
-        change = self._context.platform.ingress.decode_worker(item)
-        now_ms = self._clock.now()
-        if change is None:
-            self._log.log_event('worker_entry_unreadable', worker=item.key)
-        elif change.entry is None:
-            worker_lifecycle.unlist_worker(self.cell, change.worker_id)
-        else:
-            worker = worker_lifecycle.apply_worker_entry(
-                self.cell, change.entry, now_ms
-            )
-            if worker is not None and self.is_open:
-                self._begin_renewals(worker)
-        self._wake.set()
-
-    def _begin_renewals(self, worker: worker_mod.Worker) -> None:
-        """Renew a worker's lease from now on, unless this is done already."""
-        if worker.key not in self._renewed_keys:
-            self._renewed_keys.add(worker.key)
-            self._tasks.spawn(self._keep_lease_renewed(worker))
-
-    async def _keep_lease_renewed(self, worker: worker_mod.Worker) -> None:
-        try:
-            await self._orders.keep_lease_renewed(worker)
-        finally:
-            self._renewed_keys.discard(worker.key)
-
     def _on_fenced(self, reason: str) -> None:
         """Stop leading, because another node has a higher epoch."""
         self._fence_reason = reason
--- a/packages/carawaymast-node/carawaymast_node/cells/orders.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/orders.py
@@ -8,6 +8,7 @@
 from carawaymast_core.cell import answers
 from carawaymast_core.cell import cell as cell_mod
 from carawaymast_core.cell import reports
+from carawaymast_core.cell import run as run_mod
 from carawaymast_core.cell import throttling
 from carawaymast_core.cell import worker as worker_mod
 from carawaymast_core.cell import worker_lifecycle
@@ -87,7 +88,7 @@
             MIN_ORDER_TIMEOUT_MS, MAX_ORDER_TIMEOUT_MS
         )
 
-    async def start(self, run: worker_mod.Run) -> None:
+    async def start(self, run: run_mod.Run) -> None:
         """Start a run whose placement is stored."""
         now_ms = self._clock.now()
         deadline_ms = run.worker.next_deadline(now_ms, self._lease_ms)
@@ -259,10 +260,10 @@
 
 
 def start_event_fields(
-    starts: typing.Iterable[worker_mod.Run], wall_ms: int
+    starts: typing.Iterable[run_mod.Run], wall_ms: int
 ) -> list[dict[str, typing.Any]]:
     """Return the fields of one log event for each step that starts."""
-    runs_by_step: dict[str, list[worker_mod.Run]] = {}
+    runs_by_step: dict[str, list[run_mod.Run]] = {}
     for run in starts:
         runs_by_step.setdefault(run.task.step.name, []).append(run)
     events = []
--- a/packages/carawaymast-node/carawaymast_node/cells/ports.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/ports.py
@@ -9,6 +9,7 @@
 
 from carawaymast_core.cell import records
 from carawaymast_core.cell import reports
+from carawaymast_core.cell import run as run_mod
 from carawaymast_core.cell import spec as spec_mod
 from carawaymast_core.cell import worker as worker_mod
 
@@ -229,7 +230,7 @@
 
     async def start(
         self,
-        run: worker_mod.Run,
+        run: run_mod.Run,
         epoch: int,
         deadline_ms: int,
         timeout_ms: int,
