--- a/features/steps/load_steps.py
+++ b/features/steps/load_steps.py
@@ -13,6 +13,7 @@
 from carawaymast_core.cell import records
 from carawaymast_core.cell import reports
 from carawaymast_core.cell import spec as spec_mod
+from carawaymast_core.cell import tiers
 from carawaymast_core.cell import worker_speed
 from carawaymast_node import channels
 from carawaymast_node.cells import fabric
@@ -650,7 +651,7 @@
         job_id = f's{rank}-{number}'
         submit(context, job_id, cell_world.step(), policy=policy)
         step = world.cell.ready_by_name[f'{job_id}.0.0']
-        if choosing.preferred_tiers(step) is not choosing.EXPLORING_TIERS:
+        if tiers.preferred(step) is not tiers.EXPLORING_TIERS:
             break
     fleet = fleet_mod.Fleet(world.cell.worker_by_key.values())
     (placement,) = choosing.choose(step, fleet, world.clock.now())
--- a/features/steps/planning_steps.py
+++ b/features/steps/planning_steps.py
@@ -12,6 +12,7 @@
 from carawaymast_core.cell import fleet as fleet_mod
 from carawaymast_core.cell import free_capacity
 from carawaymast_core.cell import placing
+from carawaymast_core.cell import tiers
 from carawaymast_core.cell import worker_speed
 from features import cell_world
 from standins import cells
@@ -43,9 +44,7 @@
 @when('a task looks for free capacity')
 def find_free_capacity(context):
     fleet = fleet_mod.Fleet(all_workers(context.cell))
-    found = fleet.with_free_capacity(
-        cells.SERVICE, TASK, choosing.URGENT_TIERS
-    )
+    found = fleet.with_free_capacity(cells.SERVICE, TASK, tiers.URGENT_TIERS)
     context.checked_ids = [worker.worker_id for worker in found]
 
 
@@ -86,7 +85,7 @@
 
 def scan(step, workers):
     """Return worker and ticket of each task, by examining each worker."""
-    tiers = choosing.preferred_tiers(step)
+    tier_order = tiers.preferred(step)
     allowed = [
         w
         for w in workers
@@ -98,7 +97,7 @@
     ]
     headroom = free_capacity.headroom_share(step, allowed)
     allowed.sort(
-        key=lambda w: (tiers.index(w.tier), w.free_share, w.worker_id)
+        key=lambda w: (tier_order.index(w.tier), w.free_share, w.worker_id)
     )
     rows = []
     for worker in allowed:
--- a/packages/carawaymast-core/carawaymast_core/cell/choosing.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/choosing.py
@@ -4,13 +4,12 @@
 """
 
 import typing
-import zlib
 
 from carawaymast_core.cell import fleet as fleet_mod
 from carawaymast_core.cell import free_capacity
 from carawaymast_core.cell import isolation
 from carawaymast_core.cell import throttling
-from carawaymast_core.cell import worker_speed
+from carawaymast_core.cell import tiers
 
 if typing.TYPE_CHECKING:
     from carawaymast_core.cell import jobs
@@ -23,36 +22,8 @@
     'allowed_workers',
     'choose',
     'first_option',
-    'preferred_tiers',
-    'urgent_sort_key',
 ]
 
-# Tiers of workers for urgent and for other tasks, the best first. Unknown
-# speeds are measured with work that may wait, and with one urgent step in
-# ``EXPLORING_ONE_IN``.
-URGENT_TIERS = (
-    worker_speed.Tier.FAST,
-    worker_speed.Tier.TYPICAL,
-    worker_speed.Tier.UNKNOWN,
-    worker_speed.Tier.SLOW,
-    worker_speed.Tier.FAULTY,
-)
-EXPLORING_TIERS = (
-    worker_speed.Tier.UNKNOWN,
-    worker_speed.Tier.FAST,
-    worker_speed.Tier.TYPICAL,
-    worker_speed.Tier.SLOW,
-    worker_speed.Tier.FAULTY,
-)
-EXPLORING_ONE_IN = 8
-NON_URGENT_TIERS = (
-    worker_speed.Tier.UNKNOWN,
-    worker_speed.Tier.SLOW,
-    worker_speed.Tier.TYPICAL,
-    worker_speed.Tier.FAST,
-    worker_speed.Tier.FAULTY,
-)
-
 
 class Placement(typing.NamedTuple):
     """A task and the worker on which to run it."""
@@ -146,23 +117,6 @@
     return 0.0 if is_urgent else free_capacity.URGENT_HEADROOM_SHARE
 
 
-def preferred_tiers(step: 'jobs.StepState') -> tuple[worker_speed.Tier, ...]:
-    """Return the tiers of workers for a step, the best first."""
-    if step.job.submission.queue.rank > 0:
-        return NON_URGENT_TIERS
-    is_exploring = zlib.crc32(step.name.encode()) % EXPLORING_ONE_IN == 0
-    return EXPLORING_TIERS if is_exploring else URGENT_TIERS
-
-
-def urgent_sort_key(worker: 'worker_mod.Worker') -> tuple[bool, int]:
-    """Return a worker's sort key for the advice calls of urgent steps.
-
-    Fast ones come first, but those with little free capacity last.
-    """
-    is_full = worker.free_share < free_capacity.URGENT_HEADROOM_SHARE
-    return is_full, URGENT_TIERS.index(worker.tier)
-
-
 def _options(
     step: 'jobs.StepState',
     fleet: fleet_mod.Fleet,
@@ -182,9 +136,8 @@
     queue = step.job.submission.queue
     size = step.spec.allocated_size
     limit = step.spec.max_per_worker
-    tiers = preferred_tiers(step)
     for worker in fleet.with_free_capacity(
-        queue.service, size, tiers, headroom_share
+        queue.service, size, tiers.preferred(step), headroom_share
     ):
         ticket = ''
         if step.advice is not None:
--- a/packages/carawaymast-core/carawaymast_core/cell/placing.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/placing.py
@@ -10,6 +10,7 @@
 from carawaymast_core.cell import planner
 from carawaymast_core.cell import run as run_mod
 from carawaymast_core.cell import speculation
+from carawaymast_core.cell import tiers
 
 if typing.TYPE_CHECKING:
     from carawaymast_core.cell import cell as cell_mod
@@ -109,7 +110,7 @@
     ]
     found.sort(key=lambda worker: worker.free_share, reverse=True)
     if step.job.submission.queue.rank == 0:
-        found.sort(key=choosing.urgent_sort_key)
+        found.sort(key=tiers.urgent_sort_key)
     return [worker.worker_id for worker in found]
 
 
