--- a/features/cell_world.py
+++ b/features/cell_world.py
@@ -113,6 +113,8 @@
         self.is_unlisted_while_down = False
         # Runs that no job of the store has.
         self.size_by_unknown_task: dict[str, resources.Resources] = {}
+        # The sizes of all tasks that were started.
+        self._size_by_task: dict[str, resources.Resources] = {}
         # Runners with another capacity than ``capacity``.
         self.capacity_by_id: dict[str, resources.Resources] = {}
         self.events: list[tuple[str, dict]] = []
@@ -380,6 +382,7 @@
         if runner is None or not runner.is_up:
             return None
         name = run.task.name
+        self._size_by_task[name] = run.task.step.spec.allocated_size
         known_starts = len(runner.started)
         outcome = runner.start(
             epoch,
@@ -514,7 +517,7 @@
     def _allocated_size(self, task):
         if task in self.size_by_unknown_task:
             return self.size_by_unknown_task[task]
-        return self._step(task).allocated_size
+        return self._size_by_task[task]
 
     def _step(self, task):
         job_id, _, number, _ = task.split('.')
