The soak crashes runners, by themselves and by tasks

The stand-in's runners restart at their ports under other ids and answer 421 for the one before; a task with the payload 'crash' takes its runner with it. The soak draws 5% of such jobs, which must end as failed, and checks that none is started three times after three crashes; all other jobs must complete.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -1,13 +1,16 @@
 """A soak test: node processes under random faults, checked at the runners.
 
 ``python -m bench.soak SECONDS SEED`` submits jobs to 5 nodes while nodes are
-killed, frozen and stopped at random and the store has random faults. Then it
-repairs everything and checks that each accepted job completes, that no task
-ran on two runners at once and that none ran again after it was done. It
+killed, frozen and stopped at random, the store has random faults and runners
+crash, by themselves or by a task. Then it repairs everything and checks that
+each accepted job completes, or fails if a task of it crashes its runners, that
+no task ran on two runners at once, that none ran again after it was done, and
+that none was started three times after three runners had crashed under it. It
 prints a report and exits with 1 if a check fails.
 """
 
 import collections
+import http.client
 import json
 import random
 import signal
@@ -23,11 +26,20 @@
 __all__ = ['main']
 
 NODES = 5
+# Soaks with different seeds may run at the same time.
+FIRST_SUBNET = 10
+SUBNETS = 200
+CALL_TIMEOUT_S = 5.0
 RUNNERS = 6
 JOB_INTERVAL_S = 0.25
 FAULT_INTERVAL_S = 3.0
 # For all jobs to complete, once all nodes and the store are repaired.
 COMPLETION_TIMEOUT_S = 60.0
+# The share of jobs of which the task crashes its runners.
+CRASHING_SHARE = 0.05
+# The platform's limits for such a task.
+MAX_CRASHES = 3
+MAX_LATE_STARTS = 2
 SIGNAL_BY_FAULT = {
     'kill': signal.SIGKILL,
     'freeze': signal.SIGSTOP,
@@ -48,9 +60,12 @@
 
     def __init__(self, directory: str, seed: int):
         self._random = random.Random(seed)
+        subnet = FIRST_SUBNET + seed % SUBNETS
+        # Callers keep their connections until these break.
+        self._connection_by_name: dict[str, http.client.HTTPConnection] = {}
         self._platform, self._ports = platform_nodes.start_platform(RUNNERS)
         self._nodes = [
-            platform_nodes.Node(number, directory, self._ports[0])
+            platform_nodes.Node(number, directory, self._ports[0], subnet)
             for number in range(NODES)
         ]
         # Nodes that are down, frozen or shutting down, by number.
@@ -59,6 +74,7 @@
         self.answers: collections.Counter[int] = collections.Counter()
         self.faults: collections.Counter[str] = collections.Counter()
         self.accepted_paths: list[str] = []
+        self.crashing_paths: set[str] = set()
         self._job_number = 0
 
     def __enter__(self) -> 'Soak':
@@ -85,9 +101,10 @@
             time.sleep(JOB_INTERVAL_S)
 
     def repair_all(self) -> list[str]:
-        """Repair all nodes; return the accepted jobs that don't complete.
+        """Repair all nodes; return the accepted jobs that don't end well.
 
-        Jobs have ``COMPLETION_TIMEOUT_S`` to complete.
+        Those are jobs that don't complete in ``COMPLETION_TIMEOUT_S`` or, if
+        a task of theirs crashes its runners, don't fail.
         """
         for number in self._repair_by_number:
             node = self._nodes[number]
@@ -99,7 +116,7 @@
         until_s = time.monotonic() + COMPLETION_TIMEOUT_S
         while not_completed and time.monotonic() < until_s:
             not_completed = [
-                path for path in not_completed if not self._is_completed(path)
+                path for path in not_completed if not self._has_ended(path)
             ]
             time.sleep(JOB_INTERVAL_S)
         return not_completed
@@ -127,28 +144,64 @@
             'estimate_ms': platform_http.WORK_MS,
             'gang': self._random.random() < 0.3,
         }
-        body = {'spec': 'soak', 'phases': [step]}
+        is_crashing = self._random.random() < CRASHING_SHARE
+        payload = platform_http.CRASH_PAYLOAD if is_crashing else 'soak'
+        body = {'spec': payload, 'phases': [step]}
+        if is_crashing:
+            self.crashing_paths.add(path)
         for node in self._random.sample(self._nodes, 2):
             if node.process.poll() is not None:
                 continue
-            status, _ = node.call('POST', path, body)
+            status, _ = self._call(node, 'POST', path, body)
             self.answers[status] += 1
             if status == 200:
                 self.accepted_paths.append(path)
                 return
 
-    def _is_completed(self, path: str) -> bool:
+    def _call(
+        self, node: platform_nodes.Node, method: str, path: str, body=None
+    ) -> tuple[int, str]:
+        """Return the status and body of an answer, (0, '') without one."""
+        connection = self._connection_by_name.setdefault(
+            node.name,
+            http.client.HTTPConnection(
+                node.ip, platform_nodes.FRONTEND_PORT, timeout=CALL_TIMEOUT_S
+            ),
+        )
+        headers = {'Host': platform_http.QUEUE_HOST}
+        data = None if body is None else json.dumps(body).encode()
+        try:
+            connection.request(method, path, data, headers)
+            response = connection.getresponse()
+            return response.status, response.read().decode()
+        except (OSError, http.client.HTTPException):
+            connection.close()
+            return 0, ''
+
+    def _has_ended(self, path: str) -> bool:
         node = self._random.choice(self._nodes)
-        _, text = node.call('GET', path)
-        return '"completed"' in text
+        _, text = self._call(node, 'GET', path)
+        wanted = 'failed' if path in self.crashing_paths else 'completed'
+        return f'"{wanted}"' in text
 
     def _inject_fault(self) -> None:
-        fault = self._random.choice([*SIGNAL_BY_FAULT, 'store', 'all'])
+        fault = self._random.choice(
+            [*SIGNAL_BY_FAULT, 'hup', 'store', 'all', 'crash']
+        )
         for_s = self._random.uniform(0.5, 5.0)
         if fault == 'store':
             fault = self._random.choice(STORE_FAULTS)
             url = f'http://{deployment.HOST}:{self._ports[0]}/fault'
             deployment.call('POST', url, {'how': fault, 'for_s': for_s})
+        elif fault == 'hup':
+            process = self._random.choice(self._nodes).process
+            if process.poll() is None:
+                process.send_signal(signal.SIGHUP)
+        elif fault == 'crash':
+            ports = self._random.sample(self._ports[1:], 2)
+            for port in ports:
+                url = f'http://{deployment.HOST}:{port}/crash'
+                deployment.call('POST', url, {})
         elif fault == 'all':
             for number in range(NODES):
                 self._signal(number, signal.SIGKILL, 0.5)
@@ -201,6 +254,20 @@
     return found
 
 
+def find_late_starts(
+    history: typing.Iterable[tuple[float, str, str, int]],
+) -> list[str]:
+    """Return the tasks that crashed too many runners."""
+    crashes: collections.Counter[str] = collections.Counter()
+    late_starts: collections.Counter[str] = collections.Counter()
+    for _, event, task, _ in history:
+        if event == 'crashed':
+            crashes[task] += 1
+        elif event == 'start' and crashes[task] >= MAX_CRASHES:
+            late_starts[task] += 1
+    return [t for t, count in late_starts.items() if count > MAX_LATE_STARTS]
+
+
 def main(arguments: typing.Sequence[str]) -> int:
     """Run a soak; return the exit status."""
     seconds, seed = float(arguments[0]), int(arguments[1])
@@ -210,6 +277,11 @@
             not_completed = soak.repair_all()
             history = soak.history()
     repeated_starts = find_repeated_starts(history)
+    late_starts = [
+        task
+        for task in find_late_starts(history)
+        if _path_of(task) in soak.crashing_paths
+    ]
     report = {
         'seed': seed,
         'seconds': seconds,
@@ -218,12 +290,19 @@
         'faults': dict(soak.faults),
         'starts': sum(1 for row in history if row[1] == 'start'),
         'not completed': not_completed,
+        'crashing': len(soak.crashing_paths),
+        'crashed': sum(1 for row in history if row[1] == 'crashed'),
         'doubled': repeated_starts,
+        'started too often': late_starts,
     }
     print(json.dumps(report, indent=2), flush=True)
-    return (
-        1 if not_completed or repeated_starts or not soak.accepted_paths else 0
-    )
+    is_bad = not_completed or repeated_starts or late_starts
+    return 1 if is_bad or not soak.accepted_paths else 0
+
+
+def _path_of(task: str) -> str:
+    """Return the path of the job that a task belongs to."""
+    return platform_http.QUEUE_PREFIX + task.partition('.')[0]
 
 
 if __name__ == '__main__':
--- a/standins/platform_http.py
+++ b/standins/platform_http.py
@@ -2,27 +2,35 @@
 
 ``python -m standins.platform_http STORE_PORT RUNNER_PORT...`` serves the
 in-memory store and, on each further port, one runner. Runners are listed
-from the start and do not expire. It prints ``ready`` once it listens.
+from the start and do not expire. A runner crashes on request, or by a task
+whose payload is ``CRASH_PAYLOAD``, and restarts at its port under another id.
+It prints ``ready`` once it listens.
 """
 
 import asyncio
+import functools
 import json
 import random
 import sys
 import time
+import typing
 
 from aiohttp import web
 
 from standins import keyed_log
 from standins import runner as runner_mod
 
-__all__ = ['QUEUE_HOST', 'QUEUE_PREFIX', 'main']
+__all__ = ['CRASH_PAYLOAD', 'QUEUE_HOST', 'QUEUE_PREFIX', 'main']
 
 HOST = '127.0.0.1'
+SERVERS_TOPIC = 'keyed.servers'
 SERVICE = 'desk'
 QUEUE_HOST = 'desk.example'
 QUEUE_PREFIX = '/jobs/'
 WORK_MS = 600  # the duration of every run
+CRASH_PAYLOAD = 'crash'
+CRASH_DELAY_S = 0.01
+RESTART_S = 1.0
 TICK_INTERVAL_S = 0.02
 POLL_INTERVAL_S = 0.02
 # A silent store closes a call after this time; nodes time out before.
@@ -111,15 +119,73 @@
 
 
 class RunnerServer:
-    """Serves the calls to one runner."""
+    """Serves the calls to one runner, through all its incarnations."""
 
-    def __init__(self, runner_id: str):
-        self.runner = runner_mod.RunnerStandin(runner_id)
+    def __init__(self, number: int, port: int, log: keyed_log.KeyedLog):
+        self._number = number
+        self._port = port
+        self._log = log
+        self._is_up = False
         # Rows of (time in s, event, task, run id).
         self.history: list[tuple[float, str, str, int]] = []
-        self.runner.on_change = lambda event, task, run_id: (
-            self.history.append((time.monotonic(), event, task, run_id))
+        self._incarnations = 0
+        self._restart()
+
+    def _restart(self) -> None:
+        """Begin an incarnation and list it."""
+        suffix = f'-{self._incarnations}' if self._incarnations else ''
+        self._incarnations += 1
+        self.runner = runner_mod.RunnerStandin(
+            f'i-{self._number}{suffix}', self._incarnations
         )
+        self.runner.on_change = self._record
+        self._is_up = True
+        entry = {
+            'service': SERVICE,
+            'address': f'{HOST}:{self._port}',
+            'state': 'ready',
+            'born': self.runner.born_ms,
+            'capacity': {'cpu': 4_000, 'mem_mb': 8_000},
+            'labels': ['a', 'r1'],
+        }
+        self._log.put(
+            SERVERS_TOPIC, self.runner.runner_id, json.dumps(entry).encode()
+        )
+
+    def _record(self, event: str, task: str, run_id: int) -> None:
+        self.history.append((time.monotonic(), event, task, run_id))
+
+    async def crash(self, request: web.Request | None = None) -> web.Response:
+        """End all runs and answer nothing until the restart."""
+        if self._is_up:
+            self._is_up = False
+            for task, run in self.runner.running.items():
+                self._record('crashed', task, run.run_id)
+            self.runner.running.clear()
+            asyncio.get_running_loop().call_later(RESTART_S, self._reappear)
+        return _json(200, {})
+
+    def _reappear(self) -> None:
+        self._log.put(SERVERS_TOPIC, self.runner.runner_id, b'')
+        self._restart()
+
+    async def answer(
+        self,
+        handler: typing.Callable[
+            [web.Request], typing.Awaitable[web.Response]
+        ],
+        request: web.Request,
+    ) -> web.Response:
+        """Answer a call unless the runner is down or another is meant."""
+        if not self._is_up:
+            return await _close_unanswered(request, 0)
+        runner = self.runner
+        if request.headers.get('Expected-Instance') != runner.runner_id:
+            return web.Response(status=421)
+        response = await handler(request)
+        if not self._is_up or runner is not self.runner:
+            return await _close_unanswered(request, 0)
+        return response
 
     async def run_clock(self) -> None:
         """Advance the runner's clock with real time."""
@@ -127,7 +193,8 @@
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
             now_s = time.monotonic()
-            self.runner.advance((now_s - last_s) * 1_000)
+            if self._is_up:
+                self.runner.advance((now_s - last_s) * 1_000)
             last_s = now_s
 
     async def renew_lease(self, request: web.Request) -> web.Response:
@@ -167,6 +234,10 @@
             WORK_MS,
         )
         clock = {'clock_ms': int(self.runner.clock_ms)}
+        if outcome.is_running and body['spec'] == CRASH_PAYLOAD:
+            asyncio.get_running_loop().call_later(
+                CRASH_DELAY_S, asyncio.ensure_future, self.crash()
+            )
         if outcome.is_running:
             return _json(200, clock)
         reason = {'fenced': 'fence', 'stale-run': 'old', 'late': 'late'}
@@ -210,24 +281,16 @@
     store.log.put('keyed.op', 'config', json.dumps(CONFIG).encode())
     tasks = []
     for number, port in enumerate(runner_ports):
-        server = RunnerServer(f'i-{number}')
-        entry = {
-            'service': SERVICE,
-            'address': f'{HOST}:{port}',
-            'state': 'ready',
-            'born': server.runner.born_ms,
-            'capacity': {'cpu': 4_000, 'mem_mb': 8_000},
-            'labels': ['a', 'r1'],
-        }
-        store.log.put(
-            'keyed.servers',
-            server.runner.runner_id,
-            json.dumps(entry).encode(),
-        )
+        server = RunnerServer(number, port, store.log)
         app = web.Application()
-        app.router.add_post('/-/hold', server.renew_lease)
-        app.router.add_post('/-/run-start', server.start)
-        app.router.add_post('/-/run-stop', server.stop)
+        for target, handler in (
+            ('/-/hold', server.renew_lease),
+            ('/-/run-start', server.start),
+            ('/-/run-stop', server.stop),
+        ):
+            answer = functools.partial(server.answer, handler)
+            app.router.add_post(target, answer)
+        app.router.add_post('/crash', server.crash)
         app.router.add_get('/started', server.show)
         await _listen(app, port)
         tasks.append(asyncio.create_task(server.run_clock()))
--- a/standins/platform_nodes.py
+++ b/standins/platform_nodes.py
@@ -50,11 +50,14 @@
 
 
 class Node:
-    """One node process on its own loopback address."""
+    """One node process on its own loopback address.
 
-    def __init__(self, number, directory, store_port):
+    Deployments that run at the same time need different subnets, 0 to 255.
+    """
+
+    def __init__(self, number, directory, store_port, subnet=7):
         self.name = f'node-{number}'
-        self.ip = f'127.0.7.{number + 1}'
+        self.ip = f'127.0.{subnet}.{number + 1}'
         path = pathlib.Path(directory) / f'{self.name}.toml'
         path.write_text(
             SETTINGS.format(
