Nothing is placed on a worker that has shrunk below what it runs

What callers saw: nothing yet; random steps of the cell (140 examples of 90 steps): 'worker w0 has negative free capacity', an error that ends the leader's process, and so that of each leader after it.

Cause: a filler takes no processors, and a task may ask for none of a resource, so that what is lacking was not looked at; the check after a placement, that no resource is below zero, then failed. Before capacity could shrink, none was. The class: an invariant that rested on a quantity that never fell.

Change: no task fits on a worker of which any resource is below zero. The scenario failed before with the same error. 48 passed in four features.

--- a/features/capacity.feature
+++ b/features/capacity.feature
@@ -102,3 +102,17 @@
     When "w0" grows to 16 processors
     And the leader plans
     Then a job of 8 processors is admitted
+
+  # Guards against a leader whose process ends by its own check.
+  Scenario: A filler is not placed on a worker that has shrunk below its tasks
+    Given a cell of 1 workers
+    And tasks that take 60 s
+    And a job "big" of 14 tasks and then 1 tasks
+    And the leader has started them
+    When "w0" shrinks to 8 processors
+    And a filler of 1 processors is submitted
+    And 2 s pass
+    Then 14 tasks run
+    When "w0" grows to 16 processors
+    And 2 s pass
+    Then 15 tasks run
--- a/features/steps/capacity_steps.py
+++ b/features/steps/capacity_steps.py
@@ -156,3 +156,11 @@
 def _check_admission(context, cpu):
     step = cell_world.step(cpu=cpu * 1_000)
     return context.world.cell.check_admission(cell_world.job('new', step))
+
+
+@when('a filler of {cpu:d} processors is submitted')
+def submit_filler(context, cpu):
+    step = cell_world.step(cpu=cpu * 1_000, memory=0, is_filler=True)
+    context.world.submit(
+        cell_world.job('fill', step, accepted_at_ms=context.world.clock.now())
+    )
--- a/packages/carawaymast-core/carawaymast_core/cell/free_capacity.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/free_capacity.py
@@ -85,8 +85,11 @@
     """Return how many tasks fit into a worker's free capacity.
 
     The share ``headroom`` of ``capacity`` must remain free, except of
-    accelerators.
+    accelerators. None fit on a worker that has shrunk below what it runs, not
+    even tasks that need nothing of what is lacking.
     """
+    if min(free) < 0:
+        return 0
     counts = []
     if size.cpu_millis:
         headroom_millis = int(capacity.cpu_millis * headroom)
