--- a/features/steps/malformed_steps.py
+++ b/features/steps/malformed_steps.py
@@ -125,8 +125,11 @@
     assert context.deadline_ms == ms, context.deadline_ms
 
 
-class BrokenRoutes:
-    """Routes whose lookup raises an unexpected error."""
+class BrokenConfiguration:
+    """A configuration whose lookup raises an unexpected error."""
+
+    def age_ms(self):
+        return 0
 
     def find(self, host, path):
         raise RuntimeError('unexpected')
@@ -142,7 +145,7 @@
         context.metrics,
         ingress.INGRESS,
         None,
-        BrokenRoutes(),
+        BrokenConfiguration(),
         None,
         None,
         None,
--- a/packages/carawaymast-node/carawaymast_node/cells/frontend.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/frontend.py
@@ -13,10 +13,10 @@
 from carawaymast_core.cell import view as view_mod
 from carawaymast_node import background
 from carawaymast_node import connection_limiter as connection_limiter_mod
+from carawaymast_node.cells import configuration as configuration_mod
 from carawaymast_node.cells import intake as intake_mod
 from carawaymast_node.cells import leader_calls as leader_calls_mod
 from carawaymast_node.cells import ports
-from carawaymast_node.cells import routing
 from carawaymast_node.cells import telemetry
 
 __all__ = ['Frontend', 'FrontendParts']
@@ -49,7 +49,7 @@
     metrics: telemetry.Metrics
     ingress: ports.Ingress
     replies: ports.Replies
-    routes: routing.Routes
+    configuration: configuration_mod.Configuration
     view: view_mod.JobView
     intake: intake_mod.Intake
     # Waits until the view has all records that were stored by a given time, in
@@ -105,6 +105,7 @@
                 kind=error.kind.value,
                 detail=error.detail,
                 retry_after_s=answer.retry_after_s,
+                **self._parts.configuration.log_fields(),
             )
         except TimeoutError:
             unknown = errors.SchedulerError(
@@ -148,7 +149,11 @@
     ) -> ports.CallerAnswer:
         """Return the answer to a request that is abandoned at ``until_ms``."""
         host = request.headers.get('Host', '')
-        queue, job_id = self._parts.routes.find(host, request.path)
+        configuration = self._parts.configuration
+        age_ms = configuration.age_ms()
+        if age_ms is not None:
+            self._parts.metrics.record_ms('configuration_age', age_ms)
+        queue, job_id = configuration.find(host, request.path)
         if method == 'POST' and job_id:
             return await self._submit(queue, job_id, request, until_ms)
         if method == 'GET' and job_id:
@@ -185,8 +190,8 @@
             job=job_id,
             queue=queue.policy.name,
             tasks=sum(step.count for step in spec.steps),
-            version=parts.routes.version,
             by_leader=outcome.value,
+            **parts.configuration.log_fields(),
         )
         return parts.replies.accepted
 
--- a/packages/carawaymast-node/carawaymast_node/cells/gauges.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/gauges.py
@@ -25,11 +25,14 @@
 def of_node(node: 'service.CellNode') -> dict[str, float]:
     """Return the gauges of a node and, while it leads, of its cell."""
     usage = resource.getrusage(resource.RUSAGE_SELF)
+    configuration = node.replica.configuration
     found = {
         'process_cpu_seconds': usage.ru_utime + usage.ru_stime,
         'process_peak_memory_mb': usage.ru_maxrss / KILOBYTES_PER_MB,
         'is_leader': float(node.leader is not None),
-        'configuration_version': float(node.replica.routes.version or 0),
+        'configuration_version': float(configuration.routes.version or 0),
+        'configuration_offset': float(configuration.routes.offset or 0),
+        'configuration_age_ms': float(configuration.age_ms() or 0),
         'callers_connections': node.connection_limiter.open_total,
         'jobs_known': len(node.replica.view.record_by_id),
         'submissions_known': len(node.replica.view.submission_by_id),
@@ -94,7 +97,9 @@
         'boot': node.boot_id,
         'ready': node.is_ready,
         'draining': node.is_draining,
-        'configuration': replica.routes.version,
+        'configuration': replica.configuration.routes.version,
+        'configuration_offset': replica.configuration.routes.offset,
+        'configuration_age_ms': replica.configuration.age_ms(),
         'store_direct': node.route.is_direct,
         'leader': node.election.record and node.election.record.node_id,
         'epoch': node.election.epoch,
--- a/packages/carawaymast-node/carawaymast_node/cells/ports.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/ports.py
@@ -268,10 +268,14 @@
 
 
 class Declarations(typing.NamedTuple):
-    """One version of the configuration that operators declare."""
+    """One version of the configuration that operators declare.
+
+    ``offset`` is that of its record.
+    """
 
     version: int
     queues: tuple[Queue, ...]
+    offset: int = 0
 
 
 class WorkerListChange(typing.NamedTuple):
--- a/packages/carawaymast-node/carawaymast_node/cells/replica.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/replica.py
@@ -6,6 +6,7 @@
 from carawaymast_core import clock as clock_mod
 from carawaymast_core.cell import records
 from carawaymast_core.cell import view as view_mod
+from carawaymast_node.cells import configuration as configuration_mod
 from carawaymast_node.cells import fabric
 from carawaymast_node.cells import intake
 from carawaymast_node.cells import ports
@@ -78,7 +79,7 @@
         self._on_job = on_job
         self._log = reader_factory.log
         self.view = view_mod.JobView(self._log_unreadable)
-        self.routes = routing.Routes(reader_factory.log)
+        routes = routing.Routes(reader_factory.log)
         self.intake_reader = reader_factory.topic_reader(
             intake.TOPIC, self._apply_intake_item, self._read_interval_ms
         )
@@ -88,6 +89,9 @@
         self.declarations_reader = reader_factory.topic_reader(
             platform.settings.declarations_topic, self._apply_declarations_item
         )
+        self.configuration = configuration_mod.Configuration(
+            reader_factory.clock, routes, self.declarations_reader
+        )
         self.members_reader = reader_factory.topic_reader(
             fabric.MEMBERS_TOPIC,
             peers.apply_update,
@@ -98,7 +102,7 @@
     def is_usable(self) -> bool:
         """Whether callers can be served: queues and jobs have been read."""
         return (
-            self.routes.version is not None
+            self.configuration.routes.version is not None
             and self.intake_reader.current_as_of_ms is not None
         )
 
@@ -148,7 +152,7 @@
     def _apply_declarations_item(self, item: ports.StoredItem) -> None:
         declarations = self._decode(item)
         if declarations is not None:
-            self.routes.apply_update(declarations)
+            self.configuration.routes.apply_update(declarations)
 
 
 async def advertise_member(
--- a/packages/carawaymast-node/carawaymast_node/cells/routing.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/routing.py
@@ -16,6 +16,8 @@
         self._log = log
         self._queue_by_route: dict[tuple[str, str], ports.Queue] = {}
         self.version: int | None = None
+        # The offset of the record that holds this version.
+        self.offset: int | None = None
 
     def apply_update(self, declarations: ports.Declarations) -> bool:
         """Put a version in force; return False if it is not newer."""
@@ -27,10 +29,12 @@
         self._log.log_event(
             'configuration_in_force',
             version=declarations.version,
+            offset=declarations.offset,
             before=self.version,
             queues=len(declarations.queues),
         )
         self.version = declarations.version
+        self.offset = declarations.offset
         return True
 
     def find(self, host: str, path: str) -> tuple[ports.Queue, str]:
--- a/packages/carawaymast-node/carawaymast_node/cells/service.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/service.py
@@ -199,7 +199,7 @@
             self.metrics,
             self.platform.ingress,
             self.platform.replies,
-            self.replica.routes,
+            self.replica.configuration,
             self.replica.view,
             self.intake,
             self.replica.wait_current,
--- a/packages/carawaymast-node/carawaymast_node/cells/telemetry.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/telemetry.py
@@ -92,7 +92,7 @@
     ):
         self._node_id = node_id
         self._clock = clock
-        self._metrics = metrics
+        self.metrics = metrics
         self._bucket_by_type: dict[str, _TokenBucket] = {}
 
     def log_event(self, event_type: str, **fields: typing.Any) -> None:
@@ -100,7 +100,7 @@
 
         ``fields`` are the fields of its line.
         """
-        self._metrics.count(f'decisions_total{{kind="{event_type}"}}')
+        self.metrics.count(f'decisions_total{{kind="{event_type}"}}')
         now_ms = self._clock.now()
         bucket = self._bucket_by_type.get(event_type)
         if bucket is None:
@@ -112,7 +112,7 @@
         )
         if bucket.tokens < 1:
             bucket.dropped += 1
-            self._metrics.count('log_lines_dropped_total')
+            self.metrics.count('log_lines_dropped_total')
             return
         bucket.tokens -= 1
         if bucket.dropped:
--- a/packages/carawaymast-node/carawaymast_node/cells/topic_reader.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/topic_reader.py
@@ -72,8 +72,8 @@
                 continue
             try:
                 await self._read_next()
-            except ports.TrimmedError:
-                self.offset = None
+            except ports.TrimmedError as error:
+                self._restart(error)
             except ports.StoreError as error:
                 self._on_store_lost(error)
                 await asyncio.sleep(RETRY_INTERVAL_MS / 1000)
@@ -87,8 +87,8 @@
         while self.offset is None or self.offset < until:
             try:
                 await self._read_next(may_wait=False)
-            except ports.TrimmedError:
-                self.offset = None
+            except ports.TrimmedError as error:
+                self._restart(error)
 
     async def wait_current(self, since_ms: int) -> None:
         """Wait until a read sent at ``since_ms`` or later has found the end.
@@ -103,8 +103,8 @@
                 try:
                     await self.catch_up(0)
                     await self._read_next(may_wait=False)
-                except ports.TrimmedError:
-                    self.offset = None
+                except ports.TrimmedError as error:
+                    self._restart(error)
                 except ports.StoreError:
                     await asyncio.sleep(RETRY_INTERVAL_MS / 1000)
 
@@ -121,6 +121,7 @@
     async def _read_next(self, may_wait: bool = True) -> None:
         sent_at_ms = self._clock.now()
         if self.offset is None:
+            self._count('topic_newest_total')
             newest = await self._store.newest(self.topic, self.part)
             if self.offset is not None:
                 # A concurrent read was faster and may have applied more.
@@ -133,6 +134,7 @@
             # A long poll would occupy the peer that relays it.
             is_long = may_wait and self._is_direct()
             wait_ms = self._wait_ms if is_long else 0
+            self._count('topic_reads_total')
             answer = await self._store.read(
                 self.topic, self.part, start, wait_ms
             )
@@ -141,6 +143,13 @@
             self._apply_items(answer.items)
             self.offset = answer.next_offset
             self.end_offset = answer.end_offset
+            if start == self.offset < self.end_offset:
+                self._log.log_event(
+                    'read_without_progress',
+                    topic=self.topic,
+                    offset=start,
+                    end_offset=self.end_offset,
+                )
         if self.reachable_since_ms is None:
             self.reachable_since_ms = self._clock.now()
             self._log.log_event(
@@ -159,6 +168,19 @@
         if read_interval_ms and may_wait:
             await self._pause(read_interval_ms)
 
+    def _restart(self, error: ports.TrimmedError) -> None:
+        """Go on from the newest record of each key."""
+        self._log.log_event(
+            'reader_restarted',
+            topic=self.topic,
+            offset=self.offset,
+            first_offset=error.first_offset,
+        )
+        self.offset = None
+
+    def _count(self, name: str) -> None:
+        self._log.metrics.count(f'{name}{{topic="{self.topic}"}}')
+
     def _apply_items(self, items: typing.Iterable[ports.StoredItem]) -> None:
         for item in items:
             try:
