A cancellation is no longer dropped by a wait whose event is set just then

Cause: at the end of a term the leader sets the commit event for good and cancels its tasks. asyncio.wait_for of Python 3.11 returns normally if the event is set in the iteration in which the task is cancelled, so the renewals of a leader's leases went on after its term: each waits for a commit on an event that stays set, 400 ms without a pause, and again after the next renewal, until the worker follows another leader.

Evidence: counted by callback, a node that no longer led ran 0.8 million iterations of Orders._wait_for_ack in half a second, no reader ran often (read_without_progress was logged by none, so the lead that pointed at TopicReader is ruled out). Both scenarios of cancellation.feature failed before: the renewal was not done 50 ms after its cancellation, nor was a reader that was woken and cancelled, which keeps a process from ending after SIGTERM.

A commit event that is set ends the wait.

--- a/packages/carawaymast-node/carawaymast_node/cells/leader.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/leader.py
@@ -12,6 +12,7 @@
 from carawaymast_core.cell import takeover
 from carawaymast_core.cell import worker_lifecycle
 from carawaymast_node import background
+from carawaymast_node import waiting
 from carawaymast_node.cells import advice_dispatcher
 from carawaymast_node.cells import context as context_mod
 from carawaymast_node.cells import dropping
@@ -169,11 +170,7 @@
         return ports.StoreOutcome.YES
 
     async def _wait_for_commit(self) -> None:
-        try:
-            async with asyncio.timeout(STALL_POLL_INTERVAL_MS / 1000):
-                await self._committed.wait()
-        except TimeoutError:
-            return
+        await waiting.wait_event(self._committed, STALL_POLL_INTERVAL_MS)
 
     async def finish(self, timeout_ms: int) -> None:
         """Accept no more jobs and wait for the write in flight."""
@@ -226,12 +223,9 @@
 
     async def _keep_planning(self) -> typing.NoReturn:
         while True:
-            try:
-                await asyncio.wait_for(
-                    self._wake.wait(), IDLE_PLAN_INTERVAL_MS / 1000
-                )
+            if await waiting.wait_event(self._wake, IDLE_PLAN_INTERVAL_MS):
                 await asyncio.sleep(PLAN_DELAY_MS / 1000)
-            except asyncio.TimeoutError:
+            else:
                 self._metrics.count('idle_plans_total')
             self._wake.clear()
             if self._fence_reason:
--- a/packages/carawaymast-node/carawaymast_node/cells/leadership.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/leadership.py
@@ -7,6 +7,7 @@
 from carawaymast_core.cell import candidacy
 from carawaymast_core.cell import lag
 from carawaymast_core.cell import leader_loss
+from carawaymast_node import waiting
 from carawaymast_node.cells import context as context_mod
 from carawaymast_node.cells import election as election_mod
 from carawaymast_node.cells import leader as leader_mod
@@ -130,10 +131,7 @@
 
     async def _pause(self, poll_ms: int) -> None:
         self._wake.clear()
-        try:
-            await asyncio.wait_for(self._wake.wait(), poll_ms / 1000)
-        except TimeoutError:
-            return
+        await waiting.wait_event(self._wake, poll_ms)
 
     def _record_lag(self, lag_ms: int) -> None:
         """Record how late the event loop is, which delays all its work."""
--- a/packages/carawaymast-node/carawaymast_node/cells/orders.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/orders.py
@@ -12,6 +12,7 @@
 from carawaymast_core.cell import throttling
 from carawaymast_core.cell import worker as worker_mod
 from carawaymast_core.cell import worker_lifecycle
+from carawaymast_node import waiting
 from carawaymast_node.cells import ports
 from carawaymast_node.cells import telemetry
 
@@ -251,12 +252,11 @@
             left_ms = until_ms - self._clock.now()
             if left_ms <= 0:
                 return
-            try:
-                await asyncio.wait_for(
-                    self._committed().wait(), left_ms / 1000
-                )
-            except asyncio.TimeoutError:
+            committed = self._committed()
+            if committed.is_set():
+                # The term has ended, so there will be no further commit.
                 return
+            await waiting.wait_event(committed, left_ms)
 
 
 def start_event_fields(
--- a/packages/carawaymast-node/carawaymast_node/cells/topic_reader.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/topic_reader.py
@@ -8,6 +8,7 @@
 import typing
 
 from carawaymast_core import clock as clock_mod
+from carawaymast_node import waiting
 from carawaymast_node.cells import ports
 from carawaymast_node.cells import telemetry
 
@@ -197,10 +198,7 @@
 
     async def _pause(self, read_interval_ms: int) -> None:
         self._wake.clear()
-        try:
-            await asyncio.wait_for(self._wake.wait(), read_interval_ms / 1000)
-        except asyncio.TimeoutError:
-            return
+        await waiting.wait_event(self._wake, read_interval_ms)
 
     def _on_store_lost(self, error: ports.StoreError) -> None:
         if self.reachable_since_ms is not None:
--- a/packages/carawaymast-node/carawaymast_node/log_service.py
+++ b/packages/carawaymast-node/carawaymast_node/log_service.py
@@ -130,8 +130,9 @@
         }
         pending = self._enqueue(record)
         try:
-            return await asyncio.wait_for(pending.future, timeout_ms / 1000)
-        except asyncio.TimeoutError:
+            async with asyncio.timeout(timeout_ms / 1000):
+                return await pending.future
+        except TimeoutError:
             detail = f'record not read back within {timeout_ms} ms'
             raise CommitError(detail, pending.is_sent) from None
         finally:
--- a/standins/log.py
+++ b/standins/log.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from carawaymast_node import waiting
 from standins import serving
 
 __all__ = ['Log']
@@ -71,11 +72,7 @@
         wait_s = int(query['wait_ms']) / 1000
         limit = int(query['max'])
         if offset >= self._next_offset() and wait_s > 0:
-            appended = self._appended
-            try:
-                await asyncio.wait_for(appended.wait(), wait_s)
-            except asyncio.TimeoutError:
-                pass
+            await waiting.wait_event(self._appended, 1_000 * wait_s)
         if offset < self._first_offset:
             return 410, {'first': self._first_offset, 'records': []}
         start = offset - self._first_offset
