A probe of the store has a connection of its own, and silent ones are dropped

Callers got 404 for a route over 2 s after its acknowledgement, and answers of routes that were dropped, from nodes that count as in touch (3 s after the trouble). Cause: relay.py says that a probe on a new connection decides whether the path or only old connections are lost, but the probe took a connection of the pool. With up to 12 of them silent, each probe fails after its time-out (0.3 to 2 s) and costs one; each failure declares the path lost, and the configuration is then read through peers, which may be out of reach.

A probe now opens a connection for itself. Once it is answered, the pool is replaced, so that neither calls nor later probes use a silent connection; calls in flight that are not older than the silence keep theirs.

--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -32,3 +32,9 @@
     When all open connections of the first fall silent as it loses its peers
     And the queue "/new/" is then added
     Then the first node has it in force within 2 s
+
+  Scenario: Calls after connections were dropped use new ones
+    Given a client and a server that names the connection of each call
+    When it calls twice, calls singly, drops its connections during a call
+    And it calls twice again
+    Then the calls used connections 1, 1, 2, 1, 3 and 3
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -2,12 +2,15 @@
 
 import asyncio
 
+from aiohttp import web
 from behave import given
 from behave import then
 from behave import when
 
 from bench import late_configuration
 from carawaymast_core import clock as clock_mod
+from carawaymast_platform import client as client_mod
+from standins import deployment
 from standins import keyed_log
 from standins import store_network
 from standins import virtual
@@ -132,3 +135,78 @@
 def in_force_within(context, seconds):
     advance(context, seconds)
     assert context.first.replica.configuration.routes.version == 2
+
+
+class NamingServer:
+    """Answers each call with the number of its connection."""
+
+    def __init__(self):
+        self._number_by_port = {}
+        self.held = asyncio.Event()
+
+    async def answer(self, request):
+        """Answer, a held call only once ``held`` is set."""
+        port = request.transport.get_extra_info('peername')[1]
+        number = self._number_by_port.setdefault(
+            port, len(self._number_by_port) + 1
+        )
+        if request.path == '/held':
+            await self.held.wait()
+        return web.Response(text=str(number))
+
+
+@given('a client and a server that names the connection of each call')
+def name_connections(context):
+    context.numbers = []
+    context.steps = []
+
+
+@when('it calls twice, calls singly, drops its connections during a call')
+def call_and_drop(context):
+    async def run(client, call, server):
+        await call('/')
+        await call('/')
+        await call('/', is_single=True)
+        held = asyncio.ensure_future(call('/held'))
+        await asyncio.sleep(0)
+        client.drop_connections()
+        server.held.set()
+        await held
+
+    context.steps.append(run)
+
+
+@when('it calls twice again')
+def call_again(context):
+    async def run(client, call, server):
+        await call('/')
+        await call('/')
+
+    context.steps.append(run)
+
+
+@then('the calls used connections 1, 1, 2, 1, 3 and 3')
+def connections_are(context):
+    asyncio.run(run_calls(context))
+    assert context.numbers == [1, 1, 2, 1, 3, 3], context.numbers
+
+
+async def run_calls(context):
+    server = NamingServer()
+    app = web.Application()
+    app.router.add_get('/{tail:.*}', server.answer)
+    runner = web.AppRunner(app)
+    await runner.setup()
+    port = deployment.free_port()
+    await web.TCPSite(runner, '127.0.0.1', port).start()
+
+    async def call(path, **options):
+        reply = await client.call(
+            'GET', f'127.0.0.1:{port}', path, b'', 10_000, **options
+        )
+        context.numbers.append(int(reply.body))
+
+    async with client_mod.Client() as client:
+        for step in context.steps:
+            await step(client, call, server)
+    await runner.cleanup()
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -318,8 +318,9 @@
 
 
 def route_of(context, name, peers):
+    send = context.log.transport(name)
     return relay.StoreRoute(
-        context.log.transport(name),
+        ports.StoreLink(send, send, lambda: None),
         peers,
         context.clock,
         make_telemetry(context.clock),
--- a/features/steps/store_path_steps.py
+++ b/features/steps/store_path_steps.py
@@ -65,9 +65,14 @@
             raise channels.PeerError('no answer') from None
 
 
+def link_of(send):
+    """Return a link whose calls all go through ``send``."""
+    return ports.StoreLink(send, send, lambda: None)
+
+
 def make_route(context, path, peers):
     return relay.StoreRoute(
-        path.send,
+        link_of(path.send),
         peers,
         context.clock,
         telemetry.Telemetry(context.clock, telemetry.Metrics()),
@@ -99,7 +104,7 @@
     context.peers = Peers([make_route(context, context.peer_path, None)])
     context.route = make_route(context, context.path, context.peers)
     context.store = store_mod.Store(context.route.send)
-    direct = store_mod.Store(context.route.send_direct)
+    direct = store_mod.Store(context.route.send_anew)
 
     async def probe(timeout_ms):
         await direct.read(TOPIC, 0, 0, 0, timeout_ms)
@@ -144,8 +149,8 @@
             raise ports.StoreError('status 503', False)
         return await peer_send(method, target, body, timeout_ms)
 
-    context.route._direct = send_until_probed
-    context.peers.route_by_id['n0']._direct = send_of_peer
+    context.route._link = link_of(send_until_probed)
+    context.peers.route_by_id['n0']._link = link_of(send_of_peer)
 
 
 @then('a record that the node appends has an unknown outcome')
--- a/packages/carawaymast-node/carawaymast_node/cells/ports.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/ports.py
@@ -33,6 +33,7 @@
     'Replies',
     'SequenceError',
     'StoreError',
+    'StoreLink',
     'StorePort',
     'StoreSend',
     'StoredItem',
@@ -171,6 +172,18 @@
 ]
 
 
+class StoreLink(typing.NamedTuple):
+    """A node's own connections to the store.
+
+    ``send`` uses a pool of connections; ``send_anew`` opens one for the call.
+    ``drop_connections`` keeps further calls from using those open now.
+    """
+
+    send: StoreSend
+    send_anew: StoreSend
+    drop_connections: typing.Callable[[], None]
+
+
 class StorePort(typing.Protocol):
     """The store of keyed topics."""
 
@@ -353,13 +366,12 @@
 class Platform(typing.NamedTuple):
     """Everything that an adapter provides to the node.
 
-    ``send_to_store`` sends directly, while a store that ``make_store``
-    returns uses the function that it is given. ``advise`` is None if the
-    platform has no advice service.
+    ``make_store`` returns a store that uses the function that it is given.
+    ``advise`` is None if the platform has no advice service.
     """
 
     settings: CellSettings
-    send_to_store: StoreSend
+    store_link: StoreLink
     make_store: typing.Callable[[StoreSend], StorePort]
     workers: WorkerPort
     advise: Advise | None
--- a/packages/carawaymast-node/carawaymast_node/cells/relay.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/relay.py
@@ -2,7 +2,8 @@
 
 A path that has gone silent is noticed by calls in flight that take far longer
 than usual. A probe on a new connection then decides: if it is answered, only
-the older connections are lost, else calls go through peers.
+the older connections are lost and are used no more, else calls go through
+peers.
 """
 
 import asyncio
@@ -50,13 +51,13 @@
 
     def __init__(
         self,
-        direct: ports.StoreSend,
+        link: ports.StoreLink,
         peers: fabric.Peers,
         clock: clock_mod.Clock,
         log: telemetry.Telemetry,
         metrics: telemetry.Metrics,
     ):
-        self._direct = direct
+        self._link = link
         self._peers = peers
         self._clock = clock
         self._log = log
@@ -82,7 +83,7 @@
     ) -> typing.NoReturn:
         """Probe the store while it seems silent or calls are relayed.
 
-        ``probe`` makes a small call through ``send_direct``, with a time-out
+        ``probe`` makes a small call through ``send_anew``, with a time-out
         in ms.
         """
         while True:
@@ -96,6 +97,8 @@
                 self._abandon_calls()
                 await asyncio.sleep(PROBE_INTERVAL_MS / 1000)
             else:
+                # Any of the connections that are open may be silent.
+                self._link.drop_connections()
                 self._abandon_calls(sent_at_ms - MIN_SILENCE_MS)
 
     def _is_silent(self) -> bool:
@@ -156,14 +159,27 @@
         self, method: str, target: str, body: bytes, timeout_ms: float
     ) -> tuple[int, bytes]:
         """Send a call directly and record whether the store answers."""
+        return await self._send_by(
+            self._link.send, method, target, body, timeout_ms
+        )
+
+    async def send_anew(
+        self, method: str, target: str, body: bytes, timeout_ms: float
+    ) -> tuple[int, bytes]:
+        """Send a call directly on a new connection, see ``send_direct``."""
+        return await self._send_by(
+            self._link.send_anew, method, target, body, timeout_ms
+        )
+
+    async def _send_by(
+        self, send: ports.StoreSend, method, target, body, timeout_ms
+    ) -> tuple[int, bytes]:
         started_ms = self._clock.now()
         is_long = _is_long_poll(target)
         try:
             async with asyncio.timeout(None) as scope:
                 with self._in_flight(scope, started_ms, is_long):
-                    found = await self._direct(
-                        method, target, body, timeout_ms
-                    )
+                    found = await send(method, target, body, timeout_ms)
         except TimeoutError:
             self._metrics.count('store_calls_abandoned_total')
             raise ports.StoreError('the path has gone silent', True) from None
--- a/packages/carawaymast-node/carawaymast_node/cells/service.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/service.py
@@ -74,7 +74,7 @@
         enter = self._stack.enter_async_context
         self.peers = await enter(fabric.Peers(self.clock, settings.node_id))
         self.route = relay.StoreRoute(
-            self.platform.send_to_store,
+            self.platform.store_link,
             self.peers,
             self.clock,
             self.log,
@@ -281,8 +281,8 @@
         )
 
     async def _probe_store(self, timeout_ms: int) -> None:
-        """Send the store a read that it answers at once, directly."""
-        store = self.platform.make_store(self.route.send_direct)
+        """Send the store a read that it answers at once, by itself."""
+        store = self.platform.make_store(self.route.send_anew)
         reader = self._lead_reader
         await store.read(
             reader.topic, reader.part, reader.offset or 0, 0, timeout_ms
--- a/standins/store_network.py
+++ b/standins/store_network.py
@@ -240,7 +240,7 @@
             task.cancel()
 
     async def _probe(self, timeout_ms: int) -> None:
-        store = store_mod.Store(self.route.send_direct)
+        store = store_mod.Store(self.route.send_anew)
         await store.read(election_mod.TOPIC, 0, 0, 0, timeout_ms)
 
     async def status(self, path: str) -> int:
@@ -254,7 +254,8 @@
 
 def make_route(path, peers, clock, log, metrics) -> relay.StoreRoute:
     """Return a node's route of store calls."""
-    return relay.StoreRoute(path.send, peers, clock, log, metrics)
+    link = ports.StoreLink(path.send, path.send_anew, path.drop_connections)
+    return relay.StoreRoute(link, peers, clock, log, metrics)
 
 
 def add_members(
