A node answers by a configuration only while it is known to be recent

Callers got 404 for a queue that had been added long before, from a node that had read nothing since. Cause: an answer from a replica of unknown age. Routes were looked up in what was read last; nothing bounded how old that could be, so each way in which a read can be late (silent connections, peers that are avoided, a long poll without an answer) became a wrong final answer.

--- a/bench/late_configuration.py
+++ b/bench/late_configuration.py
@@ -3,7 +3,7 @@
 Nodes follow an operator's configuration on a virtual clock, while their
 connections are cut, refused and silenced at random. A node that was left
 alone for ``CONTACT_MS``, like the store, must answer by each version
-``APPLY_MS`` after its acknowledgement::
+``store_network.APPLY_MS`` after its acknowledgement::
 
     python -m bench.late_configuration FIRST_SEED COUNT
 """
@@ -21,7 +21,6 @@
 
 __all__ = ['LateAnswer', 'find_late_answers']
 
-APPLY_MS = 2_000
 CONTACT_MS = 3_000
 NODES = 5
 TRIAL_MS = 30_000
@@ -177,7 +176,7 @@
 
     async def _check(self) -> None:
         """Ask each node that is in touch for routes old and new."""
-        due_ms = self._clock.now() - APPLY_MS
+        due_ms = self._clock.now() - store_network.APPLY_MS
         old = [v for v in self._versions if v.acknowledged_at_ms < due_ms]
         in_touch = [n for n in self.node_by_id if self._is_in_touch(n)]
         if not old or not in_touch:
--- a/features/steps/malformed_steps.py
+++ b/features/steps/malformed_steps.py
@@ -131,7 +131,7 @@
     def age_ms(self):
         return 0
 
-    def find(self, host, path):
+    async def find(self, host, path):
         raise RuntimeError('unexpected')
 
 
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -651,7 +651,9 @@
     platform = types.SimpleNamespace(
         ingress=ingress.INGRESS,
         settings=types.SimpleNamespace(
-            declarations_topic='op', workers_topic='servers'
+            declarations_topic='op',
+            declarations_apply_ms=2_000,
+            workers_topic='servers',
         ),
     )
     context.replica = replica_mod.Replica(
--- a/packages/carawaymast-node/carawaymast_node/cells/frontend.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/frontend.py
@@ -153,7 +153,7 @@
         age_ms = configuration.age_ms()
         if age_ms is not None:
             self._parts.metrics.record_ms('configuration_age', age_ms)
-        queue, job_id = configuration.find(host, request.path)
+        queue, job_id = await configuration.find(host, request.path)
         if method == 'POST' and job_id:
             return await self._submit(queue, job_id, request, until_ms)
         if method == 'GET' and job_id:
--- a/packages/carawaymast-node/carawaymast_node/cells/ports.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/ports.py
@@ -337,10 +337,11 @@
     """The settings of a node.
 
     ``domain`` is the node's failure domain. ``speed`` is the processor time
-    that the VM gets, in multiples of one of the platform's usual cores.
-    Callers may ask for a job until ``keep_ended_ms`` after its end. One call
-    for advice may name up to ``max_advised_workers``. ``grace_ms`` is the
-    time from SIGTERM to SIGKILL.
+    that the VM gets, in multiples of one of the platform's usual cores. A
+    configuration must be in force ``declarations_apply_ms`` after its
+    acknowledgement. Callers may ask for a job until ``keep_ended_ms`` after
+    its end. One call for advice may name up to ``max_advised_workers``.
+    ``grace_ms`` is the time from SIGTERM to SIGKILL.
     """
 
     node_id: str
@@ -354,6 +355,7 @@
     metrics_port: int
     metrics_path: str
     declarations_topic: str
+    declarations_apply_ms: int
     workers_topic: str
     max_lease_ms: int
     max_advised_workers: int
--- a/packages/carawaymast-node/carawaymast_node/cells/replica.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/replica.py
@@ -25,8 +25,7 @@
 LEADER_READ_INTERVAL_MS = 200
 # Members change rarely, and a call to one that is gone just fails.
 MEMBERS_READ_INTERVAL_MS = 3_000
-# Members and configuration change rarely; a long poll without an answer is
-# detected within its wait and a second.
+# A long poll without an answer is detected within its wait and a second.
 LONG_POLL_WAIT_MS = 1_000
 # Not urgent: until the other nodes have this node's record, calls only take
 # longer paths.
@@ -80,6 +79,7 @@
         self._log = reader_factory.log
         self.view = view_mod.JobView(self._log_unreadable)
         routes = routing.Routes(reader_factory.log)
+        apply_ms = platform.settings.declarations_apply_ms
         self.intake_reader = reader_factory.topic_reader(
             intake.TOPIC, self._apply_intake_item, self._read_interval_ms
         )
@@ -87,10 +87,12 @@
             'state', self._apply_state_item, self._read_interval_ms
         )
         self.declarations_reader = reader_factory.topic_reader(
-            platform.settings.declarations_topic, self._apply_declarations_item
+            platform.settings.declarations_topic,
+            self._apply_declarations_item,
+            wait_ms=configuration_mod.long_poll_wait_ms(apply_ms),
         )
         self.configuration = configuration_mod.Configuration(
-            reader_factory.clock, routes, self.declarations_reader
+            reader_factory.clock, routes, self.declarations_reader, apply_ms
         )
         self.members_reader = reader_factory.topic_reader(
             fabric.MEMBERS_TOPIC,
--- a/standins/platform_nodes.py
+++ b/standins/platform_nodes.py
@@ -40,6 +40,7 @@
 cpu_share = 0.5
 cores = 2
 [bounds]
+config_apply_ms = 2000
 hold_max_ms = 10000
 drain_ms = 2000
 grace_s = 6
--- a/standins/store_network.py
+++ b/standins/store_network.py
@@ -30,10 +30,18 @@
 from carawaymast_platform import store as store_mod
 from standins import keyed_log
 
-__all__ = ['ConfiguredNode', 'HOST', 'StorePath', 'add_members', 'declare']
+__all__ = [
+    'APPLY_MS',
+    'ConfiguredNode',
+    'HOST',
+    'StorePath',
+    'add_members',
+    'declare',
+]
 
 MS_PER_S = 1_000
 HOST = 'desk.example'
+APPLY_MS = 2_000
 CALL_MS = 6
 PEER_CALL_MS = 4
 # A lost packet is sent again after this time, then after twice that, and so
@@ -208,7 +216,9 @@
         platform = types.SimpleNamespace(
             ingress=ingress.INGRESS,
             settings=types.SimpleNamespace(
-                declarations_topic='op', workers_topic='servers'
+                declarations_topic='op',
+                declarations_apply_ms=APPLY_MS,
+                workers_topic='servers',
             ),
         )
         self.replica = replica_mod.Replica(
@@ -246,7 +256,7 @@
     async def status(self, path: str) -> int:
         """Return 200 if a queue is found at a path, or the refusal's."""
         try:
-            self.replica.configuration.find(HOST, path)
+            await self.replica.configuration.find(HOST, path)
         except errors.SchedulerError as error:
             return error.answer.status
         return 200
