Bytes from outside are decoded and bounded in one place

Cause: each decoder caught the errors that its author knew. All bytes of other processes now go through core's decoding: it raises ValueError alone, bounds numbers, names and the size of decompressed records, and takes only IPv4 addresses with a port that exists.

--- a/features/platform_processes.feature
+++ b/features/platform_processes.feature
@@ -10,3 +10,13 @@
     And the state of the leading node names its epoch, topics and workers
     And its state goes to its log on SIGUSR1
     And a stopped node ends with status 0
+
+  # Guards against processes that end, or follow the list no more, by an entry
+  # that is nested too deeply.
+  Scenario: Odd entries of another writer end no process and hide no worker
+    Given three nodes and four runners on the platform's stand-in
+    When another writer leaves odd entries of runners
+    And the leading node is killed and starts again
+    And 6 jobs are submitted at different nodes
+    Then every job is shown as completed by the other nodes
+    And all nodes run, and the leader names each odd entry in one line
--- a/features/steps/platform_process_steps.py
+++ b/features/steps/platform_process_steps.py
@@ -4,6 +4,7 @@
 import signal
 import tempfile
 import time
+import urllib.request
 
 from behave import given
 from behave import then
@@ -16,6 +17,7 @@
 TIMEOUT_S = 60.0
 POLL_INTERVAL_S = 0.1
 NODES = 3
+READY = platform_nodes.READY_PORT
 RUNNERS = 4
 
 
@@ -84,6 +86,67 @@
     context.nodes.remove(leader)
 
 
+ODD_ENTRIES = (
+    b'{"odd":' + b'[' * 100_000 + b']' * 100_000 + b'}',
+    b'{"service":"desk","address":"127.0.0.1:99999","state":"ready",'
+    b'"capacity":{"cpu":1,"mem_mb":1}}',
+    b'{"service":"desk","address":"127.0.0.1:80","state":"ready",'
+    b'"capacity":{"cpu":1' + b'0' * 30 + b'}}',
+)
+
+
+@when('another writer leaves odd entries of runners')
+def leave_odd_entries(context):
+    for number, entry in enumerate(ODD_ENTRIES):
+        url = (
+            f'http://127.0.0.1:{context.ports[0]}/put?topic=keyed.servers'
+            f'&key=odd-{number}'
+        )
+        request = urllib.request.Request(url, entry, method='POST')
+        with urllib.request.urlopen(request, timeout=TIMEOUT_S):
+            continue
+
+
+@when('the leading node is killed and starts again')
+def restart_leader(context):
+    nodes = list(context.nodes)
+    kill_leader(context)
+    (killed,) = (node for node in nodes if node not in context.nodes)
+    killed.start()
+    context.stack.callback(end, killed.process)
+    context.nodes.append(killed)
+    wait_for(
+        lambda: killed.call('GET', '/-/readyz', port=READY)[0] == 200,
+        'the node is ready again',
+    )
+    wait_for(
+        lambda: any(node.is_leader() for node in context.nodes), 'a leader'
+    )
+
+
+@then('all nodes run, and the leader names each odd entry in one line')
+def odd_entries_named(context):
+    assert all(node.process.poll() is None for node in context.nodes)
+    leader = next(node for node in context.nodes if node.is_leader())
+    events = [
+        json.loads(line) for line in leader.log_path.read_text().splitlines()
+    ]
+    kinds = [event['message_type'] for event in events]
+    # An earlier process of the node may have been killed before it wrote.
+    started = len(kinds) - kinds[::-1].index('carawaymast:started')
+    terms = kinds[started:].count('carawaymast:leading')
+    odd = [
+        event
+        for event in events[started:]
+        if 'worker_entry_unreadable' in event['message_type']
+    ]
+    for number in range(len(ODD_ENTRIES)):
+        lines = [e for e in odd if e['worker'] == f'odd-{number}']
+        # Each term of a leader reads the list anew.
+        assert 1 <= len(lines) <= terms, (number, terms, lines)
+    assert all(event['error'] for event in odd), odd
+
+
 @then('every job is shown as completed by the other nodes')
 def all_completed(context):
     for node in context.nodes:
--- a/packages/carawaymast-core/carawaymast_core/cell/records.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/records.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from carawaymast_core import decoding
 from carawaymast_core.cell import spec as spec_mod
 
 __all__ = [
@@ -38,6 +39,9 @@
 MIN_COMPRESSED_BYTES = 256
 # The fastest; the slowest makes records a twentieth smaller.
 COMPRESSION_LEVEL = 1
+# Uncompressed: 40 times the largest record that the platform stores.
+MAX_RECORD_BYTES = 10_000_000
+MAX_TIME_DIGITS = 16
 # No msgpack array begins with this byte.
 ZLIB_FIRST_BYTE = b'\x78'
 # First bytes of msgpack arrays of up to 15 fields, as all records are.
@@ -206,6 +210,10 @@
 
     Raises ``ValueError`` if ``raw`` holds no time.
     """
+    if len(raw) > MAX_TIME_DIGITS or not raw.isdigit():
+        raise ValueError(
+            f'raw is {raw[:20]!r}, allowed: 1 to {MAX_TIME_DIGITS} digits'
+        )
     return int(raw)
 
 
@@ -237,7 +245,7 @@
     """
     try:
         if raw[:1] == ZLIB_FIRST_BYTE:
-            raw = zlib.decompress(raw)
-        return _decoder_by_type[kind].decode(raw)
-    except (msgspec.MsgspecError, zlib.error) as error:
+            raw = decoding.decompress(raw, MAX_RECORD_BYTES)
+        return decoding.decode(_decoder_by_type[kind], raw)
+    except ValueError as error:
         raise ValueError(f'{kind.__name__}: {error}') from None
--- a/packages/carawaymast-node/carawaymast_node/cells/fabric.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/fabric.py
@@ -6,6 +6,7 @@
 from grpclib import server
 
 from carawaymast_core import clock as clock_mod
+from carawaymast_core import decoding
 from carawaymast_core.cell import records
 from carawaymast_node import channels
 from carawaymast_node import fabric_grpc
@@ -48,6 +49,7 @@
             self._channels.close(item.key)
             return
         member = records.decode(records.MemberRecord, item.value)
+        decoding.parse_address(f'{member.host}:{member.port}')
         if self.member_by_id.get(item.key) != member:
             self._channels.close(item.key)
             self._clear_failures(item.key)
--- a/packages/carawaymast-node/carawaymast_node/cells/ports.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/ports.py
@@ -324,12 +324,13 @@
     """Decoders of bodies from callers and operators.
 
     ``decode_job`` raises ``SchedulerError`` for a body that cannot be read,
-    the others return None.
+    the others ``ValueError``. ``decode_declarations`` returns None for a
+    record that holds no configuration.
     """
 
     decode_job: typing.Callable[[bytes], spec_mod.JobSpec]
     decode_declarations: typing.Callable[[StoredItem], Declarations | None]
-    decode_worker: typing.Callable[[StoredItem], WorkerListChange | None]
+    decode_worker: typing.Callable[[StoredItem], WorkerListChange]
     deadline_header: str
 
 
--- a/packages/carawaymast-node/carawaymast_node/cells/worker_follower.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/worker_follower.py
@@ -64,10 +64,14 @@
         self._tasks.cancel()
 
     def _apply_item(self, item: ports.StoredItem) -> None:
-        change = self._platform.ingress.decode_worker(item)
-        if change is None:
-            self._log.log_event('worker_entry_unreadable', worker=item.key)
-        elif change.entry is None:
+        try:
+            change = self._platform.ingress.decode_worker(item)
+        except ValueError as error:
+            self._log.log_event(
+                'worker_entry_unreadable', worker=item.key, error=str(error)
+            )
+            return
+        if change.entry is None:
             worker_lifecycle.unlist_worker(self._cell, change.worker_id)
         else:
             worker = worker_lifecycle.apply_worker_entry(
--- a/standins/platform_http.py
+++ b/standins/platform_http.py
@@ -77,6 +77,12 @@
             self.log.drop_history()
         return _json(200, {})
 
+    async def put(self, request: web.Request) -> web.Response:
+        """Store the body as another writer does, at ``topic`` and ``key``."""
+        topic = request.query['topic']
+        self.log.put(topic, request.query['key'], await request.read())
+        return _json(200, {})
+
     async def handle(self, request: web.Request) -> web.Response:
         """Carry out one call, subject to the present fault."""
         body = await request.read()
@@ -302,6 +308,7 @@
         tasks.append(asyncio.create_task(server.run_clock()))
     app = web.Application()
     app.router.add_post('/fault', store.set_fault)
+    app.router.add_post('/put', store.put)
     app.router.add_route('*', '/{tail:.*}', store.handle)
     await _listen(app, store_port)
     print('ready', flush=True)
--- a/standins/store_network.py
+++ b/standins/store_network.py
@@ -273,7 +273,9 @@
 ) -> None:
     """Publish the records of nodes, as they do when they start."""
     for number, node_id in enumerate(node_ids):
-        member = records.MemberRecord(node_id, 'h', number, 'd', 'boot')
+        member = records.MemberRecord(
+            node_id, '127.0.0.1', number + 1, 'd', 'boot'
+        )
         log.put('keyed.members', node_id, records.encode(member))
 
 
