The soak declares versions and leaves odd entries, and asks for the newest

Its check that each node finds the queue of the newest version guards against CONFIG, the odd entries against processes that end by them. Both come from a source of their own, so that a seed's faults stay the same.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -4,9 +4,11 @@
 killed, frozen and stopped at random, the store has random faults and runners
 crash, by themselves or by a task. Then it repairs everything and checks that
 each accepted job completes, or fails if a task of it crashes its runners, that
-no task ran on two runners at once, that none ran again after it was done, and
-that none was started three times after three runners had crashed under it. It
-prints a report and exits with 1 if a check fails.
+no task ran on two runners at once, that none ran again after it was done,
+that none was started three times after three runners had crashed under it, and
+that each node finds the queue of the newest version of the configuration,
+which an operator changes meanwhile. Another writer leaves odd entries among
+those of the runners. It prints a report and exits with 1 if a check fails.
 """
 
 import collections
@@ -45,6 +47,16 @@
     'freeze': signal.SIGSTOP,
     'stop': signal.SIGTERM,
 }
+# How often, at each job, the operator declares a version, and another writer
+# leaves an entry among those of the runners.
+VERSION_SHARE = 0.1
+ODD_ENTRY_SHARE = 0.05
+ODD_ENTRIES = (
+    b'{"odd":' + b'[' * 100_000 + b']' * 100_000 + b'}',
+    b'{"service":"desk","address":"127.0.0.1:0","state":"ready",'
+    b'"capacity":{"cpu":4000,"mem_mb":8000}}',
+    b'\xff\xfe',
+)
 STORE_FAULTS = ('busy', 'silent', 'lost', 'late', 'forgetful')
 
 
@@ -76,6 +88,9 @@
         self.accepted_paths: list[str] = []
         self.crashing_paths: set[str] = set()
         self._job_number = 0
+        # Its own source, so that a seed's faults stay the same.
+        self._writer_random = random.Random(f'{seed}-writer')
+        self._version = 1
 
     def __enter__(self) -> 'Soak':
         for node in self._nodes:
@@ -95,11 +110,48 @@
         while time.monotonic() < until_s:
             self._submit_job()
             self._repair()
+            self._write()
             if time.monotonic() >= next_fault_s:
                 next_fault_s += FAULT_INTERVAL_S
                 self._inject_fault()
             time.sleep(JOB_INTERVAL_S)
 
+    def _write(self) -> None:
+        """At times, declare a version or leave an odd entry of a runner."""
+        chance = self._writer_random.random()
+        if chance < VERSION_SHARE:
+            self._version += self._writer_random.randint(1, 3)
+            value = platform_http.config_of(self._version, self._newest_path)
+            self._put('keyed.op', 'config', value)
+        elif chance < VERSION_SHARE + ODD_ENTRY_SHARE:
+            key = f'odd-{self._writer_random.randrange(3)}'
+            self._put(
+                'keyed.servers', key, self._writer_random.choice(ODD_ENTRIES)
+            )
+
+    @property
+    def _newest_path(self) -> str:
+        """The path of the queue that the newest version has added."""
+        return f'/r{self._version}/'
+
+    def _put(self, topic: str, key: str, value: bytes) -> None:
+        platform_nodes.put_record(self._ports[0], topic, key, value)
+
+    def nodes_behind(self) -> list[str]:
+        """Return the nodes that do not find the newest version's queue."""
+        if self._version == 1:
+            return []
+        behind = list(self._nodes)
+        until_s = time.monotonic() + COMPLETION_TIMEOUT_S
+        while behind and time.monotonic() < until_s:
+            behind = [
+                node
+                for node in behind
+                if self._call(node, 'GET', self._newest_path)[0] != 200
+            ]
+            time.sleep(JOB_INTERVAL_S)
+        return [node.name for node in behind]
+
     def repair_all(self) -> list[str]:
         """Repair all nodes; return the accepted jobs that don't end well.
 
@@ -281,6 +333,7 @@
         with Soak(directory, seed) as soak:
             soak.run(seconds)
             not_completed = soak.repair_all()
+            nodes_behind = soak.nodes_behind()
             history = soak.history()
     repeated_starts = find_repeated_starts(history)
     late_starts = [
@@ -296,6 +349,7 @@
         'faults': dict(soak.faults),
         'starts': sum(1 for row in history if row[1] == 'start'),
         'not completed': not_completed,
+        'nodes behind': nodes_behind,
         'crashing': len(soak.crashing_paths),
         'crashed': sum(1 for row in history if row[1] == 'crashed'),
         'doubled': repeated_starts,
@@ -305,7 +359,7 @@
         'started too often': late_starts,
     }
     print(json.dumps(report, indent=2), flush=True)
-    is_bad = not_completed or repeated_starts or late_starts
+    is_bad = not_completed or repeated_starts or late_starts or nodes_behind
     return 1 if is_bad or not soak.accepted_paths else 0
 
 
--- a/features/steps/platform_process_steps.py
+++ b/features/steps/platform_process_steps.py
@@ -4,7 +4,6 @@
 import signal
 import tempfile
 import time
-import urllib.request
 
 from behave import given
 from behave import then
@@ -98,13 +97,9 @@
 @when('another writer leaves odd entries of runners')
 def leave_odd_entries(context):
     for number, entry in enumerate(ODD_ENTRIES):
-        url = (
-            f'http://127.0.0.1:{context.ports[0]}/put?topic=keyed.servers'
-            f'&key=odd-{number}'
+        platform_nodes.put_record(
+            context.ports[0], 'keyed.servers', f'odd-{number}', entry
         )
-        request = urllib.request.Request(url, entry, method='POST')
-        with urllib.request.urlopen(request, timeout=TIMEOUT_S):
-            continue
 
 
 @when('the leading node is killed and starts again')
--- a/standins/platform_http.py
+++ b/standins/platform_http.py
@@ -20,7 +20,13 @@
 from standins import keyed_log
 from standins import runner as runner_mod
 
-__all__ = ['CRASH_PAYLOAD', 'QUEUE_HOST', 'QUEUE_PREFIX', 'main']
+__all__ = [
+    'CRASH_PAYLOAD',
+    'QUEUE_HOST',
+    'QUEUE_PREFIX',
+    'config_of',
+    'main',
+]
 
 HOST = '127.0.0.1'
 SERVERS_TOPIC = 'keyed.servers'
@@ -37,7 +43,7 @@
 SILENT_CALL_S = 5.0
 LOST_ANSWER_SHARE = 0.3
 # The operator's configuration: a queue, and the route to it.
-CONFIG = {
+CONFIG: dict[str, typing.Any] = {
     'version': 1,
     'routes': [
         {
@@ -54,6 +60,13 @@
 }
 
 
+def config_of(version: int, prefix: str) -> bytes:
+    """Return a version of the configuration with a route more."""
+    route = CONFIG['routes'][0]
+    routes = [route, {**route, 'name': prefix, 'path_prefix': prefix}]
+    return json.dumps({'version': version, 'routes': routes}).encode()
+
+
 class StoreServer:
     """Serves the calls to the store; long polls wait for records."""
 
--- a/standins/platform_nodes.py
+++ b/standins/platform_nodes.py
@@ -20,6 +20,7 @@
     'METRICS_PORT',
     'Node',
     'READY_PORT',
+    'put_record',
     'start_platform',
 ]
 
@@ -112,6 +113,14 @@
         return 'carawaymast_is_leader 1.0' in text
 
 
+def put_record(store_port: int, topic: str, key: str, value: bytes) -> None:
+    """Store a record as an operator or another writer does."""
+    url = f'http://{deployment.HOST}:{store_port}/put?topic={topic}&key={key}'
+    request = urllib.request.Request(url, value, method='POST')
+    with urllib.request.urlopen(request, timeout=5):
+        return
+
+
 def start_platform(runners: int) -> tuple[subprocess.Popen, list[int]]:
     """Start store and runners; return the process and its ports.
 
