--- a/features/cancellation.feature
+++ b/features/cancellation.feature
@@ -1,7 +1,6 @@
 Feature: What is cancelled ends, whatever it waits for is set just then
 
-  # Guards against lease renewals that outlive the leader's term and turn
-  # without a pause.
+  # Guards against lease renewals that go on, without a pause, after a term.
   Scenario: A term that ends while ends wait for a commit leaves no renewal
     Given a leader that waits for a commit before it acknowledges an end
     When its term ends
--- a/features/foreign.feature
+++ b/features/foreign.feature
@@ -1,7 +1,6 @@
 Feature: Bytes of another writer are logged, name nothing and stop nothing
 
-  # Guards against processes that end, or stop following the list of workers,
-  # by one odd entry in it.
+  # Guards against processes that end, or stop reading, by one odd entry.
   Scenario Outline: One odd entry among those of the workers
     Given a list of workers with entries of "w1" and "w3"
     And another writer's entry "w2" between them: <entry>
--- a/features/platform_processes.feature
+++ b/features/platform_processes.feature
@@ -11,8 +11,7 @@
     And its state goes to its log on SIGUSR1
     And a stopped node ends with status 0
 
-  # Guards against processes that end, or follow the list no more, by an entry
-  # that is nested too deeply.
+  # Guards against processes that end by an entry that is nested too deeply.
   Scenario: Odd entries of another writer end no process and hide no worker
     Given three nodes and four runners on the platform's stand-in
     When another writer leaves odd entries of runners
