A deadline of thousands of digits no longer ends the process

A caller's Deadline-Ms header of more than 4,300 digits raised ValueError out of int() before the request's own error handling, so that the fault handler stopped the node. Cause: bytes from outside converted without a bound, which the reading of the decoders had missed (a header, no body). A deadline of more than nine digits now counts as none, as other unreadable ones do. Both new scenarios of malformed.feature failed before.

--- a/features/malformed.feature
+++ b/features/malformed.feature
@@ -62,6 +62,12 @@
       | ²    |
       | -5   |
       | 1e3  |
+      | 11111111111111111111 |
+
+  # Guards against a process that ends by one caller's header.
+  Scenario: A caller's deadline of 5000 digits
+    When a caller gives a deadline of 5000 digits
+    Then its deadline is 3000 ms
 
   Scenario: A request that raises an unexpected error fails alone
     Given a frontend whose queues raise an error
--- a/features/steps/malformed_steps.py
+++ b/features/steps/malformed_steps.py
@@ -120,6 +120,11 @@
     context.deadline_ms = frontend_mod._deadline_ms(request, ingress.INGRESS)
 
 
+@when('a caller gives a deadline of {count:d} digits')
+def caller_gives_digits(context, count):
+    caller_gives_deadline(context, '1' * count)
+
+
 @then('its deadline is {ms:d} ms')
 def deadline_is(context, ms):
     assert context.deadline_ms == ms, context.deadline_ms
--- a/packages/carawaymast-node/carawaymast_node/cells/frontend.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/frontend.py
@@ -23,6 +23,7 @@
 
 # For requests without a deadline header.
 DEFAULT_DEADLINE_MS = 3_000
+MAX_DEADLINE_DIGITS = 9  # 11 days
 # Part of the deadline that is reserved for sending the answer: 150 ms, which
 # also covers a slow node, but at most a fifth of a short deadline.
 ANSWER_MARGIN_MS = 150
@@ -270,6 +271,7 @@
 def _deadline_ms(request, ingress: ports.Ingress) -> int:
     text = request.headers.get(ingress.deadline_header, '')
     is_number = text.isascii() and text.isdigit()
+    is_number = is_number and len(text) <= MAX_DEADLINE_DIGITS
     return int(text) if is_number else DEFAULT_DEADLINE_MS
 
 
