A SIGHUP while a node imports its modules does not end it

Cause: the default action of SIGHUP holds until the event loop has the node's handler, after all imports. On a platform it is ignored from the first line on.

--- a/features/following.feature
+++ b/features/following.feature
@@ -30,3 +30,8 @@
     Given a node's output without lines
     When 10 s pass and then a line is written
     Then the output was flushed once
+
+  # Guards against a process that a change of settings ends while it starts.
+  Scenario: A node on a platform gets SIGHUP while it imports its modules
+    When a process gets SIGHUP as it imports what a node needs
+    Then it has gone on with its start
--- a/features/steps/following_steps.py
+++ b/features/steps/following_steps.py
@@ -161,3 +161,23 @@
 @then('the output was flushed once')
 def flushed_once(context):
     assert len(context.flushed) == 1, context.flushed
+
+
+@when('a process gets SIGHUP as it imports what a node needs')
+def hang_up_importing(context):
+    code = (
+        'import importlib, os, signal, sys\n'
+        'from carawaymast_node import main\n'
+        'def import_module(name):\n'
+        '    os.kill(os.getpid(), signal.SIGHUP)\n'
+        '    sys.exit(7)\n'
+        'importlib.import_module = import_module\n'
+        "sys.argv = ['carawaymastd', '--adapter=any']\n"
+        'main.run()\n'
+    )
+    context.status = subprocess.run([sys.executable, '-c', code]).returncode
+
+
+@then('it has gone on with its start')
+def went_on(context):
+    assert context.status == 7, context.status
--- a/packages/carawaymast-node/carawaymast_node/main.py
+++ b/packages/carawaymast-node/carawaymast_node/main.py
@@ -2,6 +2,7 @@
 
 import gc
 import importlib
+import signal
 import sys
 
 from carawaymast_node import settings
@@ -27,6 +28,8 @@
     # Imported objects live as long as the process, so collecting is useless.
     gc.disable()
     if len(sys.argv) == 2 and sys.argv[1].startswith(ADAPTER_FLAG):
+        # Until the node has its own handler: SIGHUP would end the process.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
         package = sys.argv[1].removeprefix(ADAPTER_FLAG)
         kind = importlib.import_module('carawaymast_node.cells.process')
         start = kind.start
