--- a/review/1/case.py
+++ b/review/1/case.py
@@ -2,11 +2,11 @@
 
 import asyncio
 
-from review.bed import bed as bed_mod
-from review.bed import runner as runner_mod
+from review import bed as bed_mod
+from review import runner as runner_mod
 
 JOBS = '/jobs/'
-KINDS = 'abcdefgh'
+KINDS = 'abcdefghijkl'
 OUTAGE_S = 4.5
 SPECS = [
     runner_mod.RunnerSpec(f'i-{kind}', bed_mod.SERVICE, (kind, 'r1'))
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from review.bed import bed as bed_mod
-from review.bed import runner as runner_mod
+from review import bed as bed_mod
+from review import runner as runner_mod
 
 JOBS = '/jobs/'
 RUNNERS = 8
--- a/review/bed/bed.py
+++ b/review/bed.py
@@ -18,10 +18,10 @@
 import traceback
 import typing
 
-from review.bed import nodes as nodes_mod
-from review.bed import runner as runner_mod
-from review.bed import store as store_mod
-from review.bed import web
+from review import nodes as nodes_mod
+from review import runner as runner_mod
+from review import store as store_mod
+from review import web
 
 __all__ = ['HOST_NAME', 'Bed', 'CannotRunError', 'Job', 'main', 'route']
 
--- a/review/bed/nodes.py
+++ b/review/nodes.py
@@ -9,12 +9,12 @@
 import subprocess
 import tomllib
 
-from review.bed import store as store_mod
-from review.bed import web
+from review import store as store_mod
+from review import web
 
 __all__ = ['FRONT_PORT', 'Node', 'free_subnet']
 
-ROOT = pathlib.Path(__file__).parent.parent.parent
+ROOT = pathlib.Path(__file__).parent.parent
 INTERNAL_PORT = 7_720
 FRONT_PORT = 8_161
 READY_PORT = 8_167
--- a/review/bed/runner.py
+++ b/review/runner.py
@@ -9,8 +9,8 @@
 import time
 import typing
 
-from review.bed import store as store_mod
-from review.bed import web
+from review import store as store_mod
+from review import web
 
 __all__ = ['LASTING', 'Event', 'Runner', 'RunnerSpec']
 
--- a/review/bed/store.py
+++ b/review/store.py
@@ -10,7 +10,7 @@
 import struct
 import typing
 
-from review.bed import web
+from review import web
 
 __all__ = ['Gate', 'Store']
 
