A job is refused by what it would itself wait for

Cause: the predicted wait divided all waiting work by all workers of the service, also work that can run on few of them, or on none beside the services there.

Change: the work is spread over classes of workers by labels and by what services leave of them; a job waits as long as the least loaded class that it may use. A job that fits on what the last plan left free, less what was admitted so since, is admitted whatever waits. Why it works: a plan places all that fits, so what waits after it does not compete for that capacity.

--- a/features/steps/waiting_steps.py
+++ b/features/steps/waiting_steps.py
@@ -203,6 +203,22 @@
     context.world.run_cycle(ms)
 
 
+@then('a job of 1 task for each idle worker is admitted')
+def all_admitted(context):
+    for number in range(7):
+        step = cell_world.step(cpu=13_000)
+        submission = cell_world.job(f'a{number}', step)
+        refusal = context.world.cell.check_admission(submission)
+        assert refusal is None, refusal
+
+
+@then('a job for the full kind is refused')
+def rare_refused(context):
+    step = cell_world.step(cpu=2_000, required_label='b')
+    submission = cell_world.job('j2', step)
+    assert context.world.cell.check_admission(submission) is not None
+
+
 @given('gangs that reserve nothing')
 def reserve_nothing(context):
     context.stack.enter_context(
--- a/features/waiting.feature
+++ b/features/waiting.feature
@@ -112,6 +112,29 @@
       | 600   | tickets            |
       | 600   | a full kind, urgent |
 
+  Scenario Outline: What cannot run has no other job refused
+    Given a cell of 8 workers
+    And the worker of kind "b" filled by a service
+    And 300 jobs that cannot run, for <cause>
+    When the leader plans
+    Then a job of 1 task is admitted
+    And a job of 1 task for each idle worker is admitted
+
+    Examples:
+      | cause       |
+      | a full kind |
+      | sizes       |
+      | gangs       |
+      | spread      |
+      | tickets     |
+
+  Scenario: A job that fits nowhere now is refused by the work ahead of it
+    Given a cell of 8 workers
+    And the worker of kind "b" filled by a service
+    And 300 jobs that cannot run, for a full kind
+    When the leader plans
+    Then a job for the full kind is refused
+
   Scenario: One plan places all that fits, whatever waits
     Given 60 random cells of 3 to 40 workers with 700 mixed waiting steps
     When each of them is planned 1 times
--- a/packages/carawaymast-core/carawaymast_core/cell/cell.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/cell.py
@@ -72,10 +72,10 @@
         self.overdue_checked_at_ms = 0
         # Crashes of workers with runs, under this leader.
         self.crashed_workers = 0
-        # The usable workers as of the last plan, and the backlog, which is
-        # computed when it is first needed after a plan.
+        # The usable workers as of the last plan, and what admission goes by,
+        # which is computed when it is first needed after a plan.
         self.fleet = fleet_mod.Fleet(())
-        self._backlog: admission.Backlog | None = None
+        self._admission: admission.Admission | None = None
         # The largest capacity that workers have had, see ``admission``.
         self._largest_seen_by_service: dict[str, resources.Resources] = {}
         # For the next batch, see ``batching``: accepted jobs, the ids of jobs
@@ -99,17 +99,19 @@
         """
         if submission.job_id in self.job_by_id:
             return None
-        if self._backlog is None:
-            steps = self.ready_by_name.values()
-            self._backlog = admission.compute_backlog(
-                steps, self.fleet, self._largest_seen_by_service
+        if self._admission is None:
+            self._admission = admission.Admission(
+                self.ready_by_name,
+                self.fleet,
+                self._largest_seen_by_service,
+                self.reservations.worker_ids,
             )
-        return admission.check_admission(submission, self._backlog)
+        return admission.check_admission(submission, self._admission)
 
     def set_fleet(self, fleet: fleet_mod.Fleet) -> None:
         """Set the usable workers after a plan, for the admission of jobs."""
         self.fleet = fleet
-        self._backlog = None
+        self._admission = None
         for service, largest in fleet.largest_by_service.items():
             seen = self._largest_seen_by_service.get(service, largest)
             raised = seen.raised_to(largest)
