--- a/packages/carawaymast-core/carawaymast_core/cell/cursor.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/cursor.py
@@ -7,7 +7,7 @@
 if typing.TYPE_CHECKING:
     from carawaymast_core.cell import worker as worker_mod
 
-__all__ = ['Cursor']
+__all__ = ['Cursor', 'Entry']
 
 
 class Cursor:
@@ -27,3 +27,11 @@
     def advance(self) -> None:
         """Go on to the next step; ``position`` is None after the last."""
         self.position = next(self._positions, None)
+
+
+class Entry(typing.NamedTuple):
+    """A group in the queue of a plan; ``cursor`` is None before its first."""
+
+    position: waiting_mod.Position
+    group: waiting_mod.Group
+    cursor: Cursor | None
--- a/packages/carawaymast-core/carawaymast_core/cell/planner.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/planner.py
@@ -11,7 +11,6 @@
 """
 
 import heapq
-import itertools
 import typing
 
 from carawaymast_core.cell import choosing
@@ -93,23 +92,28 @@
         self._gangs = gang_search.GangSearch(fleet, now_ms)
         self._placed_steps = 0
         self._requests = 0
+        self._queue: list[cursor_mod.Entry] = []
         reservations.begin_plan()
 
     def run(self) -> None:
         """Examine the steps that may fit, in order."""
-        queue = [
-            (cursor.position, cursor)
-            for cursor in itertools.chain(
-                self._cursors(), self._gang_cursors()
-            )
+        self._queue = [
+            cursor_mod.Entry(group.positions[0], group, None)
+            for group in self._fitting_groups()
+        ]
+        self._queue += [
+            cursor_mod.Entry(cursor.position, cursor.group, cursor)
+            for cursor in self._gang_cursors()
         ]
-        heapq.heapify(queue)
-        while queue and not self._is_over:
-            cursor = queue[0][1]
+        heapq.heapify(self._queue)
+        while self._queue and not self._is_over:
+            entry = heapq.heappop(self._queue)
+            cursor = entry.cursor or cursor_mod.Cursor(entry.group)
             if self._examine_next(cursor):
-                heapq.heapreplace(queue, (cursor.position, cursor))
-            else:
-                heapq.heappop(queue)
+                heapq.heappush(
+                    self._queue,
+                    cursor_mod.Entry(cursor.position, cursor.group, cursor),
+                )
         for group in self._gangs.take_postponed():
             cursor = cursor_mod.Cursor(group)
             while not self._gangs.is_exhausted and not self._is_over:
@@ -120,11 +124,22 @@
     def _is_over(self) -> bool:
         return self._placed_steps >= MAX_PLACED_STEPS_PER_PLAN
 
-    def _cursors(self) -> typing.Iterator[cursor_mod.Cursor]:
+    def _fitting_groups(self) -> typing.Iterator[waiting_mod.Group]:
         """Yield the groups of which a task fits, except gangs."""
         for kind, index in self._waiting.index_by_kind.items():
-            for group in index.fitting(self._largest(kind)):
-                yield cursor_mod.Cursor(group)
+            yield from index.fitting(self._largest(kind))
+
+    def _keep_fitting(self, kind: needs.Kind) -> None:
+        """Drop the groups of a kind that no longer fit from the queue."""
+        has = self._largest(kind).has
+        self._queue = [
+            entry
+            for entry in self._queue
+            if entry.group.need.kind != kind
+            or entry.group.need.gang_count
+            or has(entry.group.need.cpu_millis, entry.group.need.memory_mb)
+        ]
+        heapq.heapify(self._queue)
 
     def _gang_cursors(self) -> typing.Iterator[cursor_mod.Cursor]:
         """Yield the groups of gangs that may fit or reserve workers."""
@@ -185,16 +200,18 @@
     ) -> None:
         """Update what a search in vain shows to be out of date.
 
-        That takes a look at all workers, and is done after as many misses as
-        take as long.
+        That takes a look at all workers and groups, and is done after as many
+        misses as take as long.
         """
         kind = cursor.group.need.kind
         largest = self._largest(kind)
         largest.misses += 1
         cursor.misses += 1
         workers_total = len(self._fleet.workers(kind.service, kind.label))
-        if largest.misses * LOOKS_PER_MISS >= workers_total:
+        looks = max(workers_total, len(self._queue))
+        if largest.misses * LOOKS_PER_MISS >= looks:
             del self._largest_by_kind[kind]
+            self._keep_fitting(kind)
         if cursor.misses * LOOKS_PER_MISS >= workers_total:
             cursor.misses = 0
             cursor.workers = eligibility.workers_with_capacity(
--- a/packages/carawaymast-core/carawaymast_core/cell/waiting.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/waiting.py
@@ -36,14 +36,11 @@
         self.task_ms = 0
         # On the leader's clock, see ``gang_search``.
         self.examined_at_ms = 0
-
-    @property
-    def size(self) -> resources.Resources:
-        """What a task is allocated, see ``spec.Step.allocated_size``."""
-        need = self.need
-        cpu_millis = 0 if need.kind.is_filler else need.cpu_millis
-        return resources.Resources(
-            cpu_millis, need.memory_mb, need.kind.accelerators
+        # What a task is allocated, see ``spec.Step.allocated_size``.
+        self.size = resources.Resources(
+            0 if need.kind.is_filler else need.cpu_millis,
+            need.memory_mb,
+            need.kind.accelerators,
         )
 
 
