A gang that is postponed reserves nothing in the same plan

A plan that has no time left for a group of gangs examines it again at its end, if it was examined least recently.

New scenario: 1,000 forms of gangs that nearly fit keep none waiting that fits; without the turn of the postponed ones it fails.

--- a/features/steps/waiting_steps.py
+++ b/features/steps/waiting_steps.py
@@ -68,9 +68,12 @@
 
 
 @given('a task that takes 600 s on each worker')
-def submit_long(context):
+@given('a task of {cpu:d} processors that takes 600 s on each worker')
+def submit_long(context, cpu=1):
     count = len(context.world.runner_by_id)
-    step = cell_world.step(count, estimate_ms=LONG_MS, max_per_worker=1)
+    step = cell_world.step(
+        count, cpu * 1_000, estimate_ms=LONG_MS, max_per_worker=1
+    )
     submit(context, 'long', step, LONG_MS)
     context.world.run_cycle()
     assert len(context.world.running()) == count
@@ -198,6 +201,23 @@
             step.advice.apply_answer(['w0'], {'w0': 't'}, now_ms, LONG_MS)
 
 
+@given('{count:d} urgent gangs of different forms that nearly fit')
+def submit_nearly_fitting(context, count):
+    # Each worker has 8 processors left, enough for one member.
+    workers = len(context.world.runner_by_id)
+    for number in range(count):
+        gang = cell_world.gang(workers + 1 + number % 10, 5_000 + number)
+        submit(context, f'x{number}', gang, LONG_MS, cell_world.queue(rank=0))
+
+
+@when(
+    'an urgent gang "{job_id}" of {count:d} tasks of {cpu:d} processors comes'
+)
+def submit_urgent_gang(context, job_id, count, cpu):
+    gang = cell_world.gang(count, cpu * 1_000)
+    submit(context, job_id, gang, LONG_MS, cell_world.queue(rank=0))
+
+
 @given('{ms:d} ms pass')
 def pass_ms(context, ms):
     context.world.run_cycle(ms)
--- a/features/waiting.feature
+++ b/features/waiting.feature
@@ -135,6 +135,15 @@
     When the leader plans
     Then a job for the full kind is refused
 
+  # Guards against a search for gangs that always ends at the same ones.
+  Scenario: Many gangs that nearly fit keep none waiting that fits
+    Given a cell of 40 workers
+    And a task of 8 processors that takes 600 s on each worker
+    And 1000 urgent gangs of different forms that nearly fit
+    When an urgent gang "g1" of 40 tasks of 4 processors comes
+    And 2 s pass
+    Then "g1" has started
+
   Scenario: One plan places all that fits, whatever waits
     Given 60 random cells of 3 to 40 workers with 700 mixed waiting steps
     When each of them is planned 1 times
--- a/packages/carawaymast-core/carawaymast_core/cell/backlog.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/backlog.py
@@ -78,6 +78,7 @@
         labels = frozenset(g.need.kind.label for g in groups)
         self._class_by_key: dict[_ClassKey, _Class] = {}
         self._key_by_worker: dict[str, _ClassKey] = {}
+        self._keys_by_label: dict[str, set[_ClassKey]] = {}
         for worker in fleet.workers(service, ''):
             capacity = worker.entry.capacity
             room = capacity.minus(worker.services_size)
@@ -141,10 +142,12 @@
         0 if there is no worker with its label: it waits for that alone.
         """
         label = step.required_label
-        keys = {
-            self._key_by_worker[w.worker_id]
-            for w in fleet.workers(name, label)
-        }
+        keys = self._keys_by_label.get(label)
+        if keys is None:
+            keys = self._keys_by_label[label] = {
+                self._key_by_worker[w.worker_id]
+                for w in fleet.workers(name, label)
+            }
         if not keys:
             return 0.0
         size = step.allocated_size
--- a/packages/carawaymast-core/carawaymast_core/cell/largest_free.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/largest_free.py
@@ -46,9 +46,9 @@
 class LargestFree:
     """The largest free amounts on workers of one kind.
 
-    ``workers`` are those of the service and label. Where the kind is not
-    urgent, a task of the least of their sizes and smaller ones certainly
-    leave the headroom of urgent tasks free.
+    ``workers`` are those of the service and label. If the kind is not urgent,
+    a task that fits beside the headroom on each of them when it is empty never
+    uses the headroom.
     """
 
     def __init__(
--- a/packages/carawaymast-core/carawaymast_core/cell/planner.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/planner.py
@@ -225,8 +225,13 @@
 
         Return whether others of its group are to be examined.
         """
-        if not cursor.is_full and self._place_gang(step, cursor):
-            return True
+        if not cursor.is_full:
+            if self._gangs.is_exhausted:
+                # A reservation now would keep the gang itself from workers.
+                self._gangs.postpone(cursor.group)
+                return False
+            if self._place_gang(step, cursor):
+                return True
         self._requests += 1
         if self._reservations.may_reserve(step, self._now_ms):
             self._reserve(step)
@@ -242,10 +247,6 @@
         if not self._largest(group.need.kind).has_members(group.need):
             cursor.is_full = True
             return False
-        if self._gangs.is_exhausted:
-            self._gangs.postpone(group)
-            cursor.is_full = True
-            return False
         excluded_ids = self._excluded_ids(step)
         if self._gangs.may_fit(step, group, cursor.workers, excluded_ids):
             if self._place_tasks(step):
@@ -288,22 +289,19 @@
             self._on_reservation(step, allowed)
 
     def _excluded_ids(self, step: 'jobs.StepState') -> typing.Container[str]:
-        is_urgent = step.job.submission.queue.rank == 0
+        return self._reserved_ids(step.job.submission.queue.rank == 0)
+
+    def _reserved_ids(self, is_urgent: bool) -> typing.Container[str]:
         return frozenset() if is_urgent else self._reservations.worker_ids
 
     def _largest(self, kind: needs.Kind) -> largest_free.LargestFree:
         """Return the largest free amounts, of now or from an earlier time."""
         largest = self._largest_by_kind.get(kind)
         if largest is None:
-            excluded = (
-                frozenset()
-                if kind.is_urgent
-                else self._reservations.worker_ids
-            )
             largest = self._largest_by_kind[kind] = largest_free.LargestFree(
                 kind,
                 self._fleet.workers(kind.service, kind.label),
                 self._now_ms,
-                excluded,
+                self._reserved_ids(kind.is_urgent),
             )
         return largest
