Work that needs accelerators delays only jobs that use such workers

While nothing fits, jobs for any worker were refused for work that only the one worker with accelerators can run.

Cause: classes of workers in the predicted wait did not differ by accelerators, so such work was spread over all workers.

Evidence: the new scenario failed on (a start predicted in 83,333 ms) and passes now. On the users' sites workers have no accelerators, so that the classes there are the same as before.

--- a/features/cell_world.py
+++ b/features/cell_world.py
@@ -164,6 +164,11 @@
         )
         self._apply_entry(runner_id)
 
+    def set_whole_capacity(self, runner_id, capacity):
+        """Change a runner's capacity; the leader reads it at once."""
+        self.capacity_by_id[runner_id] = capacity
+        self._apply_entry(runner_id)
+
     def set_labels(self, runner_id, labels):
         """Change a runner's labels; the leader reads them at once."""
         self.labels_by_id[runner_id] = labels
--- a/features/steps/waiting_steps.py
+++ b/features/steps/waiting_steps.py
@@ -158,6 +158,23 @@
     assert len(context.world.running()) == 1
 
 
+@given('a worker with {count:d} accelerators')
+def add_accelerators(context, count):
+    capacity = cell_world.CAPACITY._replace(accelerators=count)
+    context.world.set_whole_capacity('w0', capacity)
+
+
+def accelerated_step(number=0):
+    step = cell_world.step(memory=1_000 + number)
+    return step._replace(size=step.size._replace(accelerators=1))
+
+
+@then('a job with an accelerator is refused')
+def accelerated_refused(context):
+    submission = cell_world.job('j3', accelerated_step())
+    assert context.world.cell.check_admission(submission) is not None
+
+
 def blocked_step(cause, number):
     """Return a step that fits nowhere, and its policy.
 
@@ -168,6 +185,8 @@
     cpu, memory = 2_000 + 4 * number, 62_000 - 15 * number
     if cause == 'a full kind, urgent':
         policy = cell_world.queue(rank=0)
+    if cause == 'accelerators':
+        return accelerated_step(number), policy
     if cause == 'tickets':
         policy = cell_world.queue(advice=ADVICE)
         return cell_world.step(cpu=2_000 + number, memory=1_000), policy
--- a/features/waiting.feature
+++ b/features/waiting.feature
@@ -128,6 +128,16 @@
       | spread      |
       | tickets     |
 
+  # Guards against a predicted wait that lays work for some workers over all.
+  Scenario: Work for the one worker with accelerators delays no other job
+    Given a cell of 8 workers
+    And a worker with 4 accelerators
+    And a task of 16 processors that takes 600 s on each worker
+    And 300 jobs that cannot run, for accelerators
+    When the leader plans
+    Then a job of 1 task is admitted
+    And a job with an accelerator is refused
+
   Scenario: A job that fits nowhere now is refused by the work ahead of it
     Given a cell of 8 workers
     And the worker of kind "b" filled by a service
--- a/packages/carawaymast-core/carawaymast_core/cell/backlog.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/backlog.py
@@ -16,7 +16,8 @@
 
 __all__ = ['Backlog']
 
-# Amounts in one of so many equal parts of the largest worker count as equal.
+# Processors and memory in one of so many equal parts of the largest worker's
+# count as equal.
 AMOUNT_LEVELS = 8
 # Work with different choices of workers is spread again that often.
 ROUNDS = 3
@@ -28,6 +29,7 @@
     labels: frozenset[str]
     cpu_level: int
     memory_level: int
+    accelerators: int
 
 
 class _Class:
@@ -95,11 +97,12 @@
             tuple[int, bool], dict[_ClassKey, float]
         ] = {}
 
-    def _levels(self, amount: resources.Resources) -> tuple[int, int]:
+    def _levels(self, amount: resources.Resources) -> tuple[int, int, int]:
         largest = self._largest
         return (
             AMOUNT_LEVELS * amount.cpu_millis // max(1, largest.cpu_millis),
             AMOUNT_LEVELS * amount.memory_mb // max(1, largest.memory_mb),
+            amount.accelerators,
         )
 
     def _add_demands(self, groups: typing.Sequence[waiting_mod.Group]) -> None:
@@ -118,6 +121,7 @@
                 need.kind.label,
                 AMOUNT_LEVELS * cpu // largest_cpu,
                 AMOUNT_LEVELS * memory // largest_memory,
+                accelerators,
             )
             demand = demand_by_key.get(key)
             if demand is None:
