The groups of gangs for a plan are found in gang_search

No change of what it does; the scenarios of features/waiting.feature and features/capacity.feature passed (43).

--- a/packages/carawaymast-core/carawaymast_core/cell/gang_search.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/gang_search.py
@@ -5,11 +5,15 @@
 for come first in one of the next plans.
 """
 
+import heapq
 import typing
 
+from carawaymast_core.cell import cursor as cursor_mod
 from carawaymast_core.cell import eligibility
 from carawaymast_core.cell import fleet as fleet_mod
 from carawaymast_core.cell import free_capacity
+from carawaymast_core.cell import largest_free
+from carawaymast_core.cell import needs
 from carawaymast_core.cell import tiers
 from carawaymast_core.cell import waiting as waiting_mod
 
@@ -17,17 +21,46 @@
     from carawaymast_core.cell import jobs
     from carawaymast_core.cell import worker as worker_mod
 
-__all__ = ['GangSearch']
+__all__ = ['MAX_RESERVATION_REQUESTS', 'GangSearch', 'cursors']
 
 # Workers that a plan looks at for gangs in their order, and then for the
 # groups that were examined least recently.
 MAX_LOOKS_IN_ORDER = 15_000
 MAX_LOOKS_IN_TURN = 5_000
+# Gangs, the first in the order, that may ask for a reservation in one plan.
+MAX_RESERVATION_REQUESTS = 500
 # In the index of the fleet, as many workers are passed over in the time of one
 # look.
 PASSED_PER_LOOK = 10
 
 
+def cursors(
+    waiting: waiting_mod.WaitingSteps,
+    fleet: fleet_mod.Fleet,
+    largest: typing.Callable[[needs.Kind], largest_free.LargestFree],
+) -> typing.Iterator[cursor_mod.Cursor]:
+    """Yield the groups of gangs that may fit or reserve workers.
+
+    ``largest`` returns the largest free amounts on workers of a kind.
+    """
+    full = []
+    for kind, groups in waiting.gang_groups_by_kind.items():
+        if not fleet.has_workers(kind.service, kind.label):
+            continue
+        amounts = largest(kind)
+        for group in groups.values():
+            if amounts.has_members(group.need):
+                yield cursor_mod.Cursor(group)
+            else:
+                full.append(group)
+    for group in heapq.nsmallest(
+        MAX_RESERVATION_REQUESTS, full, key=lambda g: g.positions[0]
+    ):
+        cursor = cursor_mod.Cursor(group)
+        cursor.is_full = True
+        yield cursor
+
+
 class GangSearch:
     """The search for gangs that fit, in one plan."""
 
--- a/packages/carawaymast-core/carawaymast_core/cell/planner.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/planner.py
@@ -38,8 +38,6 @@
 MAX_PLACED_STEPS_PER_PLAN = 120
 # A search in vain takes about as long as a look at this many workers.
 LOOKS_PER_MISS = 32
-# Gangs, the first in the order, that may ask for a reservation in one plan.
-MAX_RESERVATION_REQUESTS = 500
 
 
 class PlanClock(typing.NamedTuple):
@@ -103,7 +101,9 @@
         ]
         self._queue += [
             cursor_mod.Entry(cursor.position, cursor.group, cursor)
-            for cursor in self._gang_cursors()
+            for cursor in gang_search.cursors(
+                self._waiting, self._fleet, self._largest
+            )
         ]
         heapq.heapify(self._queue)
         while self._queue and not self._is_over:
@@ -141,25 +141,6 @@
         ]
         heapq.heapify(self._queue)
 
-    def _gang_cursors(self) -> typing.Iterator[cursor_mod.Cursor]:
-        """Yield the groups of gangs that may fit or reserve workers."""
-        full = []
-        for kind, groups in self._waiting.gang_groups_by_kind.items():
-            if not self._fleet.has_workers(kind.service, kind.label):
-                continue
-            amounts = self._largest(kind)
-            for group in groups.values():
-                if amounts.has_members(group.need):
-                    yield cursor_mod.Cursor(group)
-                else:
-                    full.append(group)
-        for group in heapq.nsmallest(
-            MAX_RESERVATION_REQUESTS, full, key=lambda g: g.positions[0]
-        ):
-            cursor = cursor_mod.Cursor(group)
-            cursor.is_full = True
-            yield cursor
-
     def _examine_next(self, cursor: cursor_mod.Cursor) -> bool:
         """Examine the next step of a group; return whether one is left."""
         step = self._waiting.step_at(cursor.position)
@@ -236,7 +217,7 @@
         if self._reservations.may_reserve(step, self._now_ms):
             self._reserve(step)
         return not cursor.is_full or (
-            self._requests < MAX_RESERVATION_REQUESTS
+            self._requests < gang_search.MAX_RESERVATION_REQUESTS
             and not self._reservations.is_exhausted
         )
 
