--- a/packages/carawaymast-core/carawaymast_core/cell/largest_free.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/largest_free.py
@@ -19,6 +19,10 @@
 __all__ = ['LargestFree']
 
 
+# Processors in thousandths, and memory in MB.
+_Amount = tuple[int, int]
+
+
 class _Staircase:
     """The most memory that is free beside each amount of processors."""
 
@@ -63,43 +67,49 @@
         self._keeps_headroom = not kind.is_urgent and not kind.is_filler
         amounts: set[tuple[int, int]] = set()
         amounts_beside_headroom: set[tuple[int, int]] = set()
-        least: resources.Resources | None = None
-        self.total_cpu_millis = self.total_memory_mb = 0
+        headroom_by_capacity: dict[resources.Resources, _Amount] = {}
+        total_cpu_millis = total_memory_mb = 0
         for worker in workers:
-            free, capacity = worker.free, worker.entry.capacity
-            if least is None:
-                least = capacity
-            elif least is not capacity:
-                least = least.lowered_to(capacity)
+            capacity = worker.entry.capacity
+            headroom = headroom_by_capacity.get(capacity)
+            if headroom is None:
+                headroom = headroom_by_capacity[capacity] = _headroom(capacity)
+            cpu_millis, memory_mb, accelerators = worker.free
             if (
-                free.accelerators < kind.accelerators
-                or min(free) < 0
+                cpu_millis < 0
+                or memory_mb < 0
+                or accelerators < kind.accelerators
                 or worker.isolated_by_name
                 or worker.worker_id in excluded_ids
             ):
                 continue
-            cpu_millis, memory_mb = free.cpu_millis, free.memory_mb
             if kind.is_filler:
                 if now_ms < worker.no_fillers_until_ms:
                     continue
                 cpu_millis = (
                     capacity.cpu_millis - throttling.filler_cpu_millis(worker)
                 )
-            self.total_cpu_millis += cpu_millis
-            self.total_memory_mb += memory_mb
+            total_cpu_millis += cpu_millis
+            total_memory_mb += memory_mb
             amounts.add((cpu_millis, memory_mb))
             if self._keeps_headroom:
-                headroom = _headroom(capacity)
                 amounts_beside_headroom.add(
-                    (
-                        max(0, cpu_millis - headroom.cpu_millis),
-                        max(0, memory_mb - headroom.memory_mb),
-                    )
+                    (cpu_millis - headroom[0], memory_mb - headroom[1])
                 )
+        self.total_cpu_millis = total_cpu_millis
+        self.total_memory_mb = total_memory_mb
         self._all = _Staircase(amounts)
-        self._beside_headroom = _Staircase(amounts_beside_headroom)
-        self._least_beside_headroom = (
-            resources.ZERO if least is None else least.minus(_headroom(least))
+        self._beside_headroom = _Staircase(
+            (max(0, cpu_millis), max(0, memory_mb))
+            for cpu_millis, memory_mb in amounts_beside_headroom
+        )
+        # The least of each resource that empty workers have beside it.
+        self._least_beside_headroom = tuple(
+            min(
+                (c[n] - h[n] for c, h in headroom_by_capacity.items()),
+                default=0,
+            )
+            for n in range(2)
         )
         self.cpu_millis = max(self._all.cpu_millis, default=-1)
 
@@ -147,13 +157,11 @@
     def _certainly_keeps_headroom(
         self, cpu_millis: int, memory_mb: int
     ) -> bool:
-        least = self._least_beside_headroom
-        return cpu_millis <= least.cpu_millis and memory_mb <= least.memory_mb
+        least_cpu_millis, least_memory_mb = self._least_beside_headroom
+        return cpu_millis <= least_cpu_millis and memory_mb <= least_memory_mb
 
 
-def _headroom(capacity: resources.Resources) -> resources.Resources:
+def _headroom(capacity: resources.Resources) -> _Amount:
     """Return what a task that is not urgent leaves free of a capacity."""
     share = free_capacity.URGENT_HEADROOM_SHARE
-    return resources.Resources(
-        int(capacity.cpu_millis * share), int(capacity.memory_mb * share), 0
-    )
+    return int(capacity.cpu_millis * share), int(capacity.memory_mb * share)
