--- a/packages/carawaymast-core/carawaymast_core/cell/free_claims.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/free_claims.py
@@ -31,7 +31,9 @@
     def claim(self, submission: spec_mod.Submission) -> bool:
         """Claim capacity for all tasks of a job; return False if it lacks.
 
-        Its steps run one after the other, so each may use the same capacity.
+        Each step is looked at by itself: steps that follow each other may use
+        the same capacity. For steps that run at the same time this is less
+        than they need together.
         """
         claims = [
             self._find(step, submission.queue)
