--- a/packages/carawaymast-core/carawaymast_core/cell/answers.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/answers.py
@@ -59,8 +59,11 @@
         cell.log_event(
             'worker_adopted',
             worker=worker.worker_id,
+            born_ms=worker.born_ms,
             running=len(answer.running),
             ended=len(answer.ended),
+            clock_ms=worker.lease.clock_ms,
+            lease_until_ms=worker.lease.deadline_ms,
         )
     ended_names = {(end.task, end.run_id) for end in answer.ended}
     for end in answer.ended:
@@ -99,6 +102,7 @@
             else:
                 size = task.step.spec.allocated_size
                 untracked_size = untracked_size.plus(size)
+            _log_untracked(cell, worker, row, task)
             cell.stops.append(
                 worker_mod.StopOrder(worker, row.task, row.run_id, None)
             )
@@ -122,6 +126,23 @@
     return listed
 
 
+def _log_untracked(
+    cell: 'cell_mod.Cell', worker, row: reports.ListedRun, task
+) -> None:
+    """Log a run that the leader does not have at the worker that lists it."""
+    cell.log_event(
+        'untracked_run',
+        task=row.task,
+        run_id=row.run_id,
+        worker=worker.worker_id,
+        born_ms=worker.born_ms,
+        # Run and worker; None if the leader does not know the task.
+        placed=None
+        if task is None
+        else [(run.run_id, run.worker.worker_id) for run in task.runs],
+    )
+
+
 def _is_absence_certain(run: run_mod.Run, sent_at_ms: int) -> bool:
     """Return whether an answer without a run proves that it is not there.
 
--- a/packages/carawaymast-core/carawaymast_core/cell/worker_lease.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/worker_lease.py
@@ -40,6 +40,16 @@
         self._former: _FormerLease | None = None
         self.assumed_lost_at_ms: int | None = None
 
+    @property
+    def clock_ms(self) -> int:
+        """The latest reading of the worker's clock, 0 before the first."""
+        return self._clock_ms
+
+    @property
+    def deadline_ms(self) -> int:
+        """The latest end that the lease may have, on the worker's clock."""
+        return self._deadline_ms
+
     def record_clock(self, clock_ms: int, now_ms: int) -> None:
         """Record a reading of the worker's clock.
 
--- a/packages/carawaymast-core/carawaymast_core/cell/worker_lifecycle.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/worker_lifecycle.py
@@ -180,8 +180,11 @@
     cell.log_event(
         'lease_lapsed',
         worker=worker.worker_id,
+        born_ms=worker.born_ms,
         runs=len(worker.run_by_task),
         answered_ms_ago=now_ms - worker.last_answer_at_ms,
+        clock_ms=worker.lease.clock_ms,
+        lease_until_ms=worker.lease.deadline_ms,
     )
     worker.is_adopted = False
     worker.unadopted_since_ms = now_ms
