Leases are renewed for the usual time, whatever end is assumed

Callers saw nothing of this by itself: the tasks of a worker that restarted under its id and was lost some seconds later waited for up to 10 s, not 4.5 s, for a restart elsewhere.

Cause: a leader counts with the latest end that a lease may have, which for 10 s after a restart includes deadlines that former incarnations were sent. It sent that bound as the next deadline.

Now the end that is sent is the usual one, and the bound is kept apart. A worker never shortens its lease, so an earlier deadline than the bound does no harm.

--- a/packages/carawaymast-core/carawaymast_core/cell/worker_lease.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/worker_lease.py
@@ -84,10 +84,11 @@
     def next_deadline(self, now_ms: int, lease_ms: int) -> int:
         """Return the lease's end on the worker's clock for a call sent now.
 
-        It never decreases. It is recorded even if the call fails, since the
-        call may still take effect. Raises ``InvariantError`` if the clock was
-        never read: the lease would last until the worker has run for as long
-        as the leader's VM.
+        It may be before ``deadline_ms``, which includes what others may have
+        sent; a worker never shortens its lease. It is recorded even if the
+        call fails, since the call may still take effect. Raises
+        ``InvariantError`` if the clock was never read: the lease would last
+        until the worker has run for as long as the leader's VM.
         """
         errors.check(
             self._clock_read_at_ms is not None,
@@ -95,8 +96,9 @@
             'deadline on it is known',
         )
         max_clock_ms = self._clock_ms + now_ms - self._clock_read_at_ms
-        self._deadline_ms = max(self._deadline_ms, max_clock_ms + lease_ms)
-        return self._deadline_ms
+        deadline_ms = max_clock_ms + lease_ms
+        self._deadline_ms = max(self._deadline_ms, deadline_ms)
+        return deadline_ms
 
     def assume_renewed(self, lease_ms: int) -> None:
         """Assume that a previous leader renewed the lease just now.
