Tickets for a former incarnation of a worker are dropped

Callers waited longer for tasks whose worker had restarted under its id: the next starts there were refused for their tickets, and each asked for advice only then. Each such start is a call for nothing.

Cause: tickets are kept by the worker's id, which stays the same, and hold for one life of the worker.

The scenario failed before: the start went out with the former ticket.

The plan after a restart drops the tickets for that worker from all steps, so that they are asked for at once. A ticket whose call was under way during the restart may still be refused, and is dropped then, as before.

--- a/features/incarnations.feature
+++ b/features/incarnations.feature
@@ -82,3 +82,11 @@
       | leader                 |
       | the leader waits       |
       | another leader follows |
+
+  # Guards against starts that a restarted worker refuses, since their tickets
+  # are for its former incarnation.
+  Scenario: A restarted worker gets no start with a former ticket
+    Given a cell of 1 workers
+    And a task with a ticket for that worker
+    When that worker restarts under its id and answers a renewal
+    Then the task waits, and a new ticket is asked for
--- a/features/steps/incarnation_steps.py
+++ b/features/steps/incarnation_steps.py
@@ -11,6 +11,7 @@
 from carawaymast_core.cell import placing
 from carawaymast_core.cell import records
 from carawaymast_core.cell import reports
+from carawaymast_core.cell import spec
 from carawaymast_core.cell import worker_lifecycle
 from carawaymast_node.cells import ports
 from features import cell_world
@@ -229,3 +230,28 @@
     )
     assert outcome.is_running, outcome
     wait_beside_cut(context, seconds)
+
+
+@given('a task with a ticket for that worker')
+def add_ticket(context):
+    world = context.world
+    policy = spec.AdvicePolicy(1, 1, 60_000)
+    world.submit(
+        cell_world.job(
+            'j1', cell_world.step(), policy=cell_world.queue(advice=policy)
+        )
+    )
+    context.step = world.cell.find_task('j1.0.0.0').step
+    context.step.advice.apply_answer(
+        ['w0'], {'w0': 'ticket'}, world.clock.now(), 60_000
+    )
+
+
+@then('the task waits, and a new ticket is asked for')
+def waits_for_ticket(context):
+    world = context.world
+    world.plan()
+    assert not world.running(), world.running()
+    now_ms = world.clock.now()
+    needed = list(placing.steps_needing_advice(world.cell, now_ms, now_ms))
+    assert needed == [(context.step, ['w0'])], needed
--- a/packages/carawaymast-core/carawaymast_core/cell/advice.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/advice.py
@@ -114,10 +114,11 @@
                 self.grant_by_worker[worker_id] = grant
         self._on_grants_changed()
 
-    def drop(self, worker_id: str) -> None:
-        """Discard a ticket that a worker refused."""
-        self.grant_by_worker.pop(worker_id, None)
-        self._on_grants_changed()
+    def drop(self, worker_ids: typing.AbstractSet[str]) -> None:
+        """Discard the tickets for workers that do not take them any more."""
+        for worker_id in worker_ids & self.grant_by_worker.keys():
+            del self.grant_by_worker[worker_id]
+            self._on_grants_changed()
 
     def _on_grants_changed(self) -> None:
         self._satisfied_until_ms = 0
--- a/packages/carawaymast-core/carawaymast_core/cell/answers.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/answers.py
@@ -200,7 +200,7 @@
         return
     advice = run.task.step.advice
     if outcome.refusal is reports.StartRefusal.TICKET and advice is not None:
-        advice.drop(run.worker.worker_id)
+        advice.drop({run.worker.worker_id})
     if outcome.refusal in _INCONCLUSIVE_REFUSALS:
         # The next list shows the run, its end or its absence.
         run.known_at_ms = now_ms
--- a/packages/carawaymast-core/carawaymast_core/cell/cell.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/cell.py
@@ -53,6 +53,8 @@
         self.job_by_id: dict[str, jobs.Job] = {}
         self.worker_by_key: dict[tuple[str, int], worker_mod.Worker] = {}
         self.fencing_tokens = fencing.FencingTokens(epoch)
+        # The workers that have restarted under their ids since the last plan.
+        self.restarted_ids: set[str] = set()
         self.ready_by_name = waiting_mod.WaitingSteps()
         self.scheduled_by_name: dict[str, jobs.StepState] = {}
         self.reservations = reservations.Reservations(
--- a/packages/carawaymast-core/carawaymast_core/cell/placing.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/placing.py
@@ -32,6 +32,8 @@
 
 def plan(cell: 'cell_mod.Cell', now_ms: int, wall_ms: int) -> None:
     """Place the tasks that fit; they start once their records are stored."""
+    if cell.restarted_ids:
+        _drop_former_tickets(cell)
     fleet = fleet_mod.Fleet(
         w for w in cell.worker_by_key.values() if w.is_usable(now_ms)
     )
@@ -77,6 +79,16 @@
     cell.set_fleet(fleet)
 
 
+def _drop_former_tickets(cell: 'cell_mod.Cell') -> None:
+    """Drop the tickets for former incarnations of restarted workers."""
+    for job in cell.job_by_id.values():
+        for steps in job.steps_by_occurrence:
+            for step in steps:
+                if step.advice is not None:
+                    step.advice.drop(cell.restarted_ids)
+    cell.restarted_ids.clear()
+
+
 def steps_needing_advice(
     cell: 'cell_mod.Cell', now_ms: int, wall_ms: int, is_planned: bool = True
 ) -> typing.Iterator[tuple[jobs.StepState, list[str]]]:
--- a/packages/carawaymast-core/carawaymast_core/cell/worker_lifecycle.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/worker_lifecycle.py
@@ -54,6 +54,7 @@
     if worker is None:
         worker = _add_worker(cell, entry, now_ms)
         if incarnations:
+            cell.restarted_ids.add(worker.worker_id)
             assume_late_calls(cell, worker, now_ms)
         for other in incarnations:
             _move_runs(cell, worker, other, now_ms)
