A worker that was never reached counts as lost after its longest lease

Callers could see two runs of one task on platforms that grant leases of more than 13.7 s: a new leader that never reached a worker counted its lease as expired after 14 s, whatever the platform grants.

--- a/features/incarnations.feature
+++ b/features/incarnations.feature
@@ -90,3 +90,9 @@
     And a task with a ticket for that worker
     When that worker restarts under its id and answers a renewal
     Then the task waits, and a new ticket is asked for
+
+  # Guards against two runs of one task on platforms that grant long leases.
+  Scenario: A new leader that never reached a worker waits for its lease
+    Given a platform that grants leases of up to 30 s
+    When a leader reads the entry of a worker that it cannot reach
+    Then it counts the worker's lease as expired after 30 s, not after 20 s
--- a/features/steps/incarnation_steps.py
+++ b/features/steps/incarnation_steps.py
@@ -8,6 +8,7 @@
 
 from carawaymast_core import clock as clock_mod
 from carawaymast_core.cell import batching
+from carawaymast_core.cell import cell as cell_mod
 from carawaymast_core.cell import placing
 from carawaymast_core.cell import records
 from carawaymast_core.cell import reports
@@ -255,3 +256,32 @@
     now_ms = world.clock.now()
     needed = list(placing.steps_needing_advice(world.cell, now_ms, now_ms))
     assert needed == [(context.step, ['w0'])], needed
+
+
+@given('a platform that grants leases of up to {seconds:d} s')
+def cell_with_long_leases(context, seconds):
+    context.cell = cell_mod.Cell(
+        1, cell_world.LEASE_MS, lambda *event, **fields: None, seconds * 1_000
+    )
+
+
+@when('a leader reads the entry of a worker that it cannot reach')
+def read_entry(context):
+    world = cell_world.CellWorld(1)
+    context.read_at_ms = world.clock.now()
+    context.worker = worker_lifecycle.apply_worker_entry(
+        context.cell,
+        world.entry(world.runner_by_id['w0']),
+        context.read_at_ms,
+    )
+
+
+@then(
+    "it counts the worker's lease as expired after {late:d} s, "
+    'not after {early:d} s'
+)
+def expires_after(context, late, early):
+    lease, read_at_ms = context.worker.lease, context.read_at_ms
+    assert not lease.is_expired(read_at_ms + early * 1_000)
+    # The worker's clock may be 2% slow.
+    assert lease.is_expired(read_at_ms + int(late * 1_000 / 0.98) + 1)
--- a/packages/carawaymast-core/carawaymast_core/cell/worker_lifecycle.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/worker_lifecycle.py
@@ -22,9 +22,9 @@
     'unlist_worker',
 ]
 
-# How long a worker that the leader never reached may have runs at most: the
-# previous leader's last renewal, its grace period without the store and the
-# lease itself.
+# How long a worker that the leader never reached may have runs at most, if
+# the longest lease is not longer: the previous leader's last renewal, its
+# grace period without the store and the lease itself.
 UNREACHED_WORKER_TIMEOUT_MS = 14_000
 # How long after it was sent a call may be carried out.
 LATE_CALL_MS = 12_000
@@ -76,7 +76,10 @@
 ) -> worker_mod.Worker:
     worker = worker_mod.Worker(entry)
     worker.fencing_token = cell.fencing_tokens.next()
-    worker.lease.assumed_lost_at_ms = now_ms + UNREACHED_WORKER_TIMEOUT_MS
+    worker.lease.assumed_lost_at_ms = now_ms + max(
+        UNREACHED_WORKER_TIMEOUT_MS,
+        worker_lease.max_real_ms(cell.max_lease_ms),
+    )
     worker.unadopted_since_ms = now_ms
     cell.worker_by_key[worker.key] = worker
     cell.log_event(
