--- a/standins/platform_http.py
+++ b/standins/platform_http.py
@@ -3,7 +3,8 @@
 ``python -m standins.platform_http STORE_PORT RUNNER_PORT...`` serves the
 in-memory store and, on each further port, one runner. Runners are listed
 from the start and do not expire. A runner crashes on request, or by a task
-whose payload is ``CRASH_PAYLOAD``, and restarts at its port under another id.
+whose payload is ``CRASH_PAYLOAD``, and restarts at its port, in turn under the
+id that it had and under another one.
 It prints ``ready`` once it listens.
 """
 
@@ -37,6 +38,9 @@
 CRASH_PAYLOAD = 'crash'
 CRASH_DELAY_S = 0.01
 RESTART_S = 1.0
+INCARNATIONS_PER_ID = 2
+CLOCK_STEP_MS = 1_000_000
+MAX_CLOCK_STEPS = 1_000
 TICK_INTERVAL_S = 0.02
 POLL_INTERVAL_S = 0.02
 # A silent store closes a call after this time; nodes time out before.
@@ -154,11 +158,16 @@
 
     def _restart(self) -> None:
         """Begin an incarnation and list it."""
-        suffix = f'-{self._incarnations}' if self._incarnations else ''
+        id_number = self._incarnations // INCARNATIONS_PER_ID
+        suffix = f'-{id_number}' if id_number else ''
         self._incarnations += 1
         self.runner = runner_mod.RunnerStandin(
             f'i-{self._number}{suffix}', self._incarnations
         )
+        # The clocks of former incarnations are ahead.
+        self.runner.clock_ms = CLOCK_STEP_MS * max(
+            0, MAX_CLOCK_STEPS - self._incarnations
+        )
         self.runner.on_change = self._record
         self._is_up = True
         entry = {
@@ -189,8 +198,10 @@
         return _json(200, {})
 
     def _reappear(self) -> None:
-        self._log.put(SERVERS_TOPIC, self.runner.runner_id, b'')
+        former_id = self.runner.runner_id
         self._restart()
+        if self.runner.runner_id != former_id:
+            self._log.put(SERVERS_TOPIC, former_id, b'')
 
     async def answer(
         self,
