Jobs of which only a start was lost count as waiting again

Cause: a job counted as started from the moment its first placement was stored. If that start was refused, withdrawn or lost, it was left out for good.

The scenarios failed before, lost and refused: 0 jobs were said to wait.

An end of a run that shows that it never began now clears the mark, unless another run of the job is known to have begun or is under way. That end is stored anyway, so there is no further record.

--- /dev/null
+++ b/features/pending.feature
@@ -0,0 +1,17 @@
+Feature: The number of jobs that wait in a queue
+
+  # Guards against queues that seem short: jobs of which only a start was sent,
+  # and got lost, were left out for good.
+  Scenario Outline: A job whose only start did not take effect waits again
+    Given a cell of 1 workers
+    And a job "j1" of 1 tasks and then 1 tasks
+    And tasks that take 60 s
+    When its start is <what>, and the worker is suspected
+    Then 1 job of its queue waits
+    When the worker is not suspected any more, and 3 s pass
+    Then 0 jobs of its queue wait
+
+    Examples:
+      | what    |
+      | lost    |
+      | refused |
--- a/packages/carawaymast-core/carawaymast_core/cell/answers.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/answers.py
@@ -114,6 +114,7 @@
             )
             continue
         if run.state is not run_mod.RunState.RUNNING:
+            run.task.step.job.record_begun()
             run.state = run_mod.RunState.RUNNING
             run.known_at_ms = now_ms
             # A previous leader may have set the limit.
@@ -180,6 +181,7 @@
     if run.worker.run_by_task.get(run.task.name) is not run:
         return
     if outcome.is_running:
+        run.task.step.job.record_begun()
         run.state = run_mod.RunState.RUNNING
         run.known_at_ms = now_ms
         if not run.task.checkpoint:
--- a/packages/carawaymast-core/carawaymast_core/cell/jobs.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/jobs.py
@@ -128,6 +128,8 @@
         self.job_id = submission.job_id
         self.phase = records.JobPhase.QUEUED
         self.cause = ''
+        # Whether a run of it has begun, as far as known, or may have begun.
+        self.has_begun = False
         self.has_started = False
         self.is_cancelled = False
         self.changed_at_ms = now_wall_ms
@@ -171,6 +173,15 @@
             for task in step.tasks:
                 yield from task.runs
 
+    def record_begun(self) -> None:
+        """Record that a run of it is known to have begun."""
+        self.has_begun = self.has_started = True
+
+    def record_not_begun(self) -> None:
+        """Record the end of a run that was never seen to have begun."""
+        if not self.has_begun:
+            self.has_started = any(self.runs())
+
     @property
     def is_complete(self) -> bool:
         """Whether all tasks of all occurrences have ended as done."""
--- a/packages/carawaymast-core/carawaymast_core/cell/run_ends.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/run_ends.py
@@ -12,6 +12,13 @@
 
 __all__ = ['apply', 'apply_untracked']
 
+# The ends of a run of which nothing shows that it ever began.
+_ENDS_BEFORE_BEGIN = (
+    reports.EndKind.REFUSED,
+    reports.EndKind.WITHDRAWN,
+    reports.EndKind.ABSENT,
+)
+
 
 def apply(
     cell: 'cell_mod.Cell',
@@ -23,6 +30,10 @@
     """Apply the end of a run that the cell has placed."""
     task = run.task
     cell.release(run)
+    if how in _ENDS_BEFORE_BEGIN:
+        task.step.job.record_not_begun()
+    else:
+        task.step.job.record_begun()
     task.waiting_since_ms = now_ms
     cell.log_event(
         'run_ended',
@@ -54,6 +65,7 @@
         return
     if end.run_id > task.last_run_id:
         return
+    task.step.job.record_begun()
     cell.log_event('late_end_used', task=task.name, run_id=end.run_id)
     _apply_to_task(cell, task, end.run_id, end.how, now_ms)
 
--- a/packages/carawaymast-core/carawaymast_core/cell/takeover.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/takeover.py
@@ -49,7 +49,8 @@
     """Restore a job's state from the previous leader's record."""
     job.phase = record.phase
     job.cause = record.cause
-    job.has_started = record.has_started
+    # What the previous leader had seen of its runs is not known.
+    job.has_begun = job.has_started = record.has_started
     for steps, rows in zip(
         job.steps_by_occurrence, record.tasks, strict=False
     ):
