Jobs with only unanswered starts count as waiting

Cause: a start that was not answered leaves its run where it is until a list or the end of the worker's lease shows what became of it, and the job counted as started meanwhile. Since a new leader counts with the longest lease, that can take 10 s for workers that are cut off.

Both new scenarios failed before (0 jobs said to wait).

A start without an answer now counts for nothing until a list shows the run. A new leader likewise counts stored starts only once a list shows them, unless the job has ends. The record of the job is stored once more in these cases.

--- a/features/pending.feature
+++ b/features/pending.feature
@@ -15,3 +15,21 @@
       | what    |
       | lost    |
       | refused |
+
+  # Guards against queues that seem short while leaders wait for the leases of
+  # workers that were cut off.
+  Scenario: A job whose start was not answered waits until a list shows it
+    Given a cell of 1 workers
+    And a job "j1" of 1 tasks and then 1 tasks
+    And tasks that take 60 s
+    When the worker is cut off, and its start is not answered
+    Then 1 job of its queue waits
+    When the start arrives late, and the worker is reached again
+    Then 0 jobs of its queue wait
+
+  Scenario: A new leader finds that a stored start never began
+    Given a cell of 1 workers
+    And a job "j1" of 1 tasks and then 1 tasks
+    And tasks that take 60 s
+    When its start is stored and not sent, and another leader takes over
+    Then 1 job of its queue waits
--- a/features/steps/pending_steps.py
+++ b/features/steps/pending_steps.py
@@ -39,3 +39,32 @@
     for _ in range(10 * seconds):
         world.run_cycle()
     assert world.running()
+
+
+@when('the worker is cut off, and its start is not answered')
+def cut_off_before_start(context):
+    world = context.world
+    world.plan(is_sent=False)
+    (context.late,) = world.pending_starts
+    context.cut = world.runner_by_id.pop('w0')
+    world.run_cycle()
+    world.run_cycle()
+    assert context.late[0].task.runs
+
+
+@when('the start arrives late, and the worker is reached again')
+def reach_again(context):
+    world = context.world
+    world.runner_by_id['w0'] = context.cut
+    world.deliver_start(*context.late)
+    world.run_cycle()
+    world.run_cycle()
+
+
+@when('its start is stored and not sent, and another leader takes over')
+def take_over_before_start(context):
+    world = context.world
+    world.plan(is_sent=False)
+    world.take_over()
+    world.worker('w0').suspect_until_ms = world.clock.now() + 60_000
+    world.run_cycle()
--- a/packages/carawaymast-core/carawaymast_core/cell/answers.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/answers.py
@@ -114,7 +114,7 @@
             )
             continue
         if run.state is not run_mod.RunState.RUNNING:
-            run.task.step.job.record_begun()
+            _record_begun(cell, run)
             run.state = run_mod.RunState.RUNNING
             run.known_at_ms = now_ms
             # A previous leader may have set the limit.
@@ -133,6 +133,15 @@
     return listed
 
 
+def _record_begun(cell: 'cell_mod.Cell', run: run_mod.Run) -> None:
+    """Record that a run is known to have begun."""
+    run.is_start_lost = False
+    job = run.task.step.job
+    if not job.has_started:
+        cell.mark_dirty(job)
+    job.record_begun()
+
+
 def _log_untracked(
     cell: 'cell_mod.Cell', worker, row: reports.ListedRun, task
 ) -> None:
@@ -181,7 +190,7 @@
     if run.worker.run_by_task.get(run.task.name) is not run:
         return
     if outcome.is_running:
-        run.task.step.job.record_begun()
+        _record_begun(cell, run)
         run.state = run_mod.RunState.RUNNING
         run.known_at_ms = now_ms
         if not run.task.checkpoint:
@@ -218,6 +227,9 @@
     A service's task may be running already, so it is stopped only once a
     later list of the worker does not contain it.
     """
+    run.is_start_lost = True
+    run.task.step.job.record_not_begun()
+    cell.mark_dirty(run.task.step.job)
     if run.task.step.spec.may_miss:
         run.stop_reason = NOT_ANSWERED
         run.unanswered_at_ms = now_ms
--- a/packages/carawaymast-core/carawaymast_core/cell/jobs.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/jobs.py
@@ -178,9 +178,11 @@
         self.has_begun = self.has_started = True
 
     def record_not_begun(self) -> None:
-        """Record the end of a run that was never seen to have begun."""
+        """Record that a run has ended, or may be lost, before it began."""
         if not self.has_begun:
-            self.has_started = any(self.runs())
+            self.has_started = any(
+                not run.is_start_lost for run in self.runs()
+            )
 
     @property
     def is_complete(self) -> bool:
--- a/packages/carawaymast-core/carawaymast_core/cell/run.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/run.py
@@ -26,6 +26,7 @@
     __slots__ = (
         'began_at_ms',
         'is_crash_counted',
+        'is_start_lost',
         'is_missing',
         'is_stop_sent',
         'is_stopping',
@@ -75,6 +76,8 @@
         # Whether its worker crashed, and it may still start at the worker's
         # next incarnation.
         self.is_crash_counted = False
+        # Whether its start was not answered and no list has shown it since.
+        self.is_start_lost = False
         # When the call for its start failed without an answer, and whether
         # the worker has not listed the run since.
         self.unanswered_at_ms = 0
--- a/packages/carawaymast-core/carawaymast_core/cell/takeover.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/takeover.py
@@ -49,14 +49,20 @@
     """Restore a job's state from the previous leader's record."""
     job.phase = record.phase
     job.cause = record.cause
-    # What the previous leader had seen of its runs is not known.
-    job.has_begun = job.has_started = record.has_started
+    job.has_started = record.has_started
     for steps, rows in zip(
         job.steps_by_occurrence, record.tasks, strict=False
     ):
         for step, task_rows in zip(steps, rows, strict=True):
             for task, row in zip(step.tasks, task_rows, strict=True):
                 _restore_task(cell, task, row, now_ms)
+    # Runs that are only known from the record may never have begun.
+    has_ends = any(
+        task.is_done or task.failures
+        for step in job.steps()
+        for task in step.tasks
+    )
+    job.has_begun = has_ends or (record.has_started and not any(job.runs()))
 
 
 def _restore_task(
