--- a/features/steps/foreign_steps.py
+++ b/features/steps/foreign_steps.py
@@ -9,6 +9,7 @@
 from behave import given
 from behave import then
 from behave import when
+from hypothesis import HealthCheck
 from hypothesis import given as given_any
 from hypothesis import settings
 from hypothesis import strategies
@@ -395,7 +396,14 @@
 def decode_random(context, count):
     context.named = 0
 
-    @settings(max_examples=count, derandomize=True, database=None)
+    @settings(
+        max_examples=count,
+        derandomize=True,
+        database=None,
+        deadline=None,
+        # It measures time, which depends on what else runs.
+        suppress_health_check=[HealthCheck.too_slow],
+    )
     @given_any(
         strategies.dictionaries(strategies.sampled_from(FIELDS), VALUES),
         ADDRESSES,
