--- a/packages/carawaymast-core/carawaymast_core/cell/fencing.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/fencing.py
@@ -4,8 +4,8 @@
 
 __all__ = ['FencingTokens']
 
-# A multiple of the epoch below this is free for incarnations. Tokens stay
-# exact in JSON for epochs of up to 29 bits.
+# The tokens of an epoch begin at its product with this. They stay exact in
+# JSON for epochs of up to 29 bits.
 INCARNATIONS_PER_EPOCH = 1 << 24
 
 
