A start that may be carried out late holds its run; it is repeated meanwhile

What callers could see: two runs of one task.

Cause: a start without an answer may be carried out for 12 s, by the incarnation of the worker that has the id then, and nothing there refuses it before the leader's first call. The leader ended the run as soon as a stop was answered, the lease had expired or a list lacked it, and placed the task elsewhere.

Change: until its unanswered starts can no longer act, a run without a ticket is held (cell/late_starts.py): its task starts nowhere else. If the worker is lost, that is until the longest lease after the last call that may act. Instead of being stopped, the start is repeated at the same worker, which takes it for the same run if it has begun it; so most tasks go on at once. A start without an answer takes a number of its own, by which a next leader sees in the record that there was one; the record's form is as before. A new leader takes runs that it cannot reach for starts of its predecessor's last moment.

Why it works: a held task has no other run while a call for it may act, by the bounds of the protocol (12 s, the longest lease, a clock 2% slow); a start with a ticket is refused by each later incarnation.

The random machine delivers late starts to any incarnation now; it had left out those that the leader did not expect.

Three scenarios took for granted that a task without a ticket starts elsewhere at once after a lost start. They keep their checks, with tickets; a new one in features/pending.feature has the same without.

--- a/features/cell_machine.py
+++ b/features/cell_machine.py
@@ -19,6 +19,7 @@
 from hypothesis import strategies as st
 
 from carawaymast_core.cell import answers
+from carawaymast_core.cell import late_starts
 from carawaymast_core.cell import records
 from carawaymast_core.cell import reports
 from carawaymast_core.cell import worker_lifecycle
@@ -223,24 +224,12 @@
             which % len(self.late_starts)
         )
         runner = self.world.runner_by_id.get(incarnation.runner_id)
-        # The next incarnation tells late calls for the former one apart only
-        # after its first call. Before that, the leader expects only the
-        # starts of runs that it still has there.
-        is_expected = (
-            runner is incarnation
-            or runner is not None
-            and not self._is_too_late(sent_at_ms)
-            and (runner.fencing_token > 0 or self._is_tracked(start[0]))
-        )
-        if is_expected:
+        if runner is incarnation or not self._is_too_late(sent_at_ms):
             self.world.deliver_start(*start)
 
     def _is_too_late(self, sent_at_ms):
         age_ms = self.world.clock.now() - sent_at_ms
-        return age_ms > worker_lifecycle.LATE_CALL_MS
-
-    def _is_tracked(self, run):
-        return run.worker.run_by_task.get(run.task.name) is run
+        return age_ms > late_starts.LATE_CALL_MS
 
     @stateful.rule(which=WHICH)
     def lose_renewal(self, which):
--- a/features/incarnations.feature
+++ b/features/incarnations.feature
@@ -24,7 +24,7 @@
   # the stop that refused a late start at the former one.
   Scenario: A late start for a former incarnation begins no run
     Given a cell of 2 workers
-    And a job "j1" of 1 tasks and then 1 tasks
+    And a job "j1" of 1 tasks with tickets for all workers
     And tasks that take 60 s
     When the starts are lost on their way
     And the worker of the lost start is suspected
--- a/features/pending.feature
+++ b/features/pending.feature
@@ -4,7 +4,7 @@
   # and got lost, were left out for good.
   Scenario Outline: A job whose only start did not take effect waits again
     Given a cell of 1 workers
-    And a job "j1" of 1 tasks and then 1 tasks
+    And a job "j1" of 1 tasks with tickets for all workers
     And tasks that take 60 s
     When its start is <what>, and the worker is suspected
     Then 1 job of its queue waits
@@ -29,7 +29,19 @@
 
   Scenario: A new leader finds that a stored start never began
     Given a cell of 1 workers
-    And a job "j1" of 1 tasks and then 1 tasks
+    And a job "j1" of 1 tasks with tickets for all workers
     And tasks that take 60 s
     When its start is stored and not sent, and another leader takes over
     Then 1 job of its queue waits
+
+  # Guards against the same while the start may still be carried out, so that
+  # the task must not start elsewhere.
+  Scenario: A job of which the only start is held waits
+    Given a cell of 1 workers
+    And a job "j1" of 1 tasks and then 1 tasks
+    And tasks that take 60 s
+    When its starts get no answer for 4 s
+    Then 1 job of its queue waits
+    And its task is not started for 8 s more
+    When the worker is not suspected any more, and 6 s pass
+    Then 0 jobs of its queue wait
--- a/features/steps/cell_steps.py
+++ b/features/steps/cell_steps.py
@@ -11,6 +11,7 @@
 from carawaymast_core.cell import lag
 from carawaymast_core.cell import records
 from carawaymast_core.cell import reports
+from carawaymast_core.cell import spec
 from carawaymast_core.cell import worker_lifecycle
 from carawaymast_node.cells import ports
 from features import cell_world
@@ -18,6 +19,7 @@
 
 FAILED = reports.EndKind.FAILED
 BROKEN = reports.EndKind.BROKEN
+TICKET_VALID_MS = 60_000
 
 
 @given('a cell of {count:d} workers')
@@ -36,6 +38,18 @@
     )
 
 
+@given('a job "{job_id}" of {count:d} tasks with tickets for all workers')
+def submit_ticketed_job(context, job_id, count):
+    world = context.world
+    policy = cell_world.queue(advice=spec.AdvicePolicy(1, 1, TICKET_VALID_MS))
+    world.submit(cell_world.job(job_id, cell_world.step(count), policy=policy))
+    ids = list(world.runner_by_id)
+    advice = world.cell.find_task(f'{job_id}.0.0.0').step.advice
+    advice.apply_answer(
+        ids, dict.fromkeys(ids, 'ticket'), world.clock.now(), TICKET_VALID_MS
+    )
+
+
 @given('a gang "{job_id}" of {count:d} tasks of {cpu:d} processors')
 def submit_gang(context, job_id, count, cpu):
     step = cell_world.gang(count, cpu * 1_000)
--- a/features/steps/pending_steps.py
+++ b/features/steps/pending_steps.py
@@ -61,6 +61,28 @@
     world.run_cycle()
 
 
+@when('its starts get no answer for {seconds:d} s')
+def lose_starts(context, seconds):
+    world = context.world
+    for _ in range(10 * seconds):
+        world.advance(100)
+        world.renew_leases()
+        world.plan(is_sent=False)
+        starts, world.pending_starts = world.pending_starts, []
+        for run, *_ in starts:
+            answers.apply_start_outcome(
+                world.cell, run, cell_world.NO_ANSWER, world.clock.now()
+            )
+
+
+@then('its task is not started for {seconds:d} s more')
+def not_started(context, seconds):
+    world = context.world
+    for _ in range(10 * seconds):
+        world.run_cycle()
+        assert not world.runner_by_id['w0'].started
+
+
 @when('its start is stored and not sent, and another leader takes over')
 def take_over_before_start(context):
     world = context.world
--- a/packages/carawaymast-core/carawaymast_core/cell/answers.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/answers.py
@@ -4,11 +4,13 @@
 
 from carawaymast_core import resources
 from carawaymast_core.cell import crashes
+from carawaymast_core.cell import late_starts
 from carawaymast_core.cell import progress
 from carawaymast_core.cell import records
 from carawaymast_core.cell import reports
 from carawaymast_core.cell import run as run_mod
 from carawaymast_core.cell import run_ends
+from carawaymast_core.cell import start_repeats
 from carawaymast_core.cell import suspicion
 from carawaymast_core.cell import throttling
 from carawaymast_core.cell import worker as worker_mod
@@ -24,7 +26,6 @@
     'is_start_unanswered',
 ]
 
-NOT_ANSWERED = 'start not answered'
 # Refusals that do not prove that the run is not on the worker: it may have
 # ended there, or the worker's next incarnation may have begun it.
 _INCONCLUSIVE_REFUSALS = (
@@ -83,11 +84,16 @@
         if name in listed or name in ended_names:
             continue
         if _is_absence_certain(run, sent_at_ms):
+            if late_starts.is_held(run, reports.EndKind.ABSENT, now_ms):
+                start_repeats.repeat_or_stop(cell, run, now_ms)
+                continue
             run_ends.apply(cell, run, reports.EndKind.ABSENT, '', now_ms)
-        elif run.stop_reason == NOT_ANSWERED and not run.is_stopping:
+        elif (
+            run.stop_reason == late_starts.NOT_ANSWERED and not run.is_stopping
+        ):
             if sent_at_ms >= run.unanswered_at_ms:
                 run.is_missing = True
-                cell.stop(run, NOT_ANSWERED)
+                cell.stop(run, late_starts.NOT_ANSWERED)
     for run in suspicion.check_stalled(cell, worker, now_ms):
         cell.stop(run, suspicion.MOVE_REASON)
     throttling.adjust_speed_limits(cell, worker, now_ms)
@@ -117,13 +123,17 @@
             _record_begun(cell, run)
             run.state = run_mod.RunState.RUNNING
             run.known_at_ms = now_ms
+            late_starts.record_listed(run)
             # A previous leader may have set the limit.
             run.speed_limit = int(row.percent)
         if run.task.crashes != records.NO_CRASHES:
             crashes.apply_survival(cell, run, now_ms)
         progress.record(run, row.percent, now_ms)
         run.use = row.use
-        if run.stop_reason == NOT_ANSWERED and not run.is_stop_sent:
+        if (
+            run.stop_reason == late_starts.NOT_ANSWERED
+            and not run.is_stop_sent
+        ):
             # The run is listed, so its start did take effect.
             run.stop_reason = ''
             run.unanswered_at_ms = 0
@@ -224,22 +234,29 @@
 ) -> None:
     """Stop a run whose start may have taken effect or may still do so.
 
-    A service's task may be running already, so it is stopped only once a
-    later list of the worker does not contain it.
+    If a late start may act at the worker's next incarnation, the run is
+    started again instead once a list does not contain it. A service's task
+    may be running already, so it is stopped only once a later list of the
+    worker does not contain it.
     """
+    if late_starts.is_only_start_listed(run):
+        return
+    late_starts.record_unanswered(run, now_ms)
     run.is_start_lost = True
     run.task.step.job.record_not_begun()
     cell.mark_dirty(run.task.step.job)
-    if run.task.step.spec.may_miss:
-        run.stop_reason = NOT_ANSWERED
+    if late_starts.may_act_later(run):
+        run.known_at_ms = now_ms
+    elif run.task.step.spec.may_miss:
+        run.stop_reason = late_starts.NOT_ANSWERED
         run.unanswered_at_ms = now_ms
     else:
-        cell.stop(run, NOT_ANSWERED)
+        cell.stop(run, late_starts.NOT_ANSWERED)
 
 
 def is_start_unanswered(run: run_mod.Run) -> bool:
     """Return whether a run is stopped because its start had no answer."""
-    return run.stop_reason == NOT_ANSWERED
+    return run.stop_reason == late_starts.NOT_ANSWERED
 
 
 def apply_stop_answer(
--- a/packages/carawaymast-core/carawaymast_core/cell/batching.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/batching.py
@@ -55,7 +55,8 @@
     placing.align_gang_run_ids(cell)
     records_by_id = {}
     for run in cell.starts:
-        run.task.last_run_id = run.run_id
+        task = run.task
+        task.last_run_id = max(task.last_run_id, run.run_id)
         job = run.task.step.job
         if not job.has_started:
             job.has_started = True
@@ -98,6 +99,9 @@
     for run in batch.starts:
         if run.worker.run_by_task.get(run.task.name) is not run:
             continue
+        if run.state is run_mod.RunState.RUNNING:
+            # A repeated start; a list has shown the run meanwhile.
+            continue
         run.state = run_mod.RunState.ORDERED
         reason = start_check.refusal(run)
         if reason:
--- a/packages/carawaymast-core/carawaymast_core/cell/crashes.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/crashes.py
@@ -171,15 +171,16 @@
 
 
 def record_lapse(
-    cell: 'cell_mod.Cell', worker: worker_mod.Worker, now_ms: int
+    cell: 'cell_mod.Cell',
+    worker: worker_mod.Worker,
+    runs: typing.Iterable[run_mod.Run],
+    now_ms: int,
 ) -> list['jobs.Task']:
-    """Record that a worker's lease has expired: it may have crashed.
+    """Record that runs end with a worker's lease: it may have crashed.
 
     Return the tasks that are to be given up, once their runs are updated.
     """
-    tasks = [
-        run.task for run in worker.run_by_task.values() if _may_have_run(run)
-    ]
+    tasks = [run.task for run in runs if _may_have_run(run)]
     worker.lapsed_tasks += tasks
     worker.lapsed_until_ms = now_ms + LAPSED_MS
     for task in tasks:
--- /dev/null
+++ b/packages/carawaymast-core/carawaymast_core/cell/late_starts.py
@@ -0,0 +1,146 @@
+"""Starts without an answer, which a worker may still carry out.
+
+A call without an answer may be carried out seconds later, by the incarnation
+of the worker that has the id then. A restarted worker has seen neither a
+fencing token nor a stop, so before the leader's first call to it nothing there
+refuses the start. Until the start can no longer act, its run is held: the task
+starts nowhere else.
+
+Tickets are for one incarnation of a worker: the next one refuses starts that
+carry a former ticket, so runs with tickets are never held.
+"""
+
+import typing
+
+from carawaymast_core.cell import reports
+from carawaymast_core.cell import run as run_mod
+from carawaymast_core.cell import worker_lease
+
+if typing.TYPE_CHECKING:
+    from carawaymast_core.cell import cell as cell_mod
+
+__all__ = [
+    'LATE_CALL_MS',
+    'MAX_UNCONFIRMED_START_MS',
+    'NOT_ANSWERED',
+    'assume_sent',
+    'held_until_ms',
+    'hold',
+    'is_held',
+    'is_only_start_listed',
+    'may_act_later',
+    'record_listed',
+    'record_unanswered',
+]
+
+NOT_ANSWERED = 'start not answered'
+# How long after it was sent a call may be carried out.
+LATE_CALL_MS = 12_000
+# A leader sends no start if its leadership was last confirmed longer ago.
+MAX_UNCONFIRMED_START_MS = 1_000
+
+# Another worker, which refuses calls for this one, has the address, or this
+# one has left.
+_ENDS_OF_WORKERS = (reports.EndKind.CRASHED, reports.EndKind.LEFT)
+
+
+def may_act_later(run: run_mod.Run) -> bool:
+    """Return whether a late start may begin a run that must be the only one.
+
+    The worker's next incarnation refuses starts with a former ticket, and
+    copies of speculative tasks may run at the same time.
+    """
+    step = run.task.step
+    return (
+        step.job.submission.queue.advice is None
+        and not step.spec.is_speculative
+    )
+
+
+def record_unanswered(run: run_mod.Run, sent_at_ms: int) -> None:
+    """Record that a start that was sent by then has no answer.
+
+    It takes a number of its own, by which a next leader sees that there was
+    one; see ``assume_sent``.
+    """
+    until_ms = sent_at_ms + LATE_CALL_MS
+    run.worker.lease.record_late_call(until_ms)
+    if may_act_later(run):
+        run.late_until_ms = max(run.late_until_ms, until_ms)
+        run.task.last_run_id = max(run.task.last_run_id, run.run_id + 1)
+
+
+def assume_sent(run: run_mod.Run, has_restarted: bool, now_ms: int) -> None:
+    """Assume that a previous leader sent the starts of a run until now.
+
+    It recorded those without an answer. Another one may have been under way
+    at its end, which a restarted worker no longer begins once this leader has
+    called it.
+    """
+    until_ms = now_ms + MAX_UNCONFIRMED_START_MS + LATE_CALL_MS
+    run.worker.lease.record_late_call(until_ms)
+    is_recorded = run.task.last_run_id > run.run_id
+    if may_act_later(run) and (is_recorded or not has_restarted):
+        run.starts += is_recorded
+        run.late_until_ms = until_ms
+
+
+def is_only_start_listed(run: run_mod.Run) -> bool:
+    """Return whether a list shows that a run's only start was carried out."""
+    return (
+        may_act_later(run)
+        and run.starts == 1
+        and run.state is run_mod.RunState.RUNNING
+    )
+
+
+def record_listed(run: run_mod.Run) -> None:
+    """Record that the worker lists a run: its only start was carried out."""
+    if run.starts == 1:
+        run.late_until_ms = 0
+
+
+def is_held(run: run_mod.Run, how: reports.EndKind, now_ms: int) -> bool:
+    """Return whether a run that ended must not be released yet."""
+    return (
+        now_ms < run.late_until_ms
+        and how is not reports.EndKind.DONE
+        and how not in _ENDS_OF_WORKERS
+        and _may_run_again(run)
+    )
+
+
+def hold(cell: 'cell_mod.Cell', run: run_mod.Run, now_ms: int) -> None:
+    """Keep a run that is not on its worker while late starts may act."""
+    if not run.is_held:
+        cell.log_event(
+            'run_held',
+            task=run.task.name,
+            run_id=run.run_id,
+            worker=run.worker.worker_id,
+            for_ms=run.late_until_ms - now_ms,
+        )
+        run.is_held = run.is_start_lost = True
+        run.task.step.job.record_not_begun()
+        cell.mark_dirty(run.task.step.job)
+        run.state = run_mod.RunState.ORDERED
+        run.known_at_ms = now_ms
+    cell.stop(run, NOT_ANSWERED)
+
+
+def held_until_ms(run: run_mod.Run, max_lease_ms: int) -> int:
+    """Return until when a run on a lost worker must be held, 0 if not.
+
+    An incarnation that nobody has reached may have begun it, and other late
+    calls may have extended the lease there.
+    """
+    worker = run.worker
+    is_resolved = run.late_until_ms <= worker.last_answer_at_ms
+    if is_resolved or not _may_run_again(run):
+        return 0
+    last_call_ms = max(run.late_until_ms, worker.lease.late_until_ms)
+    return last_call_ms + worker_lease.max_real_ms(max_lease_ms)
+
+
+def _may_run_again(run: run_mod.Run) -> bool:
+    return not (run.task.is_done or run.task.step.job.phase.is_final)
--- a/packages/carawaymast-core/carawaymast_core/cell/run.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/run.py
@@ -26,11 +26,13 @@
     __slots__ = (
         'began_at_ms',
         'is_crash_counted',
+        'is_held',
         'is_start_lost',
         'is_missing',
         'is_stop_sent',
         'is_stopping',
         'known_at_ms',
+        'late_until_ms',
         'paused_since_ms',
         'percent',
         'placed_at_ms',
@@ -38,6 +40,7 @@
         'run_id',
         'speed_limit',
         'speed_limited_at_ms',
+        'starts',
         'state',
         'stop_answered_at_ms',
         'stop_reason',
@@ -78,6 +81,12 @@
         self.is_crash_counted = False
         # Whether its start was not answered and no list has shown it since.
         self.is_start_lost = False
+        # How many starts of it were sent, until when one without an answer
+        # may be carried out, and whether the run is kept only for that, see
+        # ``late_starts``.
+        self.starts = 1
+        self.late_until_ms = 0
+        self.is_held = False
         # When the call for its start failed without an answer, and whether
         # the worker has not listed the run since.
         self.unanswered_at_ms = 0
--- a/packages/carawaymast-core/carawaymast_core/cell/run_ends.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/run_ends.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from carawaymast_core.cell import late_starts
 from carawaymast_core.cell import reports
 from carawaymast_core.cell import run as run_mod
 from carawaymast_core.cell import suspicion
@@ -29,7 +30,10 @@
 ) -> None:
     """Apply the end of a run that the cell has placed."""
     task = run.task
-    cell.release(run)
+    if late_starts.is_held(run, how, now_ms):
+        late_starts.hold(cell, run, now_ms)
+    else:
+        cell.release(run)
     if how in _ENDS_BEFORE_BEGIN:
         task.step.job.record_not_begun()
     else:
--- a/packages/carawaymast-core/carawaymast_core/cell/takeover.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/takeover.py
@@ -6,6 +6,7 @@
 from carawaymast_core import resources
 from carawaymast_core.cell import crashes
 from carawaymast_core.cell import jobs
+from carawaymast_core.cell import late_starts
 from carawaymast_core.cell import records
 from carawaymast_core.cell import reports
 from carawaymast_core.cell import run as run_mod
@@ -85,9 +86,11 @@
         # on the worker: no order of the previous leader can take effect
         # after it.
         run.known_at_ms = -1
-        if worker.born_ms != run_row.born_ms:
+        has_restarted = worker.born_ms != run_row.born_ms
+        if has_restarted:
             crashes.record_restart(cell, run, now_ms)
             worker_lifecycle.assume_late_calls(cell, worker, now_ms)
+        late_starts.assume_sent(run, has_restarted, now_ms)
         worker.add(run)
         task.runs.append(run)
 
--- a/packages/carawaymast-core/carawaymast_core/cell/worker_lease.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/worker_lease.py
@@ -30,6 +30,8 @@
         # The lease's end on the worker's clock.
         self._deadline_ms = 0
         self.assumed_lost_at_ms: int | None = None
+        # Until when a call without an answer may extend the lease.
+        self.late_until_ms = 0
 
     @property
     def clock_ms(self) -> int:
@@ -69,6 +71,10 @@
         self._deadline_ms = max(self._deadline_ms, deadline_ms)
         return deadline_ms
 
+    def record_late_call(self, until_ms: int) -> None:
+        """Record that a call may extend the lease until ``until_ms``."""
+        self.late_until_ms = max(self.late_until_ms, until_ms)
+
     def assume_longest(self, max_lease_ms: int) -> None:
         """Assume the longest lease, until calls of this leader replace it.
 
--- a/packages/carawaymast-core/carawaymast_core/cell/worker_lifecycle.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/worker_lifecycle.py
@@ -3,6 +3,7 @@
 import typing
 
 from carawaymast_core.cell import crashes
+from carawaymast_core.cell import late_starts
 from carawaymast_core.cell import reports
 from carawaymast_core.cell import run as run_mod
 from carawaymast_core.cell import run_ends
@@ -26,8 +27,6 @@
 # the longest lease is not longer: the previous leader's last renewal, its
 # grace period without the store and the lease itself.
 UNREACHED_WORKER_TIMEOUT_MS = 14_000
-# How long after it was sent a call may be carried out.
-LATE_CALL_MS = 12_000
 # The remaining runs of a draining worker are stopped this long before it
 # leaves: a stop takes up to 0.9 s, and its end has to be listed.
 LEAVE_MARGIN_MS = 1_300
@@ -97,7 +96,9 @@
     lease, at most to the longest one.
     """
     worker.lease.assumed_lost_at_ms = (
-        now_ms + LATE_CALL_MS + worker_lease.max_real_ms(cell.max_lease_ms)
+        now_ms
+        + late_starts.LATE_CALL_MS
+        + worker_lease.max_real_ms(cell.max_lease_ms)
     )
 
 
@@ -140,6 +141,7 @@
     whose start was not sent are withdrawn: the new incarnation may be of
     another kind or size.
     """
+    successor.lease.record_late_call(predecessor.lease.late_until_ms)
     to_give_up = []
     if not predecessor.entry.is_draining:
         to_give_up = crashes.record(cell, predecessor, now_ms)
@@ -213,20 +215,32 @@
 def _expire_lease(
     cell: 'cell_mod.Cell', worker: worker_mod.Worker, now_ms: int
 ) -> None:
-    """End the runs of a worker whose lease must have expired."""
+    """End the runs of a worker whose lease must have expired.
+
+    Held runs stay, see ``late_starts.held_until_ms``.
+    """
+    ended = [
+        run
+        for run in worker.run_by_task.values()
+        if now_ms >= late_starts.held_until_ms(run, cell.max_lease_ms)
+    ]
+    if not ended and not worker.is_adopted:
+        return
     cell.log_event(
         'lease_lapsed',
         worker=worker.worker_id,
         born_ms=worker.born_ms,
-        runs=len(worker.run_by_task),
+        runs=len(ended),
+        held=len(worker.run_by_task) - len(ended),
         answered_ms_ago=now_ms - worker.last_answer_at_ms,
         clock_ms=worker.lease.clock_ms,
         lease_until_ms=worker.lease.deadline_ms,
     )
     worker.is_adopted = False
     worker.unadopted_since_ms = now_ms
-    to_give_up = crashes.record_lapse(cell, worker, now_ms)
-    for run in list(worker.run_by_task.values()):
+    to_give_up = crashes.record_lapse(cell, worker, ended, now_ms)
+    for run in ended:
+        run.late_until_ms = 0
         run_ends.apply(cell, run, reports.EndKind.LAPSED, '', now_ms)
     crashes.give_up(cell, to_give_up, now_ms)
 
--- a/packages/carawaymast-node/carawaymast_node/cells/orders.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/orders.py
@@ -7,6 +7,7 @@
 from carawaymast_core.cell import answer_times
 from carawaymast_core.cell import answers
 from carawaymast_core.cell import cell as cell_mod
+from carawaymast_core.cell import late_starts
 from carawaymast_core.cell import reports
 from carawaymast_core.cell import run as run_mod
 from carawaymast_core.cell import start_check
@@ -121,6 +122,9 @@
             self._cell, run, outcome, self._clock.now()
         )
         self._metrics.record_ms('start_call', self._clock.now() - now_ms)
+        if not outcome.is_known and late_starts.may_act_later(run):
+            # The lists show whether it is to be repeated.
+            await self._read_lists(worker)
         self._on_change()
 
     async def stop(self, order: worker_mod.StopOrder) -> None:
@@ -243,13 +247,19 @@
         previous_number = worker.seen_number
         was_adopted = worker.is_adopted
         self._metrics.count('holds_total')
-        answer = await self._workers.renew_lease(
-            worker,
-            worker.fencing_token,
-            deadline_ms,
-            wait_ms,
-            self._answer_times.timeout_ms,
-        )
+        try:
+            answer = await self._workers.renew_lease(
+                worker,
+                worker.fencing_token,
+                deadline_ms,
+                wait_ms,
+                self._answer_times.timeout_ms,
+            )
+        except ports.WorkerError:
+            if deadline_ms is not None:
+                until_ms = sent_at_ms + late_starts.LATE_CALL_MS
+                worker.lease.record_late_call(until_ms)
+            raise
         answers.apply_lease_renewal(
             self._cell,
             worker,
