--- a/features/incarnations.feature
+++ b/features/incarnations.feature
@@ -20,6 +20,18 @@
     Then the task ran nowhere else while it ran there
     And it runs elsewhere now
 
+  # Guards against a start after an end as done that is taken note of later:
+  # the new leader counted the lease as expired while it lasted.
+  Scenario: A task ends behind a cut, and the worker is back in its lease
+    Given a cell of 2 workers
+    And the clock of a worker is far ahead
+    When a start for that worker reaches its next incarnation
+    And another leader takes over
+    And the worker is cut off for 9 s, and its task ends there after 3 s
+    Then no other worker has started the task
+    When the worker is reached again
+    Then the leader knows that the task is done
+
   # Guards against two runs of one task: the next incarnation has no memory of
   # the stop that refused a late start at the former one.
   Scenario: A late start for a former incarnation begins no run
--- a/features/steps/incarnation_steps.py
+++ b/features/steps/incarnation_steps.py
@@ -39,6 +39,44 @@
     assert world.running()['j1.0.0.0'] == ['w0'], world.running()
 
 
+@when(
+    'the worker is cut off for {seconds:d} s, '
+    'and its task ends there after {ended:d} s'
+)
+def end_behind_cut(context, seconds, ended):
+    world = context.world
+    context.cut = world.runner_by_id.pop('w0')
+    for second in range(seconds):
+        if second == ended:
+            context.cut.end_run('j1.0.0.0', reports.EndKind.DONE)
+        for _ in range(10):
+            context.cut.advance(100)
+            world.run_cycle(100)
+
+
+@then('no other worker has started the task')
+def started_nowhere_else(context):
+    started = [
+        runner.started for runner in context.world.runner_by_id.values()
+    ]
+    assert not any(started), started
+
+
+@when('the worker is reached again')
+def reach_worker(context):
+    world = context.world
+    world.runner_by_id['w0'] = context.cut
+    world.run_cycle()
+    world.run_cycle()
+
+
+@then('the leader knows that the task is done')
+def knows_done(context):
+    world = context.world
+    assert world.cell.find_task('j1.0.0.0') is None, world.running()
+    assert world.view.phase('j1') is records.JobPhase.COMPLETED
+
+
 @when('the worker of the lost start is suspected')
 def suspect_worker_of_lost_start(context):
     (lost,) = context.late
