A run that a worker lists of a waiting task goes on instead of being stopped

What callers could see: two runs of one task, for up to 0.9 s.

Cause: a run that the leader does not have on the worker was stopped, and its task, if it waited, could start elsewhere before that run had ended.

Change: the leader takes such a run over (cell/untracked_runs.py), except of a gang, whose members must have the same run. Its work is kept, too.

--- a/features/incarnations.feature
+++ b/features/incarnations.feature
@@ -108,3 +108,14 @@
     Given a platform that grants leases of up to 30 s
     When a leader reads the entry of a worker that it cannot reach
     Then it counts the worker's lease as expired after 30 s, not after 20 s
+
+  # Guards against a second run of a task beside one that a worker lists, though
+  # the leader has ended it.
+  Scenario: A worker lists a run of a task that waits
+    Given a cell of 2 workers
+    And a job "j1" of 1 tasks and then 1 tasks
+    And tasks that take 60 s
+    And the leader has started them
+    When its worker is cut off, with a lease longer than any, for 25 s
+    And no other worker is usable before it is reached again
+    Then the task goes on there, and was started once
--- a/features/steps/incarnation_steps.py
+++ b/features/steps/incarnation_steps.py
@@ -323,3 +323,37 @@
     assert not lease.is_expired(read_at_ms + early * 1_000)
     # The worker's clock may be 2% slow.
     assert lease.is_expired(read_at_ms + int(late * 1_000 / 0.98) + 1)
+
+
+@when('its worker is cut off, with a lease longer than any, for {seconds:d} s')
+def cut_off_with_long_lease(context, seconds):
+    world = context.world
+    (context.worker_id,) = world.running()['j1.0.0.0']
+    context.cut = world.runner_by_id.pop(context.worker_id)
+    context.cut.lease_until_ms += 60_000
+    (other_id,) = world.runner_by_id
+    context.other = world.worker(other_id)
+    context.other.suspect_until_ms = world.clock.now() + 60_000
+    for _ in range(seconds * 10):
+        context.cut.advance(100)
+        world.run_cycle(100)
+
+
+@when('no other worker is usable before it is reached again')
+def reach_with_run(context):
+    world = context.world
+    assert not world.running(), world.running()
+    assert 'j1.0.0.0' in context.cut.running
+    world.runner_by_id[context.worker_id] = context.cut
+    context.other.suspect_until_ms = 0
+    for _ in range(30):
+        world.run_cycle()
+        world.check_runners()
+
+
+@then('the task goes on there, and was started once')
+def goes_on(context):
+    world = context.world
+    assert world.running()['j1.0.0.0'] == [context.worker_id], world.running()
+    started = [runner.started for runner in world.runner_by_id.values()]
+    assert sum(map(len, started)) == 1, started
--- a/packages/carawaymast-core/carawaymast_core/cell/answers.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/answers.py
@@ -13,6 +13,7 @@
 from carawaymast_core.cell import start_repeats
 from carawaymast_core.cell import suspicion
 from carawaymast_core.cell import throttling
+from carawaymast_core.cell import untracked_runs
 from carawaymast_core.cell import worker as worker_mod
 from carawaymast_core.cell import worker_lifecycle
 
@@ -109,15 +110,13 @@
         run = worker.run_by_task.get(row.task)
         if run is None or run.run_id != row.run_id:
             task = cell.find_task(row.task)
+            run = untracked_runs.stop_or_adopt(cell, worker, row, task, now_ms)
+        if run is None:
             if task is None:
                 has_unsized_run = True
             else:
                 size = task.step.spec.allocated_size
                 untracked_size = untracked_size.plus(size)
-            _log_untracked(cell, worker, row, task)
-            cell.stops.append(
-                worker_mod.StopOrder(worker, row.task, row.run_id, None)
-            )
             continue
         if run.state is not run_mod.RunState.RUNNING:
             _record_begun(cell, run)
@@ -152,23 +151,6 @@
     job.record_begun()
 
 
-def _log_untracked(
-    cell: 'cell_mod.Cell', worker, row: reports.ListedRun, task
-) -> None:
-    """Log a run that the leader does not have at the worker that lists it."""
-    cell.log_event(
-        'untracked_run',
-        task=row.task,
-        run_id=row.run_id,
-        worker=worker.worker_id,
-        born_ms=worker.born_ms,
-        # Run and worker; None if the leader does not know the task.
-        placed=None
-        if task is None
-        else [(run.run_id, run.worker.worker_id) for run in task.runs],
-    )
-
-
 def _is_absence_certain(run: run_mod.Run, sent_at_ms: int) -> bool:
     """Return whether an answer without a run proves that it is not there.
 
