Repeated starts: none of a task that is done, none on a worker that shrank

- A gang's members end together.
A start that was to be repeated for one of them was sent after another one had ended as done.
- A start without an answer is no longer stopped at once, so it could begin its run, late, after the worker had shrunk, and bring it over its capacity.

A start is checked against the end of its task before it is sent, and a run that no longer fits is stopped as before.

--- a/features/late_starts.feature
+++ b/features/late_starts.feature
@@ -45,3 +45,16 @@
       | the call was lost, and its repetition   |
       | only the answer was lost                |
       | the call was lost, and a leader follows |
+
+  # Guards against workers over their capacity.
+  Scenario: A start without an answer is refused once its worker has shrunk
+    Given a start that gets no answer and may arrive for 12 s
+    When its worker shrinks below the size of the task
+    Then the worker refuses the start
+
+  # Guards against a start of a task that is done: the members of a gang end
+  # together.
+  Scenario: A gang ends while the start of a member is to be repeated
+    Given a gang of 2 tasks, of which one start gets no answer
+    When the start is to be repeated, and the other member ends as done
+    Then only the next step starts
--- a/features/steps/late_start_steps.py
+++ b/features/steps/late_start_steps.py
@@ -8,6 +8,8 @@
 from behave import when
 
 from carawaymast_core.cell import answers
+from carawaymast_core.cell import reports
+from carawaymast_core.cell import run_ends
 from carawaymast_core.cell import worker_lifecycle
 from features import cell_world
 
@@ -254,3 +256,55 @@
     (late,) = context.lates
     assert late.places() == [late.worker_id], late.places()
     assert context.took_ms <= seconds * 1_000, context.took_ms
+
+
+@when('its worker shrinks below the size of the task')
+def shrink(context):
+    late = LateStart()
+    late.fail_starts()
+    late.world.set_capacity(late.worker_id, 500)
+    late.world.plan()
+    context.lates = [late]
+
+
+@then('the worker refuses the start')
+def refused(context):
+    (late,) = context.lates
+    outcome = late.arrive()
+    assert outcome.refusal is reports.StartRefusal.STALE_RUN, outcome
+
+
+@given('a gang of 2 tasks, of which one start gets no answer')
+def gang_with_lost_start(context):
+    world = context.world = cell_world.CellWorld(2)
+    then = cell_world.step(after=(0,))
+    world.submit(cell_world.job('j1', cell_world.gang(2), then))
+    world.plan(is_sent=False)
+    (first, *call), (second, *_) = world.pending_starts
+    world.pending_starts = []
+    outcome = world.deliver_start(first, *call)
+    now_ms = world.clock.now()
+    answers.apply_start_outcome(world.cell, first, outcome, now_ms)
+    answers.apply_start_outcome(
+        world.cell, second, cell_world.NO_ANSWER, now_ms
+    )
+    context.runs = first, second
+
+
+@when('the start is to be repeated, and the other member ends as done')
+def end_gang(context):
+    world = context.world
+    first, second = context.runs
+    world.advance(100)
+    world.renew_leases()
+    assert world.cell.starts == [second]
+    done = reports.EndKind.DONE
+    run_ends.apply(world.cell, first, done, '', world.clock.now())
+
+
+@then('only the next step starts')
+def next_step_starts(context):
+    world = context.world
+    world.plan(is_sent=False)
+    names = [run.task.name for run, *_ in world.pending_starts]
+    assert names == ['j1.0.1.0'], names
--- a/packages/carawaymast-core/carawaymast_core/cell/late_starts.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/late_starts.py
@@ -28,6 +28,7 @@
     'hold',
     'is_held',
     'is_only_start_listed',
+    'is_too_large',
     'may_act_later',
     'record_listed',
     'record_unanswered',
@@ -110,6 +111,15 @@
     )
 
 
+def is_too_large(run: run_mod.Run) -> bool:
+    """Return whether a late start must not begin a run: its worker shrank."""
+    return (
+        run.late_until_ms > 0
+        and run.state is run_mod.RunState.ORDERED
+        and min(run.worker.free) < 0
+    )
+
+
 def hold(cell: 'cell_mod.Cell', run: run_mod.Run, now_ms: int) -> None:
     """Keep a run that is not on its worker while late starts may act."""
     if not run.is_held:
--- a/packages/carawaymast-core/carawaymast_core/cell/start_check.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/start_check.py
@@ -22,6 +22,8 @@
     worker, step = run.worker, run.task.step
     if step.job.phase.is_final:
         return f'its job is {step.job.phase.value}'
+    if run.task.is_done:
+        return 'its task is done'
     if worker.is_gone or not worker.is_adopted:
         return 'its worker is not adopted'
     if worker.entry.is_draining:
--- a/packages/carawaymast-core/carawaymast_core/cell/worker_lifecycle.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/worker_lifecycle.py
@@ -185,6 +185,8 @@
         for run in list(worker.run_by_task.values()):
             if run.stop_reason and not run.is_stopping:
                 cell.stop(run, run.stop_reason)
+            elif late_starts.is_too_large(run):
+                late_starts.hold(cell, run, now_ms)
     for step in list(cell.scheduled_by_name.values()):
         if step.is_ready(wall_ms):
             cell.make_ready(step, now_ms)
