Send no start of a leader that was suspended before it is confirmed

What callers could see: two runs of one task. A leader is suspended after it has stored a batch and before it sends the starts. Its successor finds that the worker does not list the run and moves the task. The worker restarts under its id, so that it has seen no fencing token, and the former leader resumes and starts the run there, before the successor's first call.

Cause: nothing asks, between the stored batch and the start, whether the leadership still stands, and the steady clock does not count a suspension.

The fix: Clock.since_boot() counts it (CLOCK_BOOTTIME). The election notes on it when the last record of this node that was stored was sent. A start waits, on an event, until that is at most MAX_UNCONFIRMED_START_MS ago. The store refuses records once another node has claimed, so a successor has claimed later than that, and no start is sent later than the bound after its claim. If the term ends, the start is cancelled with it. The run and its worker are checked after the wait. A suspension between the check and the call cannot be noticed.

Evidence: features/paused_leader.feature. On the virtual clock starts are not delayed while the store answers within 250 ms, by at most 100 ms at 500 ms, and by at most 700 ms at 800 ms; the scenario checks that. If the store takes 1 s and more for each answer, no start is sent.

--- a/features/steps/explaining_steps.py
+++ b/features/steps/explaining_steps.py
@@ -16,7 +16,7 @@
 from carawaymast_node.cells import frontend
 from carawaymast_node.cells import gauges
 from carawaymast_node.cells import leader
-from carawaymast_node.cells import orders
+from carawaymast_node.cells import start_events
 from carawaymast_node.cells import telemetry
 from features import cell_world
 from features.steps import path_steps
@@ -50,7 +50,7 @@
     def plan(self, is_stored=True, is_sent=True):
         super().plan(is_stored, is_sent=False)
         runs = [start[0] for start in self.pending_starts]
-        for line in orders.start_event_fields(runs, self.clock.now()):
+        for line in start_events.fields_by_step(runs, self.clock.now()):
             self.log('started_step', **line)
         self.send_starts()
 
--- a/features/steps/renewal_steps.py
+++ b/features/steps/renewal_steps.py
@@ -24,6 +24,7 @@
 from carawaymast_platform import ingress
 from carawaymast_platform import store as store_mod
 from features import cell_world
+from features import leader_parts
 from standins import keyed_log
 from standins import virtual
 
@@ -69,6 +70,7 @@
 
     def __init__(self, clock):
         self._clock = clock
+        self.confirmation = leader_parts.Confirmed()
 
     @property
     def confirmed_at_ms(self):
--- a/packages/carawaymast-core/carawaymast_core/cell/worker_lifecycle.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/worker_lifecycle.py
@@ -28,6 +28,9 @@
 UNREACHED_WORKER_TIMEOUT_MS = 14_000
 # How long after it was sent a call may be carried out.
 LATE_CALL_MS = 12_000
+# How long after its last confirmed renewal of the leadership a leader sends
+# starts, on a clock that counts suspension.
+MAX_UNCONFIRMED_START_MS = 1_000
 # The remaining runs of a draining worker are stopped this long before it
 # leaves: a stop takes up to 0.9 s, and its end has to be listed.
 LEAVE_MARGIN_MS = 1_300
--- a/packages/carawaymast-node/carawaymast_node/cells/election.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/election.py
@@ -11,6 +11,7 @@
 
 from carawaymast_core import clock as clock_mod
 from carawaymast_core.cell import records
+from carawaymast_node.cells import confirmation as confirmation_mod
 from carawaymast_node.cells import ports
 
 __all__ = ['Election', 'RENEW_INTERVAL_MS', 'LEADER_TIMEOUT_MS']
@@ -39,10 +40,11 @@
     ``record`` is the newest record of the leader topic, ``epoch`` its epoch
     and ``record_read_at_ms`` when this node received it. ``end_offset`` is the
     end of the topic as far as it is known. ``confirmed_at_ms`` is when this
-    node sent the last of its own records that has been stored. ``is_lost``
-    returns whether the leader of an epoch seems to be lost before its record
-    in the store is old, and ``may_succeed_itself`` whether this node claims at
-    once after its own leading process has ended.
+    node sent the last of its own records that has been stored, and
+    ``confirmation`` has the same on a clock that counts suspension.
+    ``is_lost`` returns whether the leader of an epoch seems to be lost before
+    its record in the store is old, and ``may_succeed_itself`` whether this
+    node claims at once after its own leading process has ended.
     """
 
     def __init__(
@@ -71,6 +73,7 @@
         self.record: records.LeaderRecord | None = None
         self.record_read_at_ms = 0
         self.confirmed_at_ms = 0
+        self.confirmation = confirmation_mod.Confirmation(clock)
 
     @property
     def is_claimed_locally(self) -> bool:
@@ -166,6 +169,7 @@
 
     async def _append_locked(self, record: records.LeaderRecord) -> bool:
         sent_at_ms = self._clock.now()
+        sent_since_boot_ms = self._clock.since_boot()
         item = ports.KeyValue(KEY, records.encode(record))
         try:
             appended = await self._store.append(
@@ -178,4 +182,5 @@
                 ports.StoredItem(appended.offset, item.key, item.value)
             )
         self.confirmed_at_ms = sent_at_ms
+        self.confirmation.confirm(sent_since_boot_ms)
         return True
--- a/packages/carawaymast-node/carawaymast_node/cells/leader.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/leader.py
@@ -19,6 +19,7 @@
 from carawaymast_node.cells import journal as journal_mod
 from carawaymast_node.cells import orders
 from carawaymast_node.cells import ports
+from carawaymast_node.cells import start_events
 from carawaymast_node.cells import topic_reader as topic_reader_mod
 from carawaymast_node.cells import worker_follower
 
@@ -75,6 +76,7 @@
                 self._wake.set,
                 self._on_fenced,
                 lambda: context.election.confirmed_at_ms,
+                context.election.confirmation,
                 lambda: self._committed,
             ),
         )
@@ -284,7 +286,7 @@
     async def _write(self, batch: batching.Batch) -> None:
         await self._journal.write(batch)
         starts = batching.mark_stored(self.cell, batch)
-        for fields in orders.start_event_fields(starts, self._clock.wall()):
+        for fields in start_events.fields_by_step(starts, self._clock.wall()):
             self._log.log_event('started_step', epoch=self.epoch, **fields)
         for run in starts:
             self._tasks.spawn(self._orders.start(run))
--- a/packages/carawaymast-node/carawaymast_node/cells/orders.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/orders.py
@@ -14,10 +14,11 @@
 from carawaymast_core.cell import worker as worker_mod
 from carawaymast_core.cell import worker_lifecycle
 from carawaymast_node import waiting
+from carawaymast_node.cells import confirmation as confirmation_mod
 from carawaymast_node.cells import ports
 from carawaymast_node.cells import telemetry
 
-__all__ = ['LEASE_MS', 'Orders', 'LeaderCallbacks', 'start_event_fields']
+__all__ = ['LEASE_MS', 'Orders', 'LeaderCallbacks']
 
 # The lease outlasts the loss of a leader: 1.5 s until the leader times out, a
 # takeover of some 0.5 s and a renewal that was up to 1 s old, with 1.5 s to
@@ -50,7 +51,7 @@
 
 
 class LeaderCallbacks(typing.NamedTuple):
-    """The functions of the leader that ``Orders`` calls."""
+    """What ``Orders`` uses of the leader."""
 
     # Called after a change that may let tasks start.
     on_change: typing.Callable[[], None]
@@ -58,6 +59,7 @@
     on_fenced: typing.Callable[[str], None]
     # Returns when the leadership was last confirmed, by the node's clock.
     confirmed_at_ms: typing.Callable[[], int]
+    confirmation: confirmation_mod.Confirmation
     # Returns the event that the next commit sets.
     committed: typing.Callable[[], asyncio.Event]
 
@@ -83,6 +85,7 @@
         self._on_change = callbacks.on_change
         self._on_fenced = callbacks.on_fenced
         self._confirmed_at_ms = callbacks.confirmed_at_ms
+        self._confirmation = callbacks.confirmation
         self._committed = callbacks.committed
         self._lossy_until_ms = 0
         self._answer_times = answer_times.AnswerTimes(
@@ -93,7 +96,14 @@
         """Start a run whose placement is stored.
 
         It is withdrawn if its worker has changed since, and may not run it.
+
+        No start is sent later than ``MAX_UNCONFIRMED_START_MS`` after a
+        successor's claim, except by a suspension between the check and the
+        call. What still waits when the term ends is cancelled with it.
         """
+        await self._confirmation.wait(
+            worker_lifecycle.MAX_UNCONFIRMED_START_MS
+        )
         now_ms = self._clock.now()
         if run.worker.run_by_task.get(run.task.name) is not run:
             return
@@ -286,36 +296,3 @@
                 # The term has ended, so there will be no further commit.
                 return
             await waiting.wait_event(committed, left_ms)
-
-
-def start_event_fields(
-    starts: typing.Iterable[run_mod.Run], wall_ms: int
-) -> list[dict[str, typing.Any]]:
-    """Return the fields of one log event for each step that starts."""
-    runs_by_step: dict[str, list[run_mod.Run]] = {}
-    for run in starts:
-        runs_by_step.setdefault(run.task.step.name, []).append(run)
-    events = []
-    for name, runs in runs_by_step.items():
-        first = runs[0]
-        job = first.task.step.job
-        events.append(
-            {
-                'step': name,
-                'waited_ms': wall_ms - job.submission.accepted_at_ms,
-                # Task, run, worker and the free CPU left there.
-                'runs': [
-                    (
-                        run.task.index,
-                        run.run_id,
-                        run.worker.worker_id,
-                        run.worker.free.cpu_millis,
-                    )
-                    for run in runs
-                ],
-                'heard_ms_ago': first.placed_at_ms
-                - first.worker.last_answer_at_ms,
-                'has_ticket': bool(first.ticket),
-            }
-        )
-    return events
