Renew no leases after a suspension without confirming the leadership

What callers could see: two runs of one task. A leader renews leases for up to 8 s after its last confirmed renewal of the leadership, and a successor counts with that bound (UNREACHED_WORKER_TIMEOUT_MS). A leader whose machine was suspended renewed later than that.

Cause: the time was measured on the steady clock, which does not count a suspension, and from the beginning of the term at first.

The fix: the time is measured on the clock that counts suspension, from when the last stored record of this node was sent (Confirmation). A term whose claim was found by reading, since its answer was lost, renews leases after its first renewal of the leadership, at once.

Evidence: the new scenario in features/paused_leader.feature failed before (renewals were sent after a suspension of 9 s).

--- a/features/leader_parts.py
+++ b/features/leader_parts.py
@@ -50,7 +50,6 @@
     callbacks = orders.LeaderCallbacks(
         lambda: None,
         on_fenced,
-        clock.now,
         confirmation or Confirmed(),
         committed,
     )
--- a/features/paused_leader.feature
+++ b/features/paused_leader.feature
@@ -31,6 +31,17 @@
     When it renews the leadership
     Then the leader that resumed sends the start
 
+  # Guards against leases that a leader renews long after its successor counts
+  # with the last of its renewals.
+  Scenario: A leader that was suspended for long renews no leases
+    Given a leader with a run that is stored, and a renewal that was stored
+    When its machine is suspended for 9 s
+    And it goes on renewing the lease of the worker for 5 s
+    Then it sends no renewal of the lease
+    When it renews the leadership
+    And it goes on renewing the lease of the worker for 5 s
+    Then it renews the lease
+
   # Guards against starts for a worker that has changed while they waited.
   Scenario: A worker restarts under its id while its start waits
     Given a leader with a run that is stored, and a renewal that was stored
--- a/features/steps/paused_leader_steps.py
+++ b/features/steps/paused_leader_steps.py
@@ -22,10 +22,11 @@
 
 
 class StartPort:
-    """A worker port that notes when each start was sent."""
+    """A worker port that notes when each start was sent, and deadlines."""
 
     def __init__(self, clock):
         self._clock = clock
+        self.deadlines = []
         self.sent_at_ms_by_task = {}
 
     async def start(self, run, fencing_token, deadline_ms, timeout_ms):
@@ -33,6 +34,13 @@
         self.sent_at_ms_by_task[run.task.name] = self._clock.now()
         return reports.StartOutcome(True)
 
+    async def renew_lease(
+        self, worker, fencing_token, deadline_ms, wait_ms, timeout_ms
+    ):
+        """Answer at once that there are no runs."""
+        self.deadlines.append(deadline_ms)
+        return reports.LeaseRenewal(self._clock.now(), worker.born_ms, (), ())
+
 
 class Node:
     """A node's election over a store whose answers can be held back."""
@@ -199,6 +207,26 @@
     assert list(context.part.port.sent_at_ms_by_task) == ['j1.0.0.0']
 
 
+@when('it goes on renewing the lease of the worker for {seconds:d} s')
+def renew_lease(context, seconds):
+    part = context.part
+    part.spawn(part.orders.keep_lease_renewed(part.worker))
+    part.run(asyncio.sleep(seconds))
+
+
+@then('it sends no renewal of the lease')
+def no_lease_renewal(context):
+    deadlines = context.part.port.deadlines
+    assert not deadlines, deadlines
+
+
+@then('it renews the lease')
+def lease_renewed(context):
+    deadlines = context.part.port.deadlines
+    assert deadlines, deadlines
+    assert None not in deadlines, deadlines
+
+
 @given('a leader that starts a run each {interval:d} ms, renewing regularly')
 def make_busy_leader(context, interval):
     context.interval_ms = interval
--- a/features/steps/renewal_steps.py
+++ b/features/steps/renewal_steps.py
@@ -68,14 +68,7 @@
 class Election:
     """An election that is won for good."""
 
-    def __init__(self, clock):
-        self._clock = clock
-        self.confirmation = leader_parts.Confirmed()
-
-    @property
-    def confirmed_at_ms(self):
-        """When the leadership was last renewed: now."""
-        return self._clock.now()
+    confirmation = leader_parts.Confirmed()
 
 
 def waiting_transport(log):
@@ -134,7 +127,7 @@
             None,
             view,
             *readers,
-            Election(self.clock),
+            Election(),
         )
         self.leader = leader_mod.Leader(context, 1)
         self.cell = self.leader.cell
--- a/packages/carawaymast-node/carawaymast_node/cells/leader.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/leader.py
@@ -75,7 +75,6 @@
             orders.LeaderCallbacks(
                 self._wake.set,
                 self._on_fenced,
-                lambda: context.election.confirmed_at_ms,
                 context.election.confirmation,
                 lambda: self._committed,
             ),
--- a/packages/carawaymast-node/carawaymast_node/cells/orders.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/orders.py
@@ -40,7 +40,8 @@
 # lease is renewed without it.
 ACK_WAIT_MS = 400
 # How long a leader renews leases after its last confirmed renewal of the
-# leadership; ``worker_lifecycle.UNREACHED_WORKER_TIMEOUT_MS`` relies on it.
+# leadership, on a clock that counts suspension;
+# ``worker_lifecycle.UNREACHED_WORKER_TIMEOUT_MS`` relies on it.
 MAX_UNCONFIRMED_MS = 8_000
 
 
@@ -57,8 +58,6 @@
     on_change: typing.Callable[[], None]
     # Called with a reason for the log if a worker follows another leader.
     on_fenced: typing.Callable[[str], None]
-    # Returns when the leadership was last confirmed, by the node's clock.
-    confirmed_at_ms: typing.Callable[[], int]
     confirmation: confirmation_mod.Confirmation
     # Returns the event that the next commit sets.
     committed: typing.Callable[[], asyncio.Event]
@@ -84,7 +83,6 @@
         self._lease_ms = cell.lease_ms
         self._on_change = callbacks.on_change
         self._on_fenced = callbacks.on_fenced
-        self._confirmed_at_ms = callbacks.confirmed_at_ms
         self._confirmation = callbacks.confirmation
         self._committed = callbacks.committed
         self._lossy_until_ms = 0
@@ -201,8 +199,7 @@
         worker follows another leader.
         """
         while not worker.is_gone:
-            unconfirmed_ms = self._clock.now() - self._confirmed_at_ms()
-            if unconfirmed_ms > MAX_UNCONFIRMED_MS:
+            if not self._confirmation.is_within(MAX_UNCONFIRMED_MS):
                 self._log.log_event('hold_paused', worker=worker.worker_id)
                 await asyncio.sleep(RENEWAL_RETRY_INTERVAL_MS / 1000)
                 continue
