Count a connection that is lost as it is opened as a failed call

Cause: a peer resets a connection right after it has accepted it. As the connection is made, grpclib writes its first frame, and the write fails. asyncio then reports the connection as lost before the task that opened it goes on, and grpclib, which does not check that, uses attributes that it has deleted. No caller expects an AttributeError, so the task group of the node ends. The same can come after a wait for a free stream, where h2 can refuse the next frame as well (read in the code, not shown).

The fix: PeerChannels.call, through which all calls to peers go, makes AttributeError and H2Error of the library's call a PeerError, and logs peer_connection_lost with the error. Only the library's call is inside: an unknown method still fails with an AttributeError.

--- a/features/steps/foreign_steps.py
+++ b/features/steps/foreign_steps.py
@@ -337,7 +337,9 @@
 @when('a record of a {kind} holds {name}')
 def read_record(context, kind, name):
     raw = odd_record(name)
-    peers = fabric.Peers(clock_mod.ManualClock(1_000), 'n0')
+    peers = fabric.Peers(
+        clock_mod.ManualClock(1_000), 'n0', lambda *event, **fields: None
+    )
     read = {
         'job': lambda: records.decode(records.JobRecord, raw),
         'submission': lambda: records.decode(spec_mod.Submission, raw),
--- a/features/steps/load_steps.py
+++ b/features/steps/load_steps.py
@@ -592,7 +592,9 @@
 @given('a peer that has failed {count:d} times')
 def failed_peer(context, count):
     context.clock = clock_mod.ManualClock(10_000)
-    context.peers = fabric.Peers(context.clock, 'own')
+    context.peers = fabric.Peers(
+        context.clock, 'own', lambda *event, **fields: None
+    )
     context.peers._channels = FailingChannels()
     member = records.MemberRecord('n1', 'host', 1, 'd', 'boot', 1.0)
     context.peers.member_by_id['n1'] = context.member = member
--- a/packages/carawaymast-node/carawaymast_node/cells/fabric.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/fabric.py
@@ -24,10 +24,17 @@
 class Peers:
     """The other nodes, with one channel to each; a context manager."""
 
-    def __init__(self, clock: clock_mod.Clock, local_id: str):
+    def __init__(
+        self,
+        clock: clock_mod.Clock,
+        local_id: str,
+        log_event: channels.LogEvent,
+    ):
         self._clock = clock
         self._local_id = local_id
-        self._channels = channels.PeerChannels(fabric_grpc.FabricStub)
+        self._channels = channels.PeerChannels(
+            fabric_grpc.FabricStub, log_event
+        )
         self._failed_at_by_id: dict[str, int] = {}
         self._failures_by_id: dict[str, int] = {}
         self.member_by_id: dict[str, records.MemberRecord] = {}
--- a/packages/carawaymast-node/carawaymast_node/cells/service.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/service.py
@@ -72,7 +72,9 @@
     async def _build(self) -> None:
         settings = self.settings
         enter = self._stack.enter_async_context
-        self.peers = await enter(fabric.Peers(self.clock, settings.node_id))
+        self.peers = await enter(
+            fabric.Peers(self.clock, settings.node_id, self.log.log_event)
+        )
         self.route = relay.StoreRoute(
             self.platform.store_link,
             self.peers,
--- a/packages/carawaymast-node/carawaymast_node/channels.py
+++ b/packages/carawaymast-node/carawaymast_node/channels.py
@@ -13,10 +13,24 @@
 from grpclib import const
 from grpclib import exceptions
 from grpclib import server
+from h2 import exceptions as h2_exceptions
 
 __all__ = ['Handler', 'MethodDispatcher', 'PeerChannels', 'PeerError', 'abort']
 
 Handler = typing.Callable[[typing.Any], typing.Awaitable[typing.Any]]
+LogEvent = typing.Callable[..., None]
+
+# What grpclib raises for a call that fails.
+CALL_ERRORS = (
+    OSError,
+    asyncio.TimeoutError,
+    exceptions.GRPCError,
+    exceptions.StreamTerminatedError,
+)
+# What comes out of grpclib if it goes on to use a connection that was lost
+# while it was opened, or while the call waited to be sent: it has deleted
+# attributes of the connection, or h2 refuses the next frame.
+LOST_CONNECTION_ERRORS = (AttributeError, h2_exceptions.H2Error)
 
 
 class PeerError(Exception):
@@ -33,8 +47,13 @@
 class PeerChannels:
     """The channels to all peers, as an asynchronous context manager."""
 
-    def __init__(self, stub_type: typing.Callable[[client.Channel], object]):
+    def __init__(
+        self,
+        stub_type: typing.Callable[[client.Channel], object],
+        log_event: LogEvent,
+    ):
         self._stub_type = stub_type
+        self._log_event = log_event
         self._channel_by_id: dict[str, client.Channel] = {}
         self.replaced_total = 0
 
@@ -68,23 +87,25 @@
         if channel is None:
             channel = client.Channel(*address)
             self._channel_by_id[node_id] = channel
-        stub = self._stub_type(channel)
+        call = getattr(self._stub_type(channel), method)
+        # Only the library's code runs in here.
         try:
-            return await getattr(stub, method)(
-                message, timeout=timeout_ms / 1000
+            return await call(message, timeout=timeout_ms / 1000)
+        except CALL_ERRORS as error:
+            failure: Exception = error
+        except LOST_CONNECTION_ERRORS as error:
+            failure = error
+            self._log_event(
+                'peer_connection_lost',
+                peer=node_id,
+                method=method,
+                error=repr(error),
             )
-        except (
-            OSError,
-            asyncio.TimeoutError,
-            exceptions.GRPCError,
-            exceptions.StreamTerminatedError,
-        ) as error:
-            self.close(node_id)
-            self.replaced_total += 1
-            # A refused connection was never open, so nothing was sent.
-            is_sent = not isinstance(error, ConnectionRefusedError)
-            detail = f'{method} to {node_id}: {error!r}'
-            raise PeerError(detail, is_sent) from None
+        self.close(node_id)
+        self.replaced_total += 1
+        # A refused connection was never open, so nothing was sent.
+        is_sent = not isinstance(failure, ConnectionRefusedError)
+        raise PeerError(f'{method} to {node_id}: {failure!r}', is_sent)
 
 
 def abort(detail: str) -> typing.NoReturn:
--- a/packages/carawaymast-node/carawaymast_node/node.py
+++ b/packages/carawaymast-node/carawaymast_node/node.py
@@ -95,7 +95,9 @@
         )
         enter = self._stack.enter_async_context
         session = await enter(aiohttp.ClientSession(connector=connector))
-        self.clients = await enter(channels.PeerChannels(peer_grpc.PeerStub))
+        self.clients = await enter(
+            channels.PeerChannels(peer_grpc.PeerStub, logs.log_event)
+        )
         self.endpoints = await enter(
             endpoint.EndpointClient(lambda: len(self.roles.members.live()))
         )
--- a/standins/store_network.py
+++ b/standins/store_network.py
@@ -204,7 +204,7 @@
         metrics = telemetry.Metrics()
         telemetry_log = telemetry.Telemetry(clock, metrics, node_id)
         telemetry_log.log_event = self._add_event  # type: ignore
-        peers = fabric.Peers(clock, node_id)
+        peers = fabric.Peers(clock, node_id, lambda *event, **fields: None)
         peers._channels = _PeerChannels(self, node_by_id)  # type: ignore
         self.route = make_route(
             self.path, peers, clock, telemetry_log, metrics
