Make each call to a peer in a task of its own

What callers could see: a request that gets no answer at all, not even a refusal, after its node's call to a peer has failed. Read in the code of the frontend: a CancelledError ends the task of the request before it answers. Which reports of requests without an answer this explains is not traced.

Cause: grpclib ends a call, at its time limit or when its connection is lost, by cancelling the task that makes it, and turns the CancelledError into its own error without Task.uncancel(). The cancellation stays counted (Task.cancelling()). A later expiry of an asyncio.timeout or an error in a TaskGroup that was entered before the call is then taken for an outer cancellation: CancelledError goes up where TimeoutError was due.

The fix: PeerChannels.call awaits a task that makes the call, so that the count is kept there. A cancellation from outside still ends the call.

Evidence: three scenarios in features/peer_calls.feature failed before, with CancelledError in place of TimeoutError, on real connections. A fourth, which passed before, fixes that an abandoned call ends.

--- a/features/peer_calls.feature
+++ b/features/peer_calls.feature
@@ -25,6 +25,26 @@
       | answers each call with an error    | not answered |
       | answers with something else        | not answered |
 
+  # Guards against requests that get no answer at all: a call to a peer timed
+  # out, and the time limit of the request then cancelled its whole task.
+  Scenario Outline: A time limit still holds after a call to a peer has failed
+    Given a peer on the loopback that <does>
+    When another node calls it, and then waits within a limit of 400 ms
+    Then the wait ends with a TimeoutError
+
+    Examples:
+      | does                             |
+      | never answers                    |
+      | closes each connection           |
+      | resets each connection on a call |
+
+  # Guards against calls that go on although nobody waits for them.
+  Scenario: A call to a peer is abandoned
+    Given a peer on the loopback that never answers
+    When another node calls it with a limit of 50 ms
+    Then the wait ends with a TimeoutError
+    And no call is under way
+
   # Guards against faults of our own that count as a lost connection.
   Scenario: A call of an unknown method is a fault of the caller
     Given a peer on the loopback that never answers
--- a/features/steps/peer_call_steps.py
+++ b/features/steps/peer_call_steps.py
@@ -166,6 +166,54 @@
     play_calls(context)
 
 
+def play_limited(context, limit_ms, is_waiting):
+    async def call_and_wait():
+        play = context.play
+        async with (
+            play.channels,
+            serve(context.conduct) as address,
+        ):
+            try:
+                async with asyncio.timeout(limit_ms / 1000):
+                    await play.call(address)
+                    if is_waiting:
+                        await asyncio.Event().wait()
+            except (TimeoutError, asyncio.CancelledError) as error:
+                context.error = error
+            context.tasks = {
+                task.get_coro().__qualname__
+                for task in asyncio.all_tasks() - {asyncio.current_task()}
+            }
+        await asyncio.sleep(CLOSING_S)
+
+    context.play = Play()
+    asyncio.run(call_and_wait())
+
+
+@when(
+    'another node calls it, and then waits within a limit of {limit_ms:d} ms'
+)
+def call_and_wait(context, limit_ms):
+    play_limited(context, limit_ms, is_waiting=True)
+    (error,) = context.play.results
+    assert isinstance(error, channels.PeerError), repr(error)
+
+
+@when('another node calls it with a limit of {limit_ms:d} ms')
+def call_limited(context, limit_ms):
+    play_limited(context, limit_ms, is_waiting=False)
+
+
+@then('the wait ends with a TimeoutError')
+def is_timeout(context):
+    assert isinstance(context.error, TimeoutError), repr(context.error)
+
+
+@then('no call is under way')
+def no_call(context):
+    assert context.tasks == {'keep_silent'}, context.tasks
+
+
 @when('another node calls a method that does not exist')
 def call_unknown(context):
     play_calls(context, 'NoSuchMethod')
--- a/packages/carawaymast-node/carawaymast_node/channels.py
+++ b/packages/carawaymast-node/carawaymast_node/channels.py
@@ -88,9 +88,12 @@
             channel = client.Channel(*address)
             self._channel_by_id[node_id] = channel
         call = getattr(self._stub_type(channel), method)
-        # Only the library's code runs in here.
+        # Only the library's code runs in here. grpclib ends a call by a
+        # cancellation of its task, which stays counted there, so that an
+        # ``asyncio.timeout`` around it would not raise ``TimeoutError``.
+        task = asyncio.ensure_future(call(message, timeout=timeout_ms / 1000))
         try:
-            return await call(message, timeout=timeout_ms / 1000)
+            return await task
         except CALL_ERRORS as error:
             failure: Exception = error
         except LOST_CONNECTION_ERRORS as error:
