Read no request after the drain of a node has ended

What callers could see: a request whose connection is closed without an answer as its node stops.

Cause: the drain ends when no request is in flight. A request that comes then is begun, and cancelled with the process.

The fix: the drain ends by closing the port for callers and its connections, in the same step of the loop in which it finds no request in flight. What has not been read by then never is. Before that it passes the answers that are ready on to their connections, which are closed after their answers are written.

Evidence: features/draining.feature, over real connections. Without the closing, two requests that come after the drain are read (one on an open connection, one on a new one) and the connections stay open; without passing the answers on, an answer that is ready in the iteration before the last look is cut off.

--- a/packages/carawaymast-node/carawaymast_node/cells/service.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/service.py
@@ -16,6 +16,7 @@
 from carawaymast_node import loop as loop_mod
 from carawaymast_node.cells import advice_dispatcher
 from carawaymast_node.cells import context as context_mod
+from carawaymast_node.cells import draining
 from carawaymast_node.cells import election as election_mod
 from carawaymast_node.cells import fabric
 from carawaymast_node.cells import frontend as frontend_mod
@@ -41,11 +42,6 @@
 # last renewal.
 LEAD_READ_WAIT_MS = 450
 STATE_PATH = '/state'  # on the metrics port
-# The balancer removes a node after two checks, a second apart.
-DRAIN_SERVE_MS = 2_600
-DRAIN_POLL_INTERVAL_MS = 20
-# For closing connections and the interpreter's exit, before SIGKILL.
-EXIT_RESERVE_MS = 1_000
 
 
 class CellNode(lifecycle.Process):
@@ -262,7 +258,7 @@
             )
             await self._stop.wait()
             if self._failure is None:
-                await self._drain()
+                await draining.drain(self)
             else:
                 self.log.log_event('failed', error=repr(self._failure))
             for task in tasks:
@@ -294,17 +290,3 @@
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_MS / 1000)
             self.connection_limiter.sweep()
-
-    async def _drain(self) -> None:
-        """Hand over, then serve until the balancer has removed this node."""
-        began_ms = self.clock.now()
-        until_ms = began_ms + self.settings.grace_ms - EXIT_RESERVE_MS
-        self.is_draining = True
-        self.frontend.is_draining = True
-        self.log.log_event('draining', in_flight=self.frontend.in_flight)
-        await self.leadership.hand_over()
-        served_ms = self.clock.now() - began_ms
-        await asyncio.sleep(max(0, DRAIN_SERVE_MS - served_ms) / 1000)
-        while self.frontend.in_flight and self.clock.now() < until_ms:
-            await asyncio.sleep(DRAIN_POLL_INTERVAL_MS / 1000)
-        self.log.log_event('stopped', in_flight=self.frontend.in_flight)
