Close only the connection to a peer on which a call has failed

What callers could see: calls to a peer that fail although the peer answers, after earlier calls on a former connection have failed.

Cause: a failed call closed the connection to its peer that was known at that moment. When a connection was closed under several calls and the next call had opened a new one, the others then closed that.

The fix: a failed call closes its own connection, unless that is replaced.

Evidence: the new scenario in features/peer_calls.feature, on real connections, failed before (the new connection was closed).

--- a/features/peer_calls.feature
+++ b/features/peer_calls.feature
@@ -45,6 +45,13 @@
     Then the wait ends with a TimeoutError
     And no call is under way
 
+  # Guards against calls that fail since an earlier one on a former connection
+  # has failed.
+  Scenario: Calls on a former connection fail after a new one was opened
+    Given a peer on the loopback that answers only some calls
+    When two calls are not answered, and another follows after the first
+    Then that call is answered, and its connection stays open
+
   # Guards against faults of our own that count as a lost connection.
   Scenario: A call of an unknown method is a fault of the caller
     Given a peer on the loopback that never answers
--- a/features/steps/peer_call_steps.py
+++ b/features/steps/peer_call_steps.py
@@ -17,6 +17,8 @@
 
 HOST = '127.0.0.1'
 PEER = 'n1'
+UNANSWERED = 'unanswered'
+ANSWERS = 'answers only some calls'
 TIMEOUT_MS = 300
 # Time for the peer to see that its connections are closed.
 CLOSING_S = 0.02
@@ -79,12 +81,14 @@
         )
         self.results = []
 
-    async def call(self, address, method='ShowJob'):
+    async def call(
+        self, address, method='ShowJob', job_id='j1', timeout_ms=TIMEOUT_MS
+    ):
         """Call the peer; note its answer or the error."""
-        message = fabric_pb2.ShowCall(job_id='j1')
+        message = fabric_pb2.ShowCall(job_id=job_id)
         try:
             result = await self.channels.call(
-                PEER, address, method, message, TIMEOUT_MS
+                PEER, address, method, message, timeout_ms
             )
         except Exception as error:
             result = error
@@ -92,6 +96,8 @@
 
 
 async def answer_show(message):
+    if message.job_id == UNANSWERED:
+        await asyncio.Event().wait()
     return fabric_pb2.ShowAnswer(is_leader=True, phase='running')
 
 
@@ -113,7 +119,7 @@
         yield peer.sockets[0].getsockname()
         peer.close()
         return
-    show = answer_show if conduct == 'answers' else fail_show
+    show = answer_show if conduct.startswith('answers only') else fail_show
     service = fabric.FabricService({'ShowJob': show})
     peer = grpc_server.Server([service])
     with socket.create_server((HOST, 0)) as listener:
@@ -154,7 +160,7 @@
                 async with serve(context.conduct) as address:
                     await play.call(address, method)
             if is_repeated:
-                async with serve('answers') as address:
+                async with serve(ANSWERS) as address:
                     await play.call(address)
         await asyncio.sleep(CLOSING_S)
 
@@ -214,6 +220,28 @@
     assert context.tasks == {'keep_silent'}, context.tasks
 
 
+@when('two calls are not answered, and another follows after the first')
+def call_after_first(context):
+    async def call_all():
+        play = context.play
+        async with play.channels, serve(context.conduct) as address:
+            second = asyncio.create_task(play.call(address, job_id=UNANSWERED))
+            await play.call(address, job_id=UNANSWERED, timeout_ms=100)
+            await play.call(address)
+            await second
+            context.has_connection = PEER in play.channels._channel_by_id
+
+    context.play = Play()
+    asyncio.run(call_all())
+
+
+@then('that call is answered, and its connection stays open')
+def stays_open(context):
+    kinds = sorted(type(each).__name__ for each in context.play.results)
+    assert kinds == ['PeerError', 'PeerError', 'ShowAnswer'], kinds
+    assert context.has_connection
+
+
 @when('another node calls a method that does not exist')
 def call_unknown(context):
     play_calls(context, 'NoSuchMethod')
--- a/packages/carawaymast-node/carawaymast_node/channels.py
+++ b/packages/carawaymast-node/carawaymast_node/channels.py
@@ -104,8 +104,10 @@
                 method=method,
                 error=repr(error),
             )
-        self.close(node_id)
-        self.replaced_total += 1
+        if self._channel_by_id.get(node_id) is channel:
+            # Otherwise it is closed, and there may be a new one.
+            self.close(node_id)
+            self.replaced_total += 1
         # A refused connection was never open, so nothing was sent.
         is_sent = not isinstance(failure, ConnectionRefusedError)
         raise PeerError(f'{method} to {node_id}: {failure!r}', is_sent)
