--- a/features/steps/renewal_steps.py
+++ b/features/steps/renewal_steps.py
@@ -24,6 +24,7 @@
 from carawaymast_platform import ingress
 from carawaymast_platform import store as store_mod
 from features import cell_world
+from features import leader_parts
 from standins import keyed_log
 from standins import virtual
 
@@ -67,13 +68,7 @@
 class Election:
     """An election that is won for good."""
 
-    def __init__(self, clock):
-        self._clock = clock
-
-    @property
-    def confirmed_at_ms(self):
-        """When the leadership was last renewed: now."""
-        return self._clock.now()
+    confirmation = leader_parts.Confirmed()
 
 
 def waiting_transport(log):
@@ -132,7 +127,7 @@
             None,
             view,
             *readers,
-            Election(self.clock),
+            Election(),
         )
         self.leader = leader_mod.Leader(context, 1)
         self.cell = self.leader.cell
