Log event step_waits: why a job waits beside free capacity

A plan now looks each 2 s for steps that have waited for 3 s though a worker of their kind, usable or not, has free capacity for a task, and for kinds without any worker. It logs them with the number of workers by reason, at most 3 in a look and each group of steps once in 10 s. Full workers alone are no event. Gangs (gang_waits) and fillers are left out.

--- a/packages/carawaymast-core/carawaymast_core/cell/need_index.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/need_index.py
@@ -50,6 +50,11 @@
     def __bool__(self) -> bool:
         return bool(self._chunks)
 
+    def __iter__(self) -> typing.Iterator['waiting.Group']:
+        for chunk in self._chunks:
+            for row in chunk.rows:
+                yield row.group
+
     def add(self, group: 'waiting.Group') -> None:
         """Add a group."""
         row = _row(group)
--- a/packages/carawaymast-core/carawaymast_core/cell/placing.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/placing.py
@@ -7,6 +7,7 @@
 from carawaymast_core.cell import eligibility
 from carawaymast_core.cell import fleet as fleet_mod
 from carawaymast_core.cell import free_capacity
+from carawaymast_core.cell import idle_waits
 from carawaymast_core.cell import jobs
 from carawaymast_core.cell import planner
 from carawaymast_core.cell import run as run_mod
@@ -76,6 +77,7 @@
             fleet.update(placement.worker)
     for job in touched.values():
         cell.update_ready_steps(job, now_ms, wall_ms)
+    idle_waits.log_idle_waits(cell, now_ms)
     cell.set_fleet(fleet)
 
 
--- a/packages/carawaymast-core/carawaymast_core/cell/waiting.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/waiting.py
@@ -3,6 +3,7 @@
 import collections.abc
 import heapq
 import itertools
+import math
 import typing
 
 import sortedcontainers
@@ -36,6 +37,8 @@
         self.task_ms = 0
         # On the leader's clock, see ``gang_search``.
         self.examined_at_ms = 0
+        # The same, see ``idle_waits``.
+        self.checked_at_ms = -math.inf
         # What a task is allocated, see ``spec.Step.allocated_size``.
         self.size = resources.Resources(
             0 if need.kind.is_filler else need.cpu_millis,
@@ -76,6 +79,8 @@
         # wait stay in it until then.
         self._changes: list[tuple[int, int]] = []
         self._wall_ms = 0
+        # On the leader's clock, see ``idle_waits``.
+        self.checked_at_ms = -math.inf
 
     def __getitem__(self, name: str) -> 'jobs.StepState':
         return self._entry_by_name[name].step
