Log event worker_relisted: an entry is back before its worker is removed

So the log of a worker whose entry is back looked like that of one whose entry was never read. The follower logs the return, which apply_worker_entry already tells it.

features/renewals.feature: the new scenario fails on the code before.

--- a/features/renewals.feature
+++ b/features/renewals.feature
@@ -7,6 +7,14 @@
     When its entry is removed and is back after 50 to 1500 ms, 30 times
     Then the worker was usable within 3 s each time
 
+  # Guards against a log in which a worker whose entry came back looks like one
+  # whose entry did not (review, case 1, one run that could not be traced).
+  Scenario: An entry is back before the leader has removed the worker
+    Given a leader that renews the lease of an idle worker
+    When its entry is removed and is back in one read
+    Then the log says once that the entry is back
+    And all workers are usable within 3 s
+
   Scenario: Entries of many workers expire and return in any order
     Given a leader that renews the leases of 12 idle workers
     When their entries are removed and return at random for 60 s
--- a/packages/carawaymast-node/carawaymast_node/cells/worker_follower.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/worker_follower.py
@@ -76,9 +76,20 @@
         if change.entry is None:
             worker_lifecycle.unlist_worker(self._cell, change.worker_id)
         else:
+            entry = change.entry
+            known = self._cell.worker_by_key.get(
+                (entry.worker_id, entry.born_ms)
+            )
             worker = worker_lifecycle.apply_worker_entry(
-                self._cell, change.entry, self._clock.now()
+                self._cell, entry, self._clock.now()
             )
+            if worker is not None and worker is known:
+                self._cell.log_event(
+                    'worker_relisted',
+                    worker=worker.worker_id,
+                    born_ms=worker.born_ms,
+                    adopted=worker.is_adopted,
+                )
             if worker is not None and self._is_renewing:
                 self._begin_renewal(worker)
         self._on_change()
