A crash counts for certain only if the runs may not have lapsed before it

What callers could see: a job that failed though no worker had crashed under its tasks.

Cause: runs that were confirmed counted as certainly on a worker that was found to have restarted, however long it had not answered. With the lease they may have ended before.

The scenario failed before.

Change: later than the lease after the last answer, a crash counts as one of those that are not certain, which take five to give up a task.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -158,6 +158,16 @@
     And 3 s pass
     Then its tasks run again and 1 crash counts against each
 
+  # Guards against jobs that fail for crashes of workers where their runs had
+  # ended before, with the lease.
+  Scenario: Workers restart long after their last answers
+    Given a cell of 3 workers
+    And tasks that take 60 s
+    And a job "j1" of 1 tasks and then 1 tasks
+    And the leader has started them
+    When 7 s pass without renewals and its worker restarts, 4 times
+    Then the job "j1" has not failed
+
   # Guards against crashes that a new leader takes for workers out of reach.
   Scenario: A new leader finds the crash of a worker that is no longer listed
     Given a cell of 3 workers
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -100,6 +100,34 @@
     world.take_over()
 
 
+@when(
+    '{seconds:d} s pass without renewals and its worker restarts, '
+    '{times:d} times'
+)
+def restart_after_lease(context, seconds, times):
+    world = context.world
+    for _ in range(times):
+        (worker_id,) = world.running()['j1.0.0.0']
+        world.advance(seconds * 1_000)
+        assert not world.running()
+        former = world.runner_by_id[worker_id]
+        runner = world.add_runner(worker_id, former.born_ms + 1)
+        worker_lifecycle.apply_worker_entry(
+            world.cell, world.entry(runner), world.clock.now()
+        )
+        for _ in range(10):
+            world.run_cycle()
+        if not world.running():
+            return
+
+
+@then('the job "{job_id}" has not failed')
+def has_not_failed(context, job_id):
+    world = context.world
+    assert world.view.phase(job_id) is records.JobPhase.RUNNING
+    assert world.running()['j1.0.0.0'], world.running()
+
+
 @then('its tasks run again and {count:d} crash counts against each')
 def run_again(context, count):
     world = context.world
--- a/packages/carawaymast-core/carawaymast_core/cell/crashes.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/crashes.py
@@ -43,6 +43,9 @@
 # A service that lives for months outlasts many workers, each for a different
 # time.
 MAX_CLEAR_MS = 600_000
+# A renewal that is answered was sent at most this long before, since a worker
+# waits up to 1 s for a run to end.
+MAX_RENEWAL_INTERVAL_MS = 1_200
 # How long a worker whose lease has expired is asked whether it has crashed.
 LAPSED_MS = 30_000
 
@@ -83,8 +86,15 @@
     was_alone = len(worker.run_by_task) == 1
     for run in runs:
         run.is_crash_counted = True
+    # Otherwise the runs may have ended with the lease, before the crash.
+    is_lease_certain = (
+        now_ms - worker.last_answer_at_ms
+        < cell.lease_ms - MAX_RENEWAL_INTERVAL_MS
+    )
     confirmed_names = {
-        run.task.name for run in runs if run.state is run_mod.RunState.RUNNING
+        run.task.name
+        for run in runs
+        if run.state is run_mod.RunState.RUNNING and is_lease_certain
     }
     for task in tasks:
         task.crashes = _add_crash(
