Random runs of a cell whose runners restart under their ids

A second machine, "restarting cell", has two runners, few tasks and a rule that does these in one go, with new leaders in between. It checks TWICE in both forms on all runners, cut off or not. The runner's stand-in refuses tickets for other incarnations and tells when an end as done is acknowledged before its lease expires. The tickets in waiting_steps.py are now the stand-in's own, since it refuses others.

--- a/features/cell_world.py
+++ b/features/cell_world.py
@@ -400,14 +400,16 @@
         starts, self.pending_starts = self.pending_starts, []
         for run, fencing_token, deadline_ms in starts:
             outcome = self.deliver_start(run, fencing_token, deadline_ms)
+            self._check_ticket(run, outcome)
             if not is_answered or outcome is None:
                 outcome = NO_ANSWER
             answers.apply_start_outcome(
                 self.cell, run, outcome, self.clock.now()
             )
 
-    def deliver_start(self, run, fencing_token, deadline_ms):
-        runner = self.runner_by_id.get(run.worker.worker_id)
+    def deliver_start(self, run, fencing_token, deadline_ms, runner=None):
+        """Deliver a start to the reachable runner with the id, or another."""
+        runner = runner or self.runner_by_id.get(run.worker.worker_id)
         if runner is None or not runner.is_up:
             return None
         name = run.task.name
@@ -423,12 +425,22 @@
                 * self.slowdown_by_id.get(runner.runner_id, 1)
             ),
             self.fails(name),
+            run.ticket,
         )
         if len(runner.started) > known_starts:
             self.job_starts.append((self.clock.now(), name.partition('.')[0]))
             self._check_new_start(runner, name)
         return outcome if runner.is_up else self._answer_before_crash(outcome)
 
+    def _check_ticket(self, run, outcome):
+        """Assert that a ticket was for the incarnation that was called."""
+        if outcome and outcome.refusal is reports.StartRefusal.TICKET:
+            runner = self.runner_by_id[run.worker.worker_id]
+            assert run.worker.born_ms != runner.born_ms, (
+                f'{run.task.name} went to {run.worker.key} with the ticket '
+                f'{run.ticket}'
+            )
+
     def _check_new_start(self, runner, task):
         """Assert that a start broke no limit; let it crash the runner."""
         used = resources.total(
--- a/features/mutants.py
+++ b/features/mutants.py
@@ -11,7 +11,11 @@
 from carawaymast_core import records
 from carawaymast_core import slot_cache
 from carawaymast_core import slot_ledger
+from carawaymast_core.cell import fencing
+from carawaymast_core.cell import placing
 from carawaymast_core.cell import retention
+from carawaymast_core.cell import worker_lease
+from carawaymast_core.cell import worker_lifecycle
 from carawaymast_node import log_service
 
 __all__ = ['FAULT_BY_NAME']
@@ -89,6 +93,36 @@
     return mock.patch.object(retention, 'find', find)
 
 
+def one_token_per_epoch():
+    """Call all incarnations of workers with the same token in an epoch."""
+    return mock.patch.object(
+        fencing.FencingTokens, 'next', lambda self: self._first + 1
+    )
+
+
+def usual_lease_at_adoption():
+    """Assume that no other call has left a longer lease than the usual."""
+    return mock.patch.object(
+        worker_lease.WorkerLease, 'assume_longest', lambda self, longest: None
+    )
+
+
+def tickets_kept_after_restart():
+    """Keep the tickets for the former incarnation of a worker."""
+    return mock.patch.object(
+        placing,
+        '_drop_former_tickets',
+        lambda cell: cell.restarted_ids.clear(),
+    )
+
+
+def restarted_worker_lost_early():
+    """Count a restarted worker that never answered as lost after 14 s."""
+    return mock.patch.object(
+        worker_lifecycle, 'assume_late_calls', lambda *arguments: None
+    )
+
+
 FAULT_BY_NAME = {
     'no fault': contextlib.nullcontext,
     'no guard interval': no_guard_interval,
@@ -97,4 +131,8 @@
     'claim used before read-back': claim_used_before_read_back,
     'snapshot that reverts': snapshot_that_reverts,
     'state dropped first': state_dropped_first,
+    'one token per epoch': one_token_per_epoch,
+    'usual lease at adoption': usual_lease_at_adoption,
+    'tickets kept after restart': tickets_kept_after_restart,
+    'restarted worker lost early': restarted_worker_lost_early,
 }
--- a/features/steps/random_steps.py
+++ b/features/steps/random_steps.py
@@ -9,7 +9,12 @@
 from features import mutants
 from features import randomised
 
-STEPS_PER_EXAMPLE = {'fleet': 30, 'trusting fleet': 30, 'shares': 100}
+STEPS_PER_EXAMPLE = {
+    'fleet': 30,
+    'trusting fleet': 30,
+    'shares': 100,
+    'restarting cell': 20,
+}
 DEFAULT_STEPS = 90
 # Examples more than needed, since some end early.
 EXAMPLE_MARGIN = 1.3
--- a/features/steps/waiting_steps.py
+++ b/features/steps/waiting_steps.py
@@ -143,7 +143,7 @@
         placing.record_advice_call(cell, step)
         for _ in range(ADVICE_CALL_MS // 100):
             world.run_cycle()
-        tickets = dict.fromkeys(ids, 't')
+        tickets = {i: world.runner_by_id[i].ticket() for i in ids}
         step.advice.apply_answer(ids, tickets, world.clock.now(), VALID_MS)
 
 
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -18,6 +18,7 @@
 FENCED = reports.StartRefusal.FENCED
 LATE = reports.StartRefusal.LATE
 STALE_RUN = reports.StartRefusal.STALE_RUN
+TICKET = reports.StartRefusal.TICKET
 
 
 class _Run:
@@ -71,6 +72,12 @@
         # Called with (event, task, run id) at each start and end.
         self.on_change: typing.Callable[[str, str, int], None]
         self.on_change = lambda event, task, run_id: None
+        # Called with (task, run id) when an end as done is acknowledged, and
+        # the lease has not expired since.
+        self.on_done_acknowledged: typing.Callable[[str, int], None]
+        self.on_done_acknowledged = lambda task, run_id: None
+        # The number of the last end before the lease last expired.
+        self._last_number_at_expiry = 0
         self._highest_ended_by_task: dict[str, int] = {}
         # Returns ``use`` of a running task, see ``reports.ListedRun``.
         self.use_of: typing.Callable[[str], float] = lambda task: 0.0
@@ -89,6 +96,11 @@
             return None
         self.fencing_token = fencing_token
         self._extend(deadline_ms)
+        for end in self.ended:
+            is_lapsed = end.number <= self._last_number_at_expiry
+            is_noted = end.number <= ack_number and not is_lapsed
+            if is_noted and end.how is reports.EndKind.DONE:
+                self.on_done_acknowledged(end.task, end.run_id)
         self.ended = [e for e in self.ended if e.number > ack_number]
         running = tuple(
             reports.ListedRun(
@@ -112,18 +124,21 @@
         deadline_ms: int,
         work_ms: int,
         fails: bool = False,
+        ticket: str = '',
     ) -> reports.StartOutcome:
         """Start a run and extend the lease to ``deadline_ms``.
 
         ``work_ms`` is its duration at full speed. Refused are a fencing
-        token lower than the highest seen, a deadline that has passed, a task
-        with another run, and a run id up to the highest that ended or was
-        stopped. A start
-        of the present run succeeds again.
+        token lower than the highest seen, a ticket that was not issued for
+        this incarnation, a deadline that has passed, a task with another run,
+        and a run id up to the highest that ended or was stopped. A start of
+        the present run succeeds again.
         """
         if fencing_token < self.fencing_token:
             return reports.StartOutcome(True, FENCED)
         self.fencing_token = fencing_token
+        if ticket not in ('', self.ticket()):
+            return reports.StartOutcome(True, TICKET)
         if deadline_ms <= self.clock_ms:
             return reports.StartOutcome(True, LATE)
         self._extend(deadline_ms)
@@ -139,6 +154,10 @@
         self.on_change('start', task, run_id)
         return reports.StartOutcome(True)
 
+    def ticket(self) -> str:
+        """Return the ticket that the advice service issues for it now."""
+        return f'{self.runner_id}@{self.born_ms}'
+
     def stop(self, fencing_token: int, task: str, run_id: int) -> bool:
         """Begin to stop a run; from now on refuse it and lower run ids.
 
@@ -200,6 +219,7 @@
         if self.clock_ms >= self.lease_until_ms:
             for task in list(self.running):
                 self._end(task, reports.EndKind.LAPSED)
+            self._last_number_at_expiry = self._end_number
 
     def end_run(self, task: str, kind: reports.EndKind) -> None:
         """End a run at once, as ``BROKEN``, ``ALONE`` or ``FAILED``."""
