Starts of a previous leader hold their runs; random restarts deliver them all

What callers could see: two runs of one task, after a takeover and a restart of its worker before it.

Cause: a new leader took a restart that it found at its takeover for the end of its predecessor's starts. Such a start can still begin the run at the next incarnation but one. Also, the bound for restarted workers that never answer covered no start without a known restart.

Change: the runs that a new leader takes over are held, as its own are, and their starts are repeated at the same worker, also at a restarted one.

The machine "restarting cell" no longer leaves out late starts without tickets that the leader does not expect. What it leaves out instead is a start of a task that is done, at an incarnation that no leader has called: nothing in the protocol can refuse it. Its mutants are now the hold itself and its length on a lost worker; the shorter bound of restarted workers is no longer in the code.

--- a/features/late_starts.feature
+++ b/features/late_starts.feature
@@ -21,6 +21,7 @@
       | 11      | cut off and not listed       | the leader leads on          |
       | 1       | cut off, listed at once      | the leader leads on          |
       | 3       | twice, listed at once        | the leader leads on          |
+      | 3       | begun, cut off, not listed   | the leader leads on          |
 
     Examples: A leader takes over
       | restart | seen                         | leader                       |
--- a/features/mutants.py
+++ b/features/mutants.py
@@ -12,10 +12,10 @@
 from carawaymast_core import slot_cache
 from carawaymast_core import slot_ledger
 from carawaymast_core.cell import fencing
+from carawaymast_core.cell import late_starts
 from carawaymast_core.cell import placing
 from carawaymast_core.cell import retention
 from carawaymast_core.cell import worker_lease
-from carawaymast_core.cell import worker_lifecycle
 from carawaymast_node import log_service
 
 __all__ = ['FAULT_BY_NAME']
@@ -116,11 +116,14 @@
     )
 
 
-def restarted_worker_lost_early():
-    """Count a restarted worker that never answered as lost after 14 s."""
-    return mock.patch.object(
-        worker_lifecycle, 'assume_late_calls', lambda *arguments: None
-    )
+def late_starts_not_awaited():
+    """Release a run though a start of it may be carried out late."""
+    return mock.patch.object(late_starts, 'may_act_later', lambda run: False)
+
+
+def late_starts_end_with_lease():
+    """Release the runs on a lost worker when its lease has expired."""
+    return mock.patch.object(late_starts, 'held_until_ms', lambda *run: 0)
 
 
 FAULT_BY_NAME = {
@@ -134,5 +137,6 @@
     'one token per epoch': one_token_per_epoch,
     'usual lease at adoption': usual_lease_at_adoption,
     'tickets kept after restart': tickets_kept_after_restart,
-    'restarted worker lost early': restarted_worker_lost_early,
+    'late starts not awaited': late_starts_not_awaited,
+    'late starts end with lease': late_starts_end_with_lease,
 }
--- a/features/randomised.feature
+++ b/features/randomised.feature
@@ -38,4 +38,5 @@
       | one token per epoch         | restarting cell | 800      |
       | usual lease at adoption     | restarting cell | 800      |
       | tickets kept after restart  | restarting cell | 800      |
-      | restarted worker lost early | restarting cell | 800      |
+      | late starts not awaited     | restarting cell | 800      |
+      | late starts end with lease  | restarting cell | 800      |
--- a/features/restart_machine.py
+++ b/features/restart_machine.py
@@ -14,6 +14,7 @@
 from hypothesis import strategies as st
 
 from carawaymast_core.cell import answers
+from carawaymast_core.cell import late_starts
 from carawaymast_core.cell import placing
 from carawaymast_core.cell import reports
 from carawaymast_core.cell import spec
@@ -137,35 +138,30 @@
         late = self.late_calls.pop(which % len(self.late_calls))
         age_ms = self.world.clock.now() - late.sent_at_ms
         runner = self.runner_by_id[late.worker_key[0]]
-        if age_ms > worker_lifecycle.LATE_CALL_MS:
+        if age_ms > late_starts.LATE_CALL_MS:
             return
-        if self._is_known_weakness(late, runner):
+        if self._is_after_done(late, runner):
             return
         if late.run is None:
             runner.renew_lease(*late.call)
         else:
             self.world.deliver_start(late.run, *late.call, runner=runner)
 
-    def _is_known_weakness(self, late, runner):
-        """Whether the code does not rule out yet what this call does.
+    def _is_after_done(self, late, runner):
+        """Return whether nothing can refuse a start of a task that is done.
 
-        It is a start without a ticket that arrives at a later incarnation
-        before the leader's first call to that, and this leader does not
-        expect the run there.
+        A repeated start, or another run, has done the task, and the worker has
+        restarted since. Before the leader's first call there, only a leader
+        that waited 12 s before it took note of each such end could rule it
+        out; see docs/incidents/two-runs-on-real-machines.md.
         """
-        worker = self.world.worker(runner.runner_id)
-        is_known = worker is not None and worker.born_ms == runner.born_ms
-        is_expected = is_known and (
-            worker.last_answer_at_ms > 0
-            or late.run is not None
-            and worker.run_by_task.get(late.run.task.name) is late.run
-        )
-        return (
-            late.run is not None
-            and not late.run.ticket
-            and late.worker_key != (runner.runner_id, runner.born_ms)
-            and not is_expected
-        )
+        if late.run is None:
+            return False
+        task = self.world.cell.find_task(late.run.task.name)
+        is_done = task is None or task.is_done
+        is_called = runner.fencing_token > late.call[0]
+        has_restarted = late.worker_key[1] < runner.born_ms
+        return is_done and has_restarted and not is_called
 
     @stateful.rule(
         name=NAME,
--- a/features/steps/cell_steps.py
+++ b/features/steps/cell_steps.py
@@ -43,10 +43,13 @@
     world = context.world
     policy = cell_world.queue(advice=spec.AdvicePolicy(1, 1, TICKET_VALID_MS))
     world.submit(cell_world.job(job_id, cell_world.step(count), policy=policy))
-    ids = list(world.runner_by_id)
+    ticket_by_id = {
+        runner_id: runner.ticket()
+        for runner_id, runner in world.runner_by_id.items()
+    }
     advice = world.cell.find_task(f'{job_id}.0.0.0').step.advice
     advice.apply_answer(
-        ids, dict.fromkeys(ids, 'ticket'), world.clock.now(), TICKET_VALID_MS
+        list(ticket_by_id), ticket_by_id, world.clock.now(), TICKET_VALID_MS
     )
 
 
--- a/features/steps/late_start_steps.py
+++ b/features/steps/late_start_steps.py
@@ -30,12 +30,14 @@
 
     ``listed_ms`` is None if the leader is not told of the restart, ``lead_ms``
     None if no other leader follows. The late start arrives at ``arrive_ms``.
+    With ``is_begun``, a repeated start begins the run before the restart.
     """
 
     restart_ms: int
     listed_ms: int | None
     is_cut: bool
     is_twice: bool
+    is_begun: bool
     lead_ms: int | None
     arrive_ms: int
 
@@ -53,6 +55,7 @@
         world.submit(cell_world.job('j1', cell_world.step(1)))
         world.plan(is_sent=False)
         ((self.run, *self.call),) = world.pending_starts
+        world.pending_starts = []
         self.worker_id = self.run.worker.worker_id
         self.began_ms = world.clock.now()
         self.born_ms = 1
@@ -62,6 +65,15 @@
     def elapsed_ms(self):
         return self.world.clock.now() - self.began_ms
 
+    def fail_first(self):
+        """Let the first start get no answer."""
+        answers.apply_start_outcome(
+            self.world.cell,
+            self.run,
+            cell_world.NO_ANSWER,
+            self.world.clock.now(),
+        )
+
     def fail_starts(self):
         """Let all starts that are under way get no answer."""
         world = self.world
@@ -136,7 +148,7 @@
     """Play one case; see ``Play``."""
     late = LateStart()
     times = [
-        (ANSWER_TIMEOUT_MS, late.fail_starts),
+        (ANSWER_TIMEOUT_MS, late.fail_first),
         (plan.restart_ms, lambda: late.restart(plan.is_cut)),
         (plan.arrive_ms, late.arrive),
         (CUT_FOR_MS, late.reconnect),
@@ -156,14 +168,14 @@
     while late.elapsed_ms() < PLAY_MS:
         while times and times[0][0] <= late.elapsed_ms():
             times.pop(0)[1]()
-        # No start reaches the worker before its restart.
-        late.pass_step(late.elapsed_ms() < plan.restart_ms)
+        is_up = late.elapsed_ms() >= plan.restart_ms
+        late.pass_step(are_starts_lost=not (is_up or plan.is_begun))
     return late
 
 
 @given('a start that gets no answer and may arrive for 12 s')
 def unanswered_start(context):
-    context.play = Play(0, None, False, False, None, 0)
+    context.play = Play(0, None, False, False, False, None, 0)
 
 
 @when('its worker restarts after {seconds:d} s, {seen}')
@@ -178,6 +190,7 @@
         listed_ms=listed_ms,
         is_cut='cut off' in seen,
         is_twice='twice' in seen,
+        is_begun='begun' in seen,
     )
 
 
@@ -227,7 +240,7 @@
         late.arrive()
     if follows:
         late.take_over(1)
-    late.fail_starts()
+    late.fail_first()
     while not late.places() and late.elapsed_ms() < LATE_CALL_MS:
         are_lost = bool(late.world.pending_starts) and lost_repetitions > 0
         lost_repetitions -= are_lost
@@ -261,7 +274,7 @@
 @when('its worker shrinks below the size of the task')
 def shrink(context):
     late = LateStart()
-    late.fail_starts()
+    late.fail_first()
     late.world.set_capacity(late.worker_id, 500)
     late.world.plan()
     context.lates = [late]
--- a/packages/carawaymast-core/carawaymast_core/cell/late_starts.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/late_starts.py
@@ -71,19 +71,18 @@
         run.task.last_run_id = max(run.task.last_run_id, run.run_id + 1)
 
 
-def assume_sent(run: run_mod.Run, has_restarted: bool, now_ms: int) -> None:
+def assume_sent(run: run_mod.Run, now_ms: int) -> None:
     """Assume that a previous leader sent the starts of a run until now.
 
     It recorded those without an answer. Another one may have been under way
-    at its end, which a restarted worker no longer begins once this leader has
-    called it.
+    at its end.
     """
     until_ms = now_ms + MAX_UNCONFIRMED_START_MS + LATE_CALL_MS
     run.worker.lease.record_late_call(until_ms)
-    is_recorded = run.task.last_run_id > run.run_id
-    if may_act_later(run) and (is_recorded or not has_restarted):
-        run.starts += is_recorded
+    if may_act_later(run):
         run.late_until_ms = until_ms
+        if run.task.last_run_id > run.run_id:
+            run.starts += 1
 
 
 def is_only_start_listed(run: run_mod.Run) -> bool:
--- a/packages/carawaymast-core/carawaymast_core/cell/start_repeats.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/start_repeats.py
@@ -45,14 +45,10 @@
 
 
 def _may_repeat(run: run_mod.Run, now_ms: int) -> bool:
-    """Return whether the worker may begin the run now.
-
-    Not if it has crashed since: the run may be the cause.
-    """
+    """Return whether the worker may begin the run now."""
     return not (
         run.is_held
         or run.is_stop_sent
-        or run.is_crash_counted
         or run.starts >= MAX_STARTS
         or now_ms - run.placed_at_ms >= REPEAT_MS
         or min(run.worker.free) < 0
--- a/packages/carawaymast-core/carawaymast_core/cell/worker_lifecycle.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/worker_lifecycle.py
@@ -17,7 +17,6 @@
 
 __all__ = [
     'apply_worker_entry',
-    'assume_late_calls',
     'end_incarnation',
     'sweep',
     'unlist_worker',
@@ -54,7 +53,6 @@
         worker = _add_worker(cell, entry, now_ms)
         if incarnations:
             cell.restarted_ids.add(worker.worker_id)
-            assume_late_calls(cell, worker, now_ms)
         for other in incarnations:
             _move_runs(cell, worker, other, now_ms)
         return worker
@@ -87,21 +85,6 @@
     return worker
 
 
-def assume_late_calls(
-    cell: 'cell_mod.Cell', worker: worker_mod.Worker, now_ms: int
-) -> None:
-    """Allow for calls to a former incarnation that this one carries out late.
-
-    Until it has answered this leader, they may begin runs and extend the
-    lease, at most to the longest one.
-    """
-    worker.lease.assumed_lost_at_ms = (
-        now_ms
-        + late_starts.LATE_CALL_MS
-        + worker_lease.max_real_ms(cell.max_lease_ms)
-    )
-
-
 def unlist_worker(cell: 'cell_mod.Cell', worker_id: str) -> None:
     """Mark a worker as not listed any more; its runs stay."""
     for worker in cell.worker_by_key.values():
