A model of a task whose worker restarts under its id

Late starts and renewals may be carried out by any later incarnation of worker A, with two leaders in turn, one of which may be paused. Rules: a token for each incarnation, the longest lease at adoption, starts awaited before the task is released (not in the code yet), late renewals awaited as well if the worker is lost, no start after a pause without confirmation, and tickets instead of awaited starts.

--- a/features/steps/model_steps.py
+++ b/features/steps/model_steps.py
@@ -8,23 +8,25 @@
 from spec import cells
 from spec import checking
 from spec import claims
+from spec import incarnations
 from spec import ownership
 
 MODULE_BY_NAME = {
     'ownership': ownership,
     'claims': claims,
     'cells': cells,
+    'incarnations': incarnations,
 }
 
 
 @given('the {name} model')
 def make_model(context, name):
-    """Make a model; ``name`` may end in `` model with RULE as VALUE``."""
+    """Make a model; ``name`` may end in `` model with RULE as VALUE, ...``."""
     name, _, change = name.partition(' model with ')
     module = MODULE_BY_NAME[name]
     rules = module.Rules()
-    if change:
-        rule, _, value = change.partition(' as ')
+    for part in change.split(', ') if change else ():
+        rule, _, value = part.partition(' as ')
         rules = rules._replace(**{rule: ast.literal_eval(value)})
     context.model = module.model(rules)
 
