A new leader stops no runs on workers that its list lacks

Cause: a worker that only a record names has no known capacity, so its runs counted as too large for it before its first list, and were stopped.

A run counts as too large only on a worker that was adopted.

--- a/packages/carawaymast-core/carawaymast_core/cell/late_starts.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/late_starts.py
@@ -120,6 +120,8 @@
     """Return whether a late start must not begin a run: its worker shrank."""
     return (
         run.late_until_ms > 0
+        # Otherwise its capacity may not be known.
+        and run.worker.is_adopted
         and run.state is run_mod.RunState.ORDERED
         and min(run.worker.free) < 0
     )
