A start that is under way holds its run like one without an answer

What callers could see: two runs of one task, after a restart of its worker.

Cause: a stop was answered while the start was still under way (the worker begins to drain, or another member of the gang is refused). The next list lacked the run, so it was released, and the missing answer was noted nowhere.

Until its outcome is known, a start may act later, so its run is held.

--- a/features/single_runs.feature
+++ b/features/single_runs.feature
@@ -12,3 +12,16 @@
       | kind    |
       | batch   |
       | service |
+
+  # Guards against two runs of one task: a start that is still under way is no
+  # start without an answer, so its run was released.
+  Scenario Outline: A run is stopped while its start is under way
+    Given a start under way as <cause>
+    When a stop is answered and a list read before the start times out
+    And the worker restarts under its id, and the start arrives there
+    Then the task of that start runs at one worker at most
+
+    Examples:
+      | cause                                 |
+      | its worker begins to drain            |
+      | another member of its gang is refused |
--- a/packages/carawaymast-core/carawaymast_core/cell/answers.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/answers.py
@@ -179,6 +179,7 @@
     now_ms: int,
 ) -> None:
     """Apply the answer to a start, or the lack of one."""
+    run.is_under_way = False
     if run.worker.run_by_task.get(run.task.name) is not run:
         return
     if outcome.is_running:
--- a/packages/carawaymast-core/carawaymast_core/cell/batching.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/batching.py
@@ -108,6 +108,7 @@
         if reason:
             start_check.withdraw(cell, run, reason, run.placed_at_ms)
             continue
+        run.is_under_way = True
         starts.append(run)
     return starts
 
--- a/packages/carawaymast-core/carawaymast_core/cell/late_starts.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/late_starts.py
@@ -109,7 +109,9 @@
 
 def is_held(run: run_mod.Run, how: reports.EndKind, now_ms: int) -> bool:
     """Return whether a run that ended must not be released yet."""
-    if now_ms >= run.late_until_ms or how in _ENDS_OF_WORKERS:
+    is_under_way = run.is_under_way and may_act_later(run)
+    may_act = is_under_way or now_ms < run.late_until_ms
+    if not may_act or how in _ENDS_OF_WORKERS:
         return False
     if how in _UNKNOWN_ENDS and run.stop_answered_at_ms is None:
         return True
@@ -135,7 +137,7 @@
             task=run.task.name,
             run_id=run.run_id,
             worker=run.worker.worker_id,
-            for_ms=run.late_until_ms - now_ms,
+            for_ms=max(0, run.late_until_ms - now_ms),
         )
         run.is_held = run.is_start_lost = True
         run.task.step.job.record_not_begun()
--- a/packages/carawaymast-core/carawaymast_core/cell/run.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/run.py
@@ -31,6 +31,7 @@
         'is_missing',
         'is_stop_sent',
         'is_stopping',
+        'is_under_way',
         'known_at_ms',
         'late_until_ms',
         'paused_since_ms',
@@ -87,6 +88,8 @@
         self.starts = 1
         self.late_until_ms = 0
         self.is_held = False
+        # Whether a start is sent, or about to be, and has no outcome yet.
+        self.is_under_way = False
         # When the call for its start failed without an answer, and whether
         # the worker has not listed the run since.
         self.unanswered_at_ms = 0
--- a/packages/carawaymast-core/carawaymast_core/cell/start_check.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/start_check.py
@@ -42,5 +42,6 @@
 
     The other members of a gang's run are stopped, or withdrawn in their turn.
     """
+    run.is_under_way = False
     run.stop_reason = run.stop_reason or reason
     run_ends.apply(cell, run, reports.EndKind.WITHDRAWN, '', now_ms)
