A renewal without an answer counts for each incarnation of its worker

What callers could see: two runs of one task, for some seconds, on a worker that restarted while a renewal was under way and was then cut off.

Cause: the late call was recorded for the former incarnation after its runs and bounds had moved to the next.

--- a/features/single_runs.feature
+++ b/features/single_runs.feature
@@ -25,3 +25,11 @@
       | cause                                 |
       | its worker begins to drain            |
       | another member of its gang is refused |
+
+  # Guards against two runs of one task: the renewal, which fails after the
+  # restart is known, extends the lease of a run that a late start began.
+  Scenario: A renewal is under way as its worker restarts
+    Given a task whose start was repeated, and runs for 6 s
+    When its worker restarts while a renewal is under way, and is cut off
+    And the start and the renewal arrive there within 12 s of their sending
+    Then the task never ran at two workers
--- a/packages/carawaymast-core/carawaymast_core/cell/late_starts.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/late_starts.py
@@ -18,6 +18,7 @@
 
 if typing.TYPE_CHECKING:
     from carawaymast_core.cell import cell as cell_mod
+    from carawaymast_core.cell import worker as worker_mod
 
 __all__ = [
     'LATE_CALL_MS',
@@ -30,6 +31,7 @@
     'is_only_start_listed',
     'is_too_large',
     'may_act_later',
+    'record_late_renewal',
     'record_listed',
     'record_unanswered',
 ]
@@ -78,6 +80,18 @@
         run.task.last_run_id = max(run.task.last_run_id, run.run_id + 1)
 
 
+def record_late_renewal(
+    cell: 'cell_mod.Cell', worker: 'worker_mod.Worker', sent_at_ms: int
+) -> None:
+    """Record that a renewal with a deadline has no answer.
+
+    The worker may have restarted meanwhile: each incarnation may carry it out.
+    """
+    for other in cell.worker_by_key.values():
+        if other.worker_id == worker.worker_id:
+            other.lease.record_late_call(sent_at_ms + LATE_CALL_MS)
+
+
 def assume_sent(run: run_mod.Run, now_ms: int) -> None:
     """Assume that a previous leader sent the starts of a run until now.
 
--- a/packages/carawaymast-node/carawaymast_node/cells/orders.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/orders.py
@@ -262,8 +262,7 @@
             )
         except ports.WorkerError:
             if deadline_ms is not None:
-                until_ms = sent_at_ms + late_starts.LATE_CALL_MS
-                worker.lease.record_late_call(until_ms)
+                late_starts.record_late_renewal(self._cell, worker, sent_at_ms)
             raise
         answers.apply_lease_renewal(
             self._cell, worker, answer, sent_at_ms, self._clock.now()
