A new leader counts with renewals of its predecessor for 8 s

What callers could see: two runs of one task, if the predecessor lost the store and renewed a lease that the new leader cannot reach.

Cause: renewals of the predecessor were taken to end 1 s after the takeover, as its starts do. Without the store a leader renews leases for 8 s. The constant stands with the other bounds now. The scenario, found by the review, failed before; it shows the bound, the two runs follow from it by reading.

--- a/features/single_runs.feature
+++ b/features/single_runs.feature
@@ -33,3 +33,8 @@
     When its worker restarts while a renewal is under way, and is cut off
     And the start and the renewal arrive there within 12 s of their sending
     Then the task never ran at two workers
+
+  # The same for renewals of a leader that has lost the store.
+  Scenario: A new leader counts with late renewals of its predecessor
+    When another leader follows that never reaches the worker
+    Then it counts with renewals of its predecessor for as long as they may come
--- a/features/steps/single_run_steps.py
+++ b/features/steps/single_run_steps.py
@@ -382,7 +382,7 @@
     )
     until_ms = (
         taken_over_ms
-        + orders_mod.MAX_UNCONFIRMED_MS
+        + late_starts.MAX_UNCONFIRMED_RENEWAL_MS
         + late_starts.LATE_CALL_MS
     )
     assert context.worker.lease.late_until_ms >= until_ms, (
--- a/packages/carawaymast-core/carawaymast_core/cell/late_starts.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/late_starts.py
@@ -22,6 +22,7 @@
 
 __all__ = [
     'LATE_CALL_MS',
+    'MAX_UNCONFIRMED_RENEWAL_MS',
     'MAX_UNCONFIRMED_START_MS',
     'NOT_ANSWERED',
     'assume_sent',
@@ -41,6 +42,8 @@
 LATE_CALL_MS = 12_000
 # A leader sends no start if its leadership was last confirmed longer ago.
 MAX_UNCONFIRMED_START_MS = 1_000
+# How long a leader renews leases after its leadership was last confirmed.
+MAX_UNCONFIRMED_RENEWAL_MS = 8_000
 
 # Another worker, which refuses calls for this one, has the address, or this
 # one has left.
@@ -98,10 +101,11 @@
     It recorded those without an answer. Another one may have been under way
     at its end.
     """
-    until_ms = now_ms + MAX_UNCONFIRMED_START_MS + LATE_CALL_MS
-    run.worker.lease.record_late_call(until_ms)
+    run.worker.lease.record_late_call(
+        now_ms + MAX_UNCONFIRMED_RENEWAL_MS + LATE_CALL_MS
+    )
     if may_act_later(run):
-        run.late_until_ms = until_ms
+        run.late_until_ms = now_ms + MAX_UNCONFIRMED_START_MS + LATE_CALL_MS
         if run.task.last_run_id > run.run_id:
             run.starts += 1
 
--- a/packages/carawaymast-node/carawaymast_node/cells/orders.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/orders.py
@@ -40,10 +40,6 @@
 # How long the acknowledgement of ended runs waits for the store before the
 # lease is renewed without it.
 ACK_WAIT_MS = 400
-# How long a leader renews leases after its last confirmed renewal of the
-# leadership, on a clock that counts suspension;
-# ``worker_lifecycle.UNREACHED_WORKER_TIMEOUT_MS`` relies on it.
-MAX_UNCONFIRMED_MS = 8_000
 
 
 # Bounds on the time-out of an order. A worker answers within a few ms; the
@@ -201,7 +197,9 @@
         worker follows another leader.
         """
         while not worker.is_gone:
-            if not self._confirmation.is_within(MAX_UNCONFIRMED_MS):
+            if not self._confirmation.is_within(
+                late_starts.MAX_UNCONFIRMED_RENEWAL_MS
+            ):
                 self._log.log_event('hold_paused', worker=worker.worker_id)
                 await asyncio.sleep(RENEWAL_RETRY_INTERVAL_MS / 1000)
                 continue
