A repeated start that waited for the store withdraws no run that runs

What callers could see: two runs of one task, after a store that was slow for over 12 s beside a lost start.

Cause: a repeated start waited for the leadership to be confirmed while a list showed the run. A refusal after the wait then withdrew the run, as if it had never been started. Such a start is left out now.

--- a/features/single_runs.feature
+++ b/features/single_runs.feature
@@ -38,3 +38,10 @@
   Scenario: A new leader counts with late renewals of its predecessor
     When another leader follows that never reaches the worker
     Then it counts with renewals of its predecessor for as long as they may come
+
+  # Guards against two runs of one task: the run that a list has shown was
+  # withdrawn as one that was never started.
+  Scenario: A repeated start waits for the store while its run is listed
+    Given a repeated start that waits for the store, as a list shows the run
+    When the store is slow for 13 s, the worker drains, and the store is back
+    Then the task of that start runs at one worker at most
--- a/packages/carawaymast-core/carawaymast_core/cell/start_check.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/start_check.py
@@ -14,7 +14,7 @@
 if typing.TYPE_CHECKING:
     from carawaymast_core.cell import cell as cell_mod
 
-__all__ = ['refusal', 'withdraw']
+__all__ = ['is_wanted', 'refusal', 'refusal_now', 'withdraw']
 
 
 def refusal(run: run_mod.Run) -> str:
@@ -35,6 +35,12 @@
     return run.stop_reason
 
 
+def is_wanted(run: run_mod.Run) -> bool:
+    """Return whether a run is still on its worker and not known to run."""
+    is_on_worker = run.worker.run_by_task.get(run.task.name) is run
+    return is_on_worker and run.state is not run_mod.RunState.RUNNING
+
+
 def withdraw(
     cell: 'cell_mod.Cell', run: run_mod.Run, reason: str, now_ms: int
 ) -> None:
--- a/packages/carawaymast-node/carawaymast_node/cells/orders.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/orders.py
@@ -98,7 +98,8 @@
         """
         await self._confirmation.wait(late_starts.MAX_UNCONFIRMED_START_MS)
         now_ms = self._clock.now()
-        if run.worker.run_by_task.get(run.task.name) is not run:
+        if not start_check.is_wanted(run):
+            run.is_under_way = False
             return
         reason = start_check.refusal(run)
         if reason:
