A service's run that ends as done is held like any other

What callers could see: two runs of a service's task. It starts again after each end, also as done, which was taken for the end of a task.

--- a/features/single_runs.feature
+++ b/features/single_runs.feature
@@ -26,6 +26,13 @@
       | its worker begins to drain            |
       | another member of its gang is refused |
 
+  # Guards against two runs of a service's task, which starts again after it
+  # has ended as done.
+  Scenario: A service ends as done while its first start may still act
+    Given a service whose start was repeated, and which then ends as done
+    When the worker restarts under its id, and the start arrives there
+    Then the task of that start runs at one worker at most
+
   # Guards against two runs of one task: the renewal, which fails after the
   # restart is known, extends the lease of a run that a late start began.
   Scenario: A renewal is under way as its worker restarts
--- a/packages/carawaymast-core/carawaymast_core/cell/late_starts.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/late_starts.py
@@ -133,7 +133,8 @@
         return False
     if how in _UNKNOWN_ENDS and run.stop_answered_at_ms is None:
         return True
-    return how is not reports.EndKind.DONE and _may_run_again(run)
+    is_done = how is reports.EndKind.DONE and not run.task.step.spec.is_service
+    return not is_done and _may_run_again(run)
 
 
 def is_too_large(run: run_mod.Run) -> bool:
