--- a/features/single_runs.feature
+++ b/features/single_runs.feature
@@ -52,3 +52,9 @@
     Given a repeated start that waits for the store, as a list shows the run
     When the store is slow for 13 s, the worker drains, and the store is back
     Then the task of that start runs at one worker at most
+
+  # Guards against workers over their capacity.
+  Scenario: A worker shrinks while a start waits for the store
+    Given a start that waits for the store
+    When its worker shrinks below the size of the task, and the store is back
+    Then that start is not sent
--- a/packages/carawaymast-core/carawaymast_core/cell/start_check.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/start_check.py
@@ -35,6 +35,13 @@
     return run.stop_reason
 
 
+def refusal_now(run: run_mod.Run) -> str:
+    """Return the same as ``refusal``, and whether the worker has shrunk."""
+    if min(run.worker.free) < 0:
+        return 'its worker has shrunk'
+    return refusal(run)
+
+
 def is_wanted(run: run_mod.Run) -> bool:
     """Return whether a run is still on its worker and not known to run."""
     is_on_worker = run.worker.run_by_task.get(run.task.name) is run
--- a/packages/carawaymast-node/carawaymast_node/cells/orders.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/orders.py
@@ -101,7 +101,7 @@
         if not start_check.is_wanted(run):
             run.is_under_way = False
             return
-        reason = start_check.refusal(run)
+        reason = start_check.refusal_now(run)
         if reason:
             start_check.withdraw(self._cell, run, reason, now_ms)
             self._on_change()
