A start repeated after a takeover is known to the next leader; smaller mends

What callers could see: two runs of one task, with three leaders in series.

Cause: a leader repeated a start of its predecessor's without taking a number for it, so the next leader took the run that the worker listed for its only start.

Also, from the review: - A hold does not end on a list that was sent before its end. - Only starts that are not confirmed are repeated. - Renewals of a predecessor end with a restart of the worker that the new leader finds at its takeover: a leader renews no lease after the first call without an answer.

--- a/features/late_starts.feature
+++ b/features/late_starts.feature
@@ -32,6 +32,7 @@
       | 1       | cut off and not listed       | another leads after 1.5 s    |
       | 6       | cut off and not listed       | another leads after 5 s      |
       | 3       | twice, listed at once        | another leads after 0.05 s   |
+      | 3       | begun, cut off, not listed   | others lead after 0.05 and 2 s |
 
   # Guards against tasks that wait for seconds since a start was not answered.
   Scenario Outline: A start without an answer is repeated at its worker
--- a/features/steps/late_start_steps.py
+++ b/features/steps/late_start_steps.py
@@ -28,8 +28,8 @@
 class Play(typing.NamedTuple):
     """What happens to the worker and the leader, in ms after the start.
 
-    ``listed_ms`` is None if the leader is not told of the restart, ``lead_ms``
-    None if no other leader follows. The late start arrives at ``arrive_ms``.
+    ``listed_ms`` is None if the leader is not told of the restart. Other
+    leaders follow at ``leads_ms``. The late start arrives at ``arrive_ms``.
     With ``is_begun``, a repeated start begins the run before the restart.
     """
 
@@ -38,7 +38,7 @@
     is_cut: bool
     is_twice: bool
     is_begun: bool
-    lead_ms: int | None
+    leads_ms: tuple[int, ...]
     arrive_ms: int
 
 
@@ -161,9 +161,11 @@
         ]
     if plan.listed_ms is not None:
         times.append((plan.listed_ms, late.list_worker))
-    if plan.lead_ms is not None:
-        listed_born_ms = 1 if plan.listed_ms is None else 2
-        times.append((plan.lead_ms, lambda: late.take_over(listed_born_ms)))
+    listed_born_ms = 1 if plan.listed_ms is None else 2
+    times += [
+        (lead_ms, lambda: late.take_over(listed_born_ms))
+        for lead_ms in plan.leads_ms
+    ]
     times.sort(key=lambda row: row[0])
     while late.elapsed_ms() < PLAY_MS:
         while times and times[0][0] <= late.elapsed_ms():
@@ -175,7 +177,7 @@
 
 @given('a start that gets no answer and may arrive for 12 s')
 def unanswered_start(context):
-    context.play = Play(0, None, False, False, False, None, 0)
+    context.play = Play(0, None, False, False, False, (), 0)
 
 
 @when('its worker restarts after {seconds:d} s, {seen}')
@@ -196,12 +198,18 @@
 
 @when('the leader leads on')
 def lead_on(context):
-    context.play = context.play._replace(lead_ms=None)
+    context.play = context.play._replace(leads_ms=())
 
 
 @when('another leads after {seconds:g} s')
 def other_leads(context, seconds):
-    context.play = context.play._replace(lead_ms=int(seconds * 1_000))
+    context.play = context.play._replace(leads_ms=(int(seconds * 1_000),))
+
+
+@when('others lead after {first:g} and {second:g} s')
+def others_lead(context, first, second):
+    leads_ms = int(first * 1_000), int(second * 1_000)
+    context.play = context.play._replace(leads_ms=leads_ms)
 
 
 @when('the start arrives at any moment after that')
--- a/packages/carawaymast-core/carawaymast_core/cell/answers.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/answers.py
@@ -85,7 +85,7 @@
         if name in listed or name in ended_names:
             continue
         if _is_absence_certain(run, sent_at_ms):
-            if late_starts.is_held(run, reports.EndKind.ABSENT, now_ms):
+            if late_starts.is_held(run, reports.EndKind.ABSENT, sent_at_ms):
                 start_repeats.repeat_or_stop(cell, run, now_ms)
                 continue
             run_ends.apply(cell, run, reports.EndKind.ABSENT, '', now_ms)
--- a/packages/carawaymast-core/carawaymast_core/cell/late_starts.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/late_starts.py
@@ -35,6 +35,7 @@
     'record_late_renewal',
     'record_listed',
     'record_unanswered',
+    'take_number',
 ]
 
 NOT_ANSWERED = 'start not answered'
@@ -71,16 +72,21 @@
 
 
 def record_unanswered(run: run_mod.Run, sent_at_ms: int) -> None:
-    """Record that a start that was sent by then has no answer.
-
-    It takes a number of its own, by which a next leader sees that there was
-    one; see ``assume_sent``.
-    """
+    """Record that a start that was sent by then has no answer."""
     until_ms = sent_at_ms + LATE_CALL_MS
     run.worker.lease.record_late_call(until_ms)
     if may_act_later(run):
         run.late_until_ms = max(run.late_until_ms, until_ms)
-        run.task.last_run_id = max(run.task.last_run_id, run.run_id + 1)
+        take_number(run)
+
+
+def take_number(run: run_mod.Run) -> None:
+    """Take the next run's number for a start that may not be the only one.
+
+    By that a next leader sees that there was one, see ``assume_sent``.
+    """
+    task = run.task
+    task.last_run_id = max(task.last_run_id, run.run_id + 1)
 
 
 def record_late_renewal(
@@ -95,15 +101,17 @@
             other.lease.record_late_call(sent_at_ms + LATE_CALL_MS)
 
 
-def assume_sent(run: run_mod.Run, now_ms: int) -> None:
+def assume_sent(run: run_mod.Run, has_restarted: bool, now_ms: int) -> None:
     """Assume that a previous leader sent the starts of a run until now.
 
     It recorded those without an answer. Another one may have been under way
-    at its end.
+    at its end. A leader renews no lease after the first call without an
+    answer, so renewals for a worker that ``has_restarted`` have ended too.
     """
-    run.worker.lease.record_late_call(
-        now_ms + MAX_UNCONFIRMED_RENEWAL_MS + LATE_CALL_MS
-    )
+    renewed_for_ms = MAX_UNCONFIRMED_RENEWAL_MS
+    if has_restarted:
+        renewed_for_ms = MAX_UNCONFIRMED_START_MS
+    run.worker.lease.record_late_call(now_ms + renewed_for_ms + LATE_CALL_MS)
     if may_act_later(run):
         run.late_until_ms = now_ms + MAX_UNCONFIRMED_START_MS + LATE_CALL_MS
         if run.task.last_run_id > run.run_id:
--- a/packages/carawaymast-core/carawaymast_core/cell/start_repeats.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/start_repeats.py
@@ -38,6 +38,8 @@
         run_id=run.run_id,
         worker=run.worker.worker_id,
     )
+    late_starts.take_number(run)
+    cell.mark_dirty(run.task.step.job)
     # Lists that are sent before this start tell nothing of it.
     run.known_at_ms = None
     run.starts += 1
@@ -50,6 +52,7 @@
     """Return whether the worker may begin the run now."""
     return not (
         run.is_held
+        or run.state is not run_mod.RunState.ORDERED
         or run.is_stop_sent
         or run.starts >= MAX_STARTS
         or now_ms - run.placed_at_ms >= REPEAT_MS
--- a/packages/carawaymast-core/carawaymast_core/cell/takeover.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/takeover.py
@@ -86,9 +86,10 @@
         # on the worker: no order of the previous leader can take effect
         # after it.
         run.known_at_ms = -1
-        if worker.born_ms != run_row.born_ms:
+        has_restarted = worker.born_ms != run_row.born_ms
+        if has_restarted:
             crashes.record_restart(cell, run, now_ms)
-        late_starts.assume_sent(run, now_ms)
+        late_starts.assume_sent(run, has_restarted, now_ms)
         worker.add(run)
         task.runs.append(run)
 
