--- a/features/steps/load_steps.py
+++ b/features/steps/load_steps.py
@@ -157,8 +157,10 @@
     runner = context.world.runner_by_id[name]
     start = runner.start
 
-    def failing_start(epoch, task, run_id, deadline_ms, work_ms, fails):
-        return start(epoch, task, run_id, deadline_ms, 100, True)
+    def failing_start(
+        token, task, run_id, deadline_ms, work_ms, fails, ticket
+    ):
+        return start(token, task, run_id, deadline_ms, 100, True, ticket)
 
     runner.start = failing_start
 
