--- /dev/null
+++ b/review/second/judging.py
@@ -0,0 +1,54 @@
+"""Judges the rule LOST for tasks that last, by what the runners saw."""
+
+from review.second import bed as bed_mod
+
+__all__ = ['idle_for_too_long']
+
+# From the rule: 6 s after a task's last run, in calm, for 3 s on end.
+AFTER_RUN_S = 6.0
+IDLE_S = 3.0
+CALM_BEFORE_S = 4.0
+ENDS = ('done', 'failed', 'stopped', 'lapsed', 'broken', 'alone', 'lost')
+
+
+def _idle_spans(bed: bed_mod.Bed, until_s: float) -> dict[str, list]:
+    """Return the spans in which each task ran on no runner that is up."""
+    began_s: dict[tuple[str, str], float] = {}
+    busy: dict[str, list[tuple[float, float]]] = {}
+    for event in bed.history.events:
+        key = (event.runner, event.task)
+        if event.what == 'start':
+            began_s[key] = event.at_s
+        elif event.what in ENDS and key in began_s:
+            busy.setdefault(event.task, []).append(
+                (began_s.pop(key), event.at_s)
+            )
+    for (_, task), at_s in began_s.items():
+        busy.setdefault(task, []).append((at_s, until_s))
+    spans: dict[str, list] = {}
+    for task, runs in busy.items():
+        runs.sort()
+        ends = [run[1] for run in runs]
+        starts = [run[0] for run in runs[1:]] + [until_s]
+        spans[task] = [
+            (end, start)
+            for end, start in zip(ends, starts, strict=True)
+            if start > end
+        ]
+    return spans
+
+
+def idle_for_too_long(
+    bed: bed_mod.Bed, calm_from_s: float, until_s: float
+) -> list[str]:
+    """Return the tasks that lasted idle for longer than the rule allows."""
+    broken = []
+    for task, spans in _idle_spans(bed, until_s).items():
+        for end_s, start_s in spans:
+            from_s = max(end_s + AFTER_RUN_S, calm_from_s + CALM_BEFORE_S)
+            if start_s - from_s > IDLE_S:
+                broken.append(
+                    f'LOST: {task} is to last and runs nowhere from '
+                    f'{end_s:.3f} to {start_s:.3f} s, with room on all runners'
+                )
+    return broken
