--- a/review/6/case.py
+++ b/review/6/case.py
@@ -4,6 +4,7 @@
 import time
 
 from review.second import bed as bed_mod
+from review.second import judging
 
 JOBS = 38
 TASKS = 32
@@ -17,29 +18,6 @@
 FINISH_S = 60.0
 
 
-def judge(bed: bed_mod.Bed) -> list[str]:
-    """Return the starts after an end as done that is taken note of.
-
-    An end counts as taken note of once the cursor of a hold reaches it, if
-    the lease did not lapse in between.
-    """
-    noted = set()
-    for event in bed.history.events:
-        if event.what == 'noted done' and not event.detail:
-            noted.add((event.task, event.run_id))
-    done_at_s: dict[str, float] = {}
-    broken = []
-    for event in bed.history.events:
-        if event.what == 'done' and (event.task, event.run_id) in noted:
-            done_at_s.setdefault(event.task, event.at_s)
-        elif event.what == 'start' and event.task in done_at_s:
-            broken.append(
-                f'TWICE: {event.task} run {event.run_id} begins at '
-                f'{event.at_s:.3f} s, done since {done_at_s[event.task]:.3f} s'
-            )
-    return broken
-
-
 async def play(bed: bed_mod.Bed) -> int:
     """Play the case."""
     await bed.open(3, [('a', 'r1'), ('a', 'r1'), ('b', 'r2')])
@@ -69,7 +47,7 @@
         waiting = [i for i in waiting if await bed.state(i) != 'completed']
     if waiting and not bed_mod.is_troubled():
         raise bed_mod.CannotRunError(f'not completed: {waiting}')
-    return bed_mod.finish(bed, judge(bed))
+    return bed_mod.finish(bed, judging.started_after_done(bed))
 
 
 if __name__ == '__main__':
--- a/review/second/judging.py
+++ b/review/second/judging.py
@@ -1,8 +1,8 @@
-"""Judges the rule LOST for tasks that last, by what the runners saw."""
+"""Judges the rules LOST and TWICE by what the runners saw."""
 
 from review.second import bed as bed_mod
 
-__all__ = ['idle_for_too_long']
+__all__ = ['idle_for_too_long', 'started_after_done']
 
 # From the rule: 6 s after a task's last run, in calm, for 3 s on end.
 AFTER_RUN_S = 6.0
@@ -52,3 +52,26 @@
                     f'{end_s:.3f} to {start_s:.3f} s, with room on all runners'
                 )
     return broken
+
+
+def started_after_done(bed: bed_mod.Bed) -> list[str]:
+    """Return the starts after an end as done that is taken note of.
+
+    An end counts as taken note of once the cursor of a hold reaches it, if
+    the lease did not lapse in between.
+    """
+    noted = set()
+    for event in bed.history.events:
+        if event.what == 'noted done' and not event.detail:
+            noted.add((event.task, event.run_id))
+    done_at_s: dict[str, float] = {}
+    broken = []
+    for event in bed.history.events:
+        if event.what == 'done' and (event.task, event.run_id) in noted:
+            done_at_s.setdefault(event.task, event.at_s)
+        elif event.what == 'start' and event.task in done_at_s:
+            broken.append(
+                f'TWICE: {event.task} run {event.run_id} begins at '
+                f'{event.at_s:.3f} s, done since {done_at_s[event.task]:.3f} s'
+            )
+    return broken
--- a/review/second/runner.py
+++ b/review/second/runner.py
@@ -23,6 +23,8 @@
 HEARTBEAT_S = 1.5
 SILENT_HEARTBEATS = 3
 OTHER_INSTANCE = 421
+# A call that gets no answer is broken off after its caller has given up.
+SILENT_S = 3.0
 
 
 def _break_off(request: web.Request) -> web.Response:
@@ -126,16 +128,25 @@
         self._seq = 0
         self.is_up = False
         self.leaves_at_s: float | None = None
+        self._late_calls: list[asyncio.Future] = []
+        # Until when calls get no answer, and are carried out late: after so
+        # many seconds, by path.
+        self.late_until_s = 0.0
+        self.late_s_by_path: dict[str, float] = {}
+        # Until when no call arrives.
+        self.cut_until_s = 0.0
         self.restart()
 
     # -- lives -------------------------------------------------------------
 
-    def restart(self) -> None:
-        """Begin a new life under a new id."""
+    def restart(self, keeps_id: bool = False) -> None:
+        """Begin a new life, under a new id or the one that it had."""
         self._lives += 1
-        self.id = f'i-{self.name}-{self._lives}'
+        self._clock_from_s = time.monotonic()
+        if not keeps_id:
+            self.id = f'i-{self.name}-{self._lives}'
+            self._clock_from_s -= 1000.0 * self._lives
         self.born_ms = int(time.time() * 1000)
-        self._clock_from_s = time.monotonic() - 1000.0 * self._lives
         self.fence = 0
         self.lease_ms = 0.0
         self.lapsed_number = 0
@@ -178,8 +189,11 @@
         self.register()
         asyncio.get_running_loop().call_later(for_s, self.crash)
 
-    def crash(self) -> None:
-        """End this life at once: all runs are gone, nothing is answered."""
+    def crash(self, stays_listed: bool = False) -> None:
+        """End this life at once: all runs are gone, nothing is answered.
+
+        Its entry goes after three heartbeats, unless it is back by then.
+        """
         if not self.is_up:
             return
         self.is_up = False
@@ -189,6 +203,8 @@
             del self.running[run.task]
             if run.gang:
                 self._gangs.remove(run, 'crashed')
+        if stays_listed:
+            return
         former = self.id
         asyncio.get_running_loop().call_later(
             SILENT_HEARTBEATS * HEARTBEAT_S,
@@ -271,6 +287,18 @@
         async def handle(request: web.Request) -> web.Response:
             body = json.loads(await request.read())
             life = self.id
+            now_s = time.monotonic()
+            if now_s < self.cut_until_s:
+                await asyncio.sleep(SILENT_S)
+                return _break_off(request)
+            if now_s < self.late_until_s:
+                late_s = self.late_s_by_path.pop(request.path, None)
+                if late_s is not None:
+                    asyncio.get_running_loop().call_later(
+                        late_s, self._carry_out, request.path, handler, body
+                    )
+                await asyncio.sleep(SILENT_S)
+                return _break_off(request)
             if not self.is_up:
                 return _break_off(request)
             if request.headers.get('Expected-Instance', life) != life:
@@ -288,6 +316,20 @@
 
         return handle
 
+    def _carry_out(self, path: str, handler, body) -> None:
+        """Carry out a call that was not answered, if the fence allows it."""
+        task, run_id = body.get('task', ''), body.get('run_id', 0)
+        if not self.is_up or body.get('fence', 0) < self.fence:
+            self.history.add(self.id, 'late call refused', task, run_id, path)
+            return
+        self.fence = body.get('fence', 0)
+        cursor = body.get('ack_cursor', '')
+        self.history.add(
+            self.id, 'late call', task, run_id, f'{path} {cursor}'
+        )
+        body.pop('wait_ms', None)
+        self._late_calls.append(asyncio.ensure_future(handler(body)))
+
     def _answer(self, status: int, **fields) -> web.Response:
         fields |= {'clock_ms': self.clock_ms, 'born': self.born_ms}
         return web.Response(
