Few nodes: long calls for advice are made, in turn, and bound what is accepted

Change: one node at least is left to long calls; after 1 s without one a long call comes before all short ones; each second call goes to the step that has waited longest, once that is 1.5 s; such steps may use the reserve after 1 s without a short call; and a job is refused, with a time to come back, if the first calls that wait take more than 3 s, the time after which the platform calls a job lost.

--- a/features/steps/waiting_steps.py
+++ b/features/steps/waiting_steps.py
@@ -128,6 +128,72 @@
     submit(context, job_id, step, policy=policy)
 
 
+@given('{nodes:d} node that makes calls for advice of {ms:d} ms')
+def scarce_calls(context, nodes, ms):
+    calls = context.world.cell.advice_calls
+    calls.nodes = nodes
+    calls.max_workers = len(context.world.runner_by_id)
+    context.policy = cell_world.queue(
+        advice=spec_mod.AdvicePolicy(ms, 0.0, VALID_MS)
+    )
+
+
+@given('{count:d} jobs that need such a call')
+def submit_calling(context, count):
+    for number in range(count):
+        submit(context, f'x{number}', cell_world.step(), policy=context.policy)
+    context.world.run_cycle()
+
+
+def refusal_by_rank(context, rank):
+    policy = context.policy._replace(rank=rank)
+    submission = cell_world.job('j1', cell_world.step(), policy=policy)
+    return context.world.cell.check_admission(submission)
+
+
+@then('a further such job is {decision}')
+def further_job(context, decision):
+    refusal = refusal_by_rank(context, context.policy.rank)
+    assert (refusal is None) == (decision == 'admitted'), refusal
+    assert refusal is None or refusal.retry_after_s > 0, refusal
+
+
+@then('a more urgent one is admitted')
+def urgent_admitted(context):
+    refusal = refusal_by_rank(context, context.policy.rank - 1)
+    assert refusal is None, refusal
+
+
+def submit_in_time(context, number):
+    policy = cell_world.queue(advice=ADVICE)
+    context.world.submit(
+        cell_world.job(
+            f'x{number}',
+            cell_world.step(cpu=100, estimate_ms=1),
+            policy=policy,
+            accepted_at_ms=context.world.clock.wall(),
+        )
+    )
+
+
+@given('a job "{job_id}" that needs advice and is late by far')
+def submit_late(context, job_id):
+    submit(
+        context,
+        job_id,
+        cell_world.step(),
+        policy=cell_world.queue(advice=ADVICE),
+    )
+
+
+@when('a job that is in time comes for each call for {seconds:d} s')
+def come_in_time(context, seconds):
+    for number in range(seconds * 1_000 // ADVICE_CALL_MS):
+        submit_in_time(context, f'{number}-a')
+        submit_in_time(context, f'{number}-b')
+        answer_calls(context, ADVICE_CALL_MS / 1_000)
+
+
 @when('one call for advice a time is answered for {seconds:d} s')
 def answer_calls(context, seconds):
     world = context.world
@@ -140,7 +206,7 @@
             world.run_cycle()
             continue
         step.advice.is_call_pending = True
-        placing.record_advice_call(cell, step)
+        cell.advice_calls.record(step)
         for _ in range(ADVICE_CALL_MS // 100):
             world.run_cycle()
         tickets = {i: world.runner_by_id[i].ticket() for i in ids}
--- a/features/waiting.feature
+++ b/features/waiting.feature
@@ -174,3 +174,26 @@
     And a job "j1" of 1 processor that needs advice comes
     And one call for advice a time is answered for 4 s
     Then "j1" has started
+
+  # Guards against jobs that are accepted, and then stand still beside idle
+  # workers until their turn for a call for advice comes.
+  Scenario Outline: Calls for advice are scarcer than workers
+    Given a cell of 4 workers
+    And <nodes> node that makes calls for advice of 500 ms
+    And 30 jobs that need such a call
+    Then a further such job is <decision>
+    And a more urgent one is admitted
+    And a job of 1 task is admitted
+
+    Examples:
+      | nodes | decision |
+      | 1     | refused  |
+      | 8     | admitted |
+
+  # Guards against steps that never have a call: those that are late come after
+  # all others, and others come as fast as calls are made.
+  Scenario: A step that is late still has its call for advice
+    Given a cell of 4 workers
+    And a job "late" that needs advice and is late by far
+    When a job that is in time comes for each call for 4 s
+    Then "late" has started
--- a/packages/carawaymast-core/carawaymast_core/cell/admission.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/admission.py
@@ -10,6 +10,7 @@
 import typing
 
 from carawaymast_core import resources
+from carawaymast_core.cell import advice_calls
 from carawaymast_core.cell import backlog as backlog_mod
 from carawaymast_core.cell import fleet as fleet_mod
 from carawaymast_core.cell import free_claims
@@ -22,6 +23,9 @@
 USABLE_CAPACITY_SHARE = 0.9
 # A worker that is large enough may be restarting, or have shrunk for a while.
 LARGE_WORKER_RETRY_MS = 3_000
+# The platform calls a job lost that stands still for longer beside idle
+# workers.
+MAX_ADVICE_WAIT_MS = 3_000
 MIN_RETRY_AFTER_S = 1
 MAX_RETRY_AFTER_S = 30
 # Retries are spread over this share of the predicted wait; without it, all
@@ -54,12 +58,39 @@
         fleet: fleet_mod.Fleet,
         largest_seen_by_service: dict[str, resources.Resources],
         reserved_ids: typing.Container[str],
+        calls: advice_calls.AdviceCalls,
     ):
+        self._waiting = waiting
+        self._fleet = fleet
+        self._calls = calls
+        self._advice_wait_ms_by_queue: dict[tuple[str, int], float] = {}
         self.backlog = backlog_mod.Backlog(waiting, fleet)
         self.claims = free_claims.FreeClaims(fleet, reserved_ids)
         self.largest_by_service = fleet.largest_by_service
         self.largest_seen_by_service = largest_seen_by_service
 
+    def advice_wait_ms(self, queue: spec_mod.QueuePolicy) -> float:
+        """Return how long a new step of a queue waits for a call for advice.
+
+        Calls for steps of a lower rank come after it. 0 if it needs none.
+        """
+        if queue.advice is None:
+            return 0.0
+        key = queue.service, queue.rank
+        found = self._advice_wait_ms_by_queue.get(key)
+        if found is None:
+            steps = self._waiting.in_order(
+                lambda need: (
+                    need.is_ticketed
+                    and need.kind.service == queue.service
+                    and need.rank <= queue.rank
+                )
+            )
+            workers = len(self._fleet.workers(queue.service, ''))
+            found = self._calls.wait_ms(steps, workers)
+            self._advice_wait_ms_by_queue[key] = found
+        return found
+
 
 def check_admission(
     submission: spec_mod.Submission, state: Admission
@@ -88,6 +119,14 @@
                 )
     if submission.spec.occurrences or any(s.is_service for s in steps):
         return None
+    advice_wait_ms = state.advice_wait_ms(queue)
+    if advice_wait_ms > MAX_ADVICE_WAIT_MS:
+        return Refusal(
+            f'calls for advice take {int(advice_wait_ms)} ms, at most '
+            f'{MAX_ADVICE_WAIT_MS} ms are allowed',
+            int(advice_wait_ms),
+            _retry_after_s(advice_wait_ms),
+        )
     path_ms = spec_mod.critical_path_ms(steps)
     objective_ms = spec_mod.objective_ms(queue, steps)
     wait_ms = (
--- a/packages/carawaymast-core/carawaymast_core/cell/advice.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/advice.py
@@ -31,7 +31,9 @@
 class StepAdvice:
     """The decisions of the advice service on the workers for one step."""
 
-    def __init__(self) -> None:
+    def __init__(self, now_ms: int = 0) -> None:
+        # When the step became ready, or its last call was answered.
+        self.called_at_ms = now_ms
         self.grant_by_worker: dict[str, Grant] = {}
         # The service never changes a decision, so a denial is final.
         self.denied_ids: set[str] = set()
@@ -103,6 +105,7 @@
         denied. The tickets were issued at ``issued_at_ms`` or later.
         """
         self.is_call_pending = False
+        self.called_at_ms = issued_at_ms
         expires_at_ms = issued_at_ms + valid_ms
         for worker_id in asked_ids:
             ticket = granted.get(worker_id)
--- a/packages/carawaymast-core/carawaymast_core/cell/cell.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/cell.py
@@ -14,6 +14,7 @@
 from carawaymast_core import resources
 from carawaymast_core.cell import admission
 from carawaymast_core.cell import advice as advice_mod
+from carawaymast_core.cell import advice_calls
 from carawaymast_core.cell import availability
 from carawaymast_core.cell import fencing
 from carawaymast_core.cell import fleet as fleet_mod
@@ -68,8 +69,7 @@
         # Steps that allow speculative copies, while any of their tasks run.
         self.speculative_by_name: dict[str, jobs.StepState] = {}
         self.copies_checked_at_ms = 0
-        # See ``placing.MAX_RENEWALS_IN_ROW``.
-        self.advice_renewals_in_row = 0
+        self.advice_calls = advice_calls.AdviceCalls()
         # A time of day.
         self.speeds_stored_at_ms = 0
         # When workers were last checked for overdue runs.
@@ -109,6 +109,7 @@
                 self.fleet,
                 self._largest_seen_by_service,
                 self.reservations.worker_ids,
+                self.advice_calls,
             )
         return admission.check_admission(submission, self._admission)
 
@@ -244,7 +245,7 @@
         step.ready_at_ms = step.ready_at_ms or now_ms
         policy = step.job.submission.queue.advice
         if policy is not None and step.advice is None:
-            step.advice = advice_mod.StepAdvice()
+            step.advice = advice_mod.StepAdvice(now_ms)
         self.ready_by_name[step.name] = step
 
     def stop(self, run: run_mod.Run, reason: str) -> None:
--- a/packages/carawaymast-core/carawaymast_core/cell/placing.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/placing.py
@@ -20,15 +20,11 @@
 __all__ = [
     'align_gang_run_ids',
     'plan',
-    'record_advice_call',
     'steps_needing_advice',
 ]
 
 # Between two log events on the same gang's reservation.
 RESERVATION_LOG_INTERVAL_MS = 2_000
-# Successive calls for advice on steps that had some before, while steps that
-# had none wait for a call.
-MAX_RENEWALS_IN_ROW = 3
 
 
 def plan(cell: 'cell_mod.Cell', now_ms: int, wall_ms: int) -> None:
@@ -96,9 +92,7 @@
 ) -> typing.Iterator[tuple[jobs.StepState, list[str]]]:
     """Yield the steps that need tickets, in the order in which they start.
 
-    After ``MAX_RENEWALS_IN_ROW`` calls for steps that had decisions before,
-    those without any come first: steps that wait for long, whose tickets
-    expire again and again, must not take all calls.
+    See ``advice_calls`` for the exceptions from this order.
 
     Each comes with the ids of the workers to ask about: those whose tickets
     are about to expire, then the others, the best first. If ``is_planned`` is
@@ -108,9 +102,7 @@
     ids_by_kind: dict[tuple[str, str, bool], list[str]] = {}
     cell.ready_by_name.sort_for(wall_ms)
     ordered = cell.ready_by_name.in_order(lambda need: need.is_ticketed)
-    if cell.advice_renewals_in_row >= MAX_RENEWALS_IN_ROW:
-        ordered = sorted(ordered, key=lambda s: s.advice.is_known)
-    for step in ordered:
+    for step in cell.advice_calls.in_turn(ordered, now_ms):
         advice = step.advice
         if advice.is_call_pending or advice.is_satisfied(now_ms):
             continue
@@ -128,14 +120,6 @@
             yield step, ids_to_ask
 
 
-def record_advice_call(cell: 'cell_mod.Cell', step: jobs.StepState) -> None:
-    """Record a call for advice on a step, see ``steps_needing_advice``."""
-    if step.advice.is_known:
-        cell.advice_renewals_in_row += 1
-    else:
-        cell.advice_renewals_in_row = 0
-
-
 def _ids_to_ask(
     cell: 'cell_mod.Cell', step: jobs.StepState, now_ms: int
 ) -> list[str]:
--- a/packages/carawaymast-node/carawaymast_node/cells/advice_dispatcher.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/advice_dispatcher.py
@@ -9,6 +9,7 @@
 
 from carawaymast_core import clock as clock_mod
 from carawaymast_core.cell import advice as advice_mod
+from carawaymast_core.cell import advice_calls
 from carawaymast_core.cell import jobs
 from carawaymast_node import background
 from carawaymast_node import channels
@@ -19,6 +20,8 @@
 
 __all__ = ['AdviceDispatcher', 'make_advise_handler']
 
+# A step, and the ids of the workers to ask about.
+Request = tuple[jobs.StepState, list[str]]
 # Stands for this node where peers are named by their ids.
 LOCAL_NODE = ''
 # Calls that are expected to take longer leave a reserve of idle nodes. Short
@@ -27,6 +30,12 @@
 LONG_CALL_MS = 150
 SHORT_CALL_RESERVE_SHARE = 0.25
 MIN_SHORT_CALL_RESERVE = 2
+# At the latest this long after the last one, the next long call comes before
+# all short ones.
+MAX_LONG_CALL_INTERVAL_MS = 1_000
+# This long after the last short call, steps that are overdue for a long one
+# may use the reserve.
+RESERVE_IDLE_MS = 1_000
 # The service's response time is known; links of 5 Mbit/s add up to 0.33 s. A
 # peer that takes longer is disconnected or frozen, and another one is called.
 PEER_SLACK_MS = 400
@@ -54,6 +63,9 @@
         self._metrics = metrics
         self._on_answer = on_answer
         self._busy_node_ids: set[str] = set()
+        self._long_call_at_ms = self._short_call_at_ms = clock.now()
+        # How many nodes may make long calls at a time.
+        self.long_call_nodes = 1
         self._tasks = background.TaskSet()
 
     @property
@@ -67,7 +79,7 @@
 
     def dispatch(
         self,
-        requests: typing.Iterable[tuple[jobs.StepState, list[str]]],
+        requests: typing.Iterable[Request],
         on_call: typing.Callable[[jobs.StepState], None] = lambda step: None,
     ) -> None:
         """Start a call through each idle node, in the order of ``requests``.
@@ -76,23 +88,40 @@
         beyond ``max_workers`` are left for a later call. Short calls go
         through the fastest nodes, long ones through the slowest, whose links
         delay an answer by up to 0.3 s. ``on_call`` gets the step of each call.
+
+        Long calls leave some nodes to short ones, unless there were none for a
+        while. However few nodes there are, and however many short calls wait,
+        a long one is made through the first idle node
+        ``MAX_LONG_CALL_INTERVAL_MS`` after the one before.
         """
         members = sorted(self._peers.candidates(), key=lambda m: m.speed)
         member_by_id = {m.node_id: m for m in members}
         nodes = [*member_by_id, LOCAL_NODE]
+        reserved_count = _short_call_reserve(len(nodes))
+        self.long_call_nodes = len(nodes) - reserved_count
         idle = [n for n in nodes if n not in self._busy_node_ids]
         if not idle:
             return
-        reserved_count = max(
-            MIN_SHORT_CALL_RESERVE, int(SHORT_CALL_RESERVE_SHARE * len(nodes))
+        now_ms = self._clock.now()
+        is_long_due = (
+            now_ms - self._long_call_at_ms >= MAX_LONG_CALL_INTERVAL_MS
         )
+        is_reserve_idle = now_ms - self._short_call_at_ms >= RESERVE_IDLE_MS
+        if is_long_due:
+            requests = _first_long_first(requests, self._is_long)
         for step, wanted_ids in requests:
             worker_ids = wanted_ids[: self._max_workers]
-            policy = step.job.submission.queue.advice
-            expected_ms = advice_mod.call_ms(policy, len(worker_ids))
-            is_long = expected_ms > LONG_CALL_MS
-            if is_long and len(idle) <= reserved_count:
-                continue
+            is_long = self._is_long(step, worker_ids)
+            if is_long:
+                may_use_reserve = is_long_due or (
+                    is_reserve_idle and advice_calls.is_overdue(step, now_ms)
+                )
+                if len(idle) <= reserved_count and not may_use_reserve:
+                    continue
+                is_long_due = False
+                self._long_call_at_ms = now_ms
+            else:
+                self._short_call_at_ms = now_ms
             node_id = idle.pop(0 if is_long else -1)
             self._busy_node_ids.add(node_id)
             step.advice.is_call_pending = True
@@ -104,6 +133,11 @@
             if not idle:
                 return
 
+    def _is_long(self, step: jobs.StepState, wanted_ids: list[str]) -> bool:
+        policy = step.job.submission.queue.advice
+        workers = min(len(wanted_ids), self._max_workers)
+        return advice_mod.call_ms(policy, workers) > LONG_CALL_MS
+
     async def _call(self, node_id, member, step, worker_ids) -> None:
         sent_at_ms = self._clock.now()
         policy = step.job.submission.queue.advice
@@ -159,6 +193,33 @@
         return ports.Advice(dict(answer.ticket_by_worker), answer.valid_ms)
 
 
+def _short_call_reserve(nodes: int) -> int:
+    """Return how many of the nodes long calls leave idle.
+
+    At least one node is left to long calls.
+    """
+    reserve = max(
+        MIN_SHORT_CALL_RESERVE, int(SHORT_CALL_RESERVE_SHARE * nodes)
+    )
+    return min(reserve, nodes - 1)
+
+
+def _first_long_first(
+    requests: typing.Iterable[Request],
+    is_long: typing.Callable[[jobs.StepState, list[str]], bool],
+) -> typing.Iterator[Request]:
+    """Yield the first request for a long call, then the others in order."""
+    requests = iter(requests)
+    short = []
+    for request in requests:
+        if is_long(*request):
+            yield request
+            break
+        short.append(request)
+    yield from short
+    yield from requests
+
+
 def make_advise_handler(
     advise: ports.Advise | None,
     clock: clock_mod.Clock,
--- a/packages/carawaymast-node/carawaymast_node/cells/leader.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/leader.py
@@ -81,6 +81,9 @@
         )
         self._advice: advice_dispatcher.AdviceDispatcher | None = None
         if context.platform.advise is not None:
+            self.cell.advice_calls.max_workers = (
+                context.platform.settings.max_advised_workers
+            )
             self._advice = advice_dispatcher.AdviceDispatcher(
                 context.clock,
                 context.platform.advise,
@@ -259,8 +262,9 @@
                 placing.steps_needing_advice(
                     self.cell, now_ms, wall_ms, is_planned
                 ),
-                lambda step: placing.record_advice_call(self.cell, step),
+                self.cell.advice_calls.record,
             )
+            self.cell.advice_calls.nodes = self._advice.long_call_nodes
         for order in self.cell.stops:
             self._tasks.spawn(self._orders.stop(order))
         self.cell.stops.clear()
