A worker lost with the leader: evidence ends former leases, not worst cases

Cause: three worst cases were added up at the next leader. It took each run of the record for a start that may still be carried out, though most were listed long ago; its predecessor for one that renews leases 8 s more, though its process had ended; and the lease for the longest, which only calls for a former incarnation leave.

Evidence, each with the promise that rests on it: - RunRecord.lease_ms: this incarnation has listed the run after its only start, so no other start can begin it elsewhere; and the longest lease that the incarnation may have. Written with a record that is due, or after 0.5 s, for runs of more than 1 s. - former_terms: a release (orders now end before it), a refused connection (no listener, so no process), a later process or an answer that it does not lead (new call ShowTerm) each end a predecessor's renewals, also of those before it; the offsets of renewals bound when the last claim was. Without any of these it stays at 8 s after the last confirmation. - former_leases ends the runs of a worker that was never reached when the two have passed. At a first answer the recorded lease counts in place of the longest. A node claims only once its member record is stored, so that all leaders can be asked.

--- a/features/cell_world.py
+++ b/features/cell_world.py
@@ -8,6 +8,7 @@
 """
 
 import collections
+import math
 import typing
 
 from carawaymast_core import clock as clock_mod
@@ -40,6 +41,8 @@
 # How long a runner is down after a crash.
 RESTART_MS = 3_200
 KEEP_ENDED_MS = 120_000
+# Epochs rise by as much with each leader.
+FIRST_EPOCH = 10
 CAPACITY = resources.Resources(16_000, 65_536, 0)
 SERVICE = 'desk'
 # The outcome of a start whose answer is lost.
@@ -127,6 +130,9 @@
         # When a task of each job was started, in order.
         self.job_starts: list[tuple[int, str]] = []
         self.epoch = 0
+        # How long after a takeover the former leader may renew leases, as
+        # far as its successor knows.
+        self.formers_ms = 0
         for number in range(workers):
             self.add_runner(f'w{number}')
         self.take_over()
@@ -239,7 +245,7 @@
 
         ``listed`` are runners that are listed but cannot be reached.
         """
-        self.epoch += 10
+        self.epoch += FIRST_EPOCH
         self.pending_starts = []
         self._read_store()
         self.cell = cell_mod.Cell(
@@ -251,6 +257,9 @@
                 self.cell, self.entry(runner), now_ms
             )
         self.cell.set_clock(now_ms, now_ms)
+        self.cell.formers_until_ms = now_ms + self.formers_ms
+        if self.epoch == FIRST_EPOCH:
+            self.cell.formers_until_ms = -math.inf
         takeover.load(self.cell, self.view, now_ms, now_ms)
         self.renew_leases()
 
--- a/features/model.feature
+++ b/features/model.feature
@@ -42,3 +42,4 @@
       | incarnations | awaits_starts             | False | 11    |
       | incarnations | awaits_renewals           | False | 11    |
       | incarnations | confirms_leadership       | False | 11    |
+      | incarnations | records_longest           | False | 10    |
--- a/features/mutants.py
+++ b/features/mutants.py
@@ -12,6 +12,7 @@
 from carawaymast_core import slot_cache
 from carawaymast_core import slot_ledger
 from carawaymast_core.cell import fencing
+from carawaymast_core.cell import former_leases
 from carawaymast_core.cell import late_starts
 from carawaymast_core.cell import placing
 from carawaymast_core.cell import retention
@@ -81,6 +82,7 @@
 # The methods before they are patched.
 original_prove_idle = slot_ledger.SlotLedger.prove_idle
 original_add_part = records.Replica._add_part
+original_record_listed = former_leases.record_listed
 
 
 def state_dropped_first():
@@ -126,6 +128,24 @@
     return mock.patch.object(late_starts, 'held_until_ms', lambda *run: 0)
 
 
+def listed_after_any_start():
+    """Record a run as listed after its only start, however many there were."""
+
+    def record_listed(cell, run, now_ms):
+        starts, run.starts = run.starts, 1
+        original_record_listed(cell, run, now_ms)
+        run.starts = starts
+
+    return mock.patch.object(former_leases, 'record_listed', record_listed)
+
+
+def usual_lease_recorded():
+    """Record the usual lease, also where the longest may last."""
+    return mock.patch.object(
+        worker_lease.WorkerLease, 'left_ms', property(lambda self: 0)
+    )
+
+
 FAULT_BY_NAME = {
     'no fault': contextlib.nullcontext,
     'no guard interval': no_guard_interval,
@@ -139,4 +159,6 @@
     'tickets kept after restart': tickets_kept_after_restart,
     'late starts not awaited': late_starts_not_awaited,
     'late starts end with lease': late_starts_end_with_lease,
+    'listed after any start': listed_after_any_start,
+    'usual lease recorded': usual_lease_recorded,
 }
--- a/features/randomised.feature
+++ b/features/randomised.feature
@@ -40,3 +40,5 @@
       | tickets kept after restart  | restarting cell | 800      |
       | late starts not awaited     | restarting cell | 800      |
       | late starts end with lease  | restarting cell | 800      |
+      | listed after any start      | restarting cell | 800      |
+      | usual lease recorded        | restarting cell | 800      |
--- a/features/renewals.feature
+++ b/features/renewals.feature
@@ -35,3 +35,10 @@
     When 8 s pass on the virtual clock
     Then the log says once that the second worker is not adopted
     And the metrics count 1 worker that is not adopted
+
+  # Guards against orders that follow the release of the leadership, which the
+  # next leader takes for the end of all orders.
+  Scenario: A leader that hands over sends no more orders
+    Given a leader that renews the leases of 3 idle workers
+    When the leader finishes, to release the leadership
+    Then it calls no worker any more
--- a/features/restart_machine.py
+++ b/features/restart_machine.py
@@ -242,6 +242,28 @@
         self.cut_off(name)
         self.run_cycles(60)
 
+    @stateful.rule(
+        name=NAME,
+        is_lease_long=st.booleans(),
+        before=st.sampled_from([3, 12, 20, 60]),
+        clock_rate=CLOCK_RATE,
+    )
+    def lose_with_leader(self, name, is_lease_long, before, clock_rate):
+        """Cut a runner off as the leader changes, maybe with a long lease."""
+        self.reconnect()
+        self.run_cycles(1)
+        if is_lease_long:
+            self.lose_renewal(name)
+            self.restart(name, False, False, clock_rate)
+            while self.late_calls:
+                self.deliver_late_call(0)
+            self.reconnect()
+        self.submit(1, False, LONG_WORK_MS)
+        self.run_cycles(before)
+        self.cut_off(name)
+        self.change_leader()
+        self.run_cycles(60)
+
     def _change_leader_if(self, is_wanted):
         if is_wanted:
             self.change_leader()
--- a/features/steps/renewal_steps.py
+++ b/features/steps/renewal_steps.py
@@ -12,6 +12,7 @@
 from behave import when
 
 from carawaymast_core import clock as clock_mod
+from carawaymast_core.cell import former_terms
 from carawaymast_core.cell import reports
 from carawaymast_core.cell import run as run_mod
 from carawaymast_core.cell import view as view_mod
@@ -42,6 +43,7 @@
         self.born_ms_by_id = {}
         self.silent_ids = set()
         self.in_flight = collections.Counter()
+        self.total = 0
 
     async def renew_lease(
         self, worker, epoch, deadline_ms, wait_ms, timeout_ms
@@ -49,6 +51,7 @@
         """Answer after ``wait_ms``, or not at all."""
         worker_id = worker.worker_id
         self.in_flight[worker_id] += 1
+        self.total += 1
         try:
             if worker_id in self.silent_ids:
                 await asyncio.sleep(timeout_ms / MS_PER_S)
@@ -69,6 +72,7 @@
     """An election that is won for good."""
 
     confirmation = leader_parts.Confirmed()
+    former_terms = former_terms.FormerTerms('n1')
 
 
 def waiting_transport(log):
@@ -193,6 +197,19 @@
     assert all(map(parts.is_usable, context.ids))
 
 
+@when('the leader finishes, to release the leadership')
+def finish(context):
+    parts = context.parts
+    parts.loop.run_until_complete(parts.leader.finish(300))
+    context.calls = parts.calls.total
+
+
+@then('it calls no worker any more')
+def no_more_calls(context):
+    context.parts.advance(5)
+    assert context.parts.calls.total == context.calls
+
+
 @when(
     'its entry is removed and is back after {first:d} to {last:d} ms, '
     '{count:d} times'
--- a/packages/carawaymast-core/carawaymast_core/cell/answers.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/answers.py
@@ -4,6 +4,7 @@
 
 from carawaymast_core import resources
 from carawaymast_core.cell import crashes
+from carawaymast_core.cell import former_leases
 from carawaymast_core.cell import late_starts
 from carawaymast_core.cell import progress
 from carawaymast_core.cell import records
@@ -63,7 +64,9 @@
         crashes.withdraw_lapse(cell, worker)
     if not worker.is_adopted:
         worker.is_adopted = True
-        worker.lease.assume_longest(cell.max_lease_ms)
+        worker.lease.assume_longest(
+            former_leases.adopted_lease_ms(cell, worker, now_ms)
+        )
         cell.log_event(
             'worker_adopted',
             worker=worker.worker_id,
@@ -125,6 +128,7 @@
             late_starts.record_listed(run)
             # A previous leader may have set the limit.
             run.speed_limit = int(row.percent)
+        former_leases.record_listed(cell, run, now_ms)
         if run.task.crashes != records.NO_CRASHES:
             crashes.apply_survival(cell, run, now_ms)
         progress.record(run, row.percent, now_ms)
--- a/packages/carawaymast-core/carawaymast_core/cell/batching.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/batching.py
@@ -63,6 +63,9 @@
             job.has_started = True
             job.phase = records.JobPhase.RUNNING
             job.changed_at_ms = wall_ms
+    if cell.dirty_ids:
+        cell.dirty_ids |= cell.listed_ids
+        cell.listed_ids = set()
     for job_id in cell.dirty_ids:
         job = cell.job_by_id.get(job_id)
         if job is None:
--- a/packages/carawaymast-core/carawaymast_core/cell/cell.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/cell.py
@@ -9,6 +9,7 @@
 since 1970. Stored times are times of day, since steady clocks differ by node.
 """
 
+import math
 import typing
 
 from carawaymast_core import resources
@@ -34,6 +35,7 @@
 
 
 Log = typing.Callable[..., None]
+LISTED_RECORD_DELAY_MS = 500
 
 
 class Cell:
@@ -56,6 +58,10 @@
         self.fencing_tokens = fencing.FencingTokens(epoch)
         # The workers that have restarted under their ids since the last plan.
         self.restarted_ids: set[str] = set()
+        # All workers that this leader has known.
+        self.known_ids: set[str] = set()
+        # Until when former leaders may renew leases, see ``former_terms``.
+        self.formers_until_ms = math.inf
         self.ready_by_name = waiting_mod.WaitingSteps()
         self.scheduled_by_name: dict[str, jobs.StepState] = {}
         self.reservations = reservations.Reservations(
@@ -87,6 +93,10 @@
         # ended runs by the workers' keys.
         self.new_by_id: dict[str, spec_mod.Submission] = {}
         self.dirty_ids: set[str] = set()
+        # Jobs of which a run was listed, to be written with others or after
+        # ``LISTED_RECORD_DELAY_MS``, and since when there are any.
+        self.listed_ids: set[str] = set()
+        self.listed_since_ms = 0
         self.starts: list[run_mod.Run] = []
         self.acks: dict[tuple[str, int], int] = {}
         # State records that have expired, see ``retention``.
@@ -218,6 +228,19 @@
         if job.phase.is_final and not any(job.runs()):
             self.mark_dirty(job)
 
+    def mark_listed(self, job: jobs.Job, now_ms: int) -> None:
+        """Write the job's state with the next batch, which may be later."""
+        if not self.listed_ids:
+            self.listed_since_ms = now_ms
+        self.listed_ids.add(job.job_id)
+
+    def write_listed(self, now_ms: int) -> None:
+        """Write the states of listed runs that have waited for others."""
+        is_due = now_ms - self.listed_since_ms >= LISTED_RECORD_DELAY_MS
+        if self.listed_ids and is_due:
+            self.dirty_ids |= self.listed_ids
+            self.listed_ids.clear()
+
     def mark_dirty(self, job: jobs.Job) -> None:
         """Have the next batch write the state of a job."""
         self.dirty_ids.add(job.job_id)
--- a/packages/carawaymast-core/carawaymast_core/cell/jobs.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/jobs.py
@@ -57,7 +57,10 @@
             self.checkpoint,
             tuple(
                 records.RunRecord(
-                    run.run_id, *run.worker.key, run.worker.entry.address
+                    run.run_id,
+                    *run.worker.key,
+                    run.worker.entry.address,
+                    run.lease_ms,
                 )
                 for run in self.runs
             ),
--- a/packages/carawaymast-core/carawaymast_core/cell/late_starts.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/late_starts.py
@@ -104,15 +104,16 @@
 def assume_sent(run: run_mod.Run, has_restarted: bool, now_ms: int) -> None:
     """Assume that a previous leader sent the starts of a run until now.
 
-    It recorded those without an answer. Another one may have been under way
-    at its end. A leader renews no lease after the first call without an
-    answer, so renewals for a worker that ``has_restarted`` have ended too.
+    It recorded those without an answer, and the runs that were listed after
+    their only start. Another start may have been under way at its end. A
+    leader renews no lease after the first call without an answer, so renewals
+    for a worker that ``has_restarted`` have ended too.
     """
     renewed_for_ms = MAX_UNCONFIRMED_RENEWAL_MS
     if has_restarted:
         renewed_for_ms = MAX_UNCONFIRMED_START_MS
     run.worker.lease.record_late_call(now_ms + renewed_for_ms + LATE_CALL_MS)
-    if may_act_later(run):
+    if may_act_later(run) and not run.lease_ms:
         run.late_until_ms = now_ms + MAX_UNCONFIRMED_START_MS + LATE_CALL_MS
         if run.task.last_run_id > run.run_id:
             run.starts += 1
@@ -167,6 +168,7 @@
             for_ms=max(0, run.late_until_ms - now_ms),
         )
         run.is_held = run.is_start_lost = True
+        run.lease_ms = 0
         run.task.step.job.record_not_begun()
         cell.mark_dirty(run.task.step.job)
         run.state = run_mod.RunState.ORDERED
--- a/packages/carawaymast-core/carawaymast_core/cell/records.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/records.py
@@ -79,13 +79,17 @@
     """A run of a task that may be on a worker.
 
     ``born_ms`` identifies the worker's incarnation. ``address`` is where
-    another one may answer after the worker is no longer listed.
+    another one may answer after the worker is no longer listed. ``lease_ms``
+    is 0 until this incarnation has listed the run after its only start; then
+    it is the longest lease, on the worker's clock, that calls up to now may
+    leave at this incarnation.
     """
 
     run_id: int
     worker_id: str
     born_ms: int
     address: str = ''
+    lease_ms: int = 0
 
 
 class CrashRecord(typing.NamedTuple):
--- a/packages/carawaymast-core/carawaymast_core/cell/run.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/run.py
@@ -34,6 +34,7 @@
         'is_under_way',
         'known_at_ms',
         'late_until_ms',
+        'lease_ms',
         'paused_since_ms',
         'percent',
         'placed_at_ms',
@@ -88,6 +89,8 @@
         self.starts = 1
         self.late_until_ms = 0
         self.is_held = False
+        # See ``records.RunRecord``.
+        self.lease_ms = 0
         # Whether a start is sent, or about to be, and has no outcome yet.
         self.is_under_way = False
         # When the call for its start failed without an answer, and whether
--- a/packages/carawaymast-core/carawaymast_core/cell/start_repeats.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/start_repeats.py
@@ -43,6 +43,7 @@
     # Lists that are sent before this start tell nothing of it.
     run.known_at_ms = None
     run.starts += 1
+    run.lease_ms = 0
     # A further crash of its worker counts again.
     run.is_crash_counted = False
     cell.starts.append(run)
--- a/packages/carawaymast-core/carawaymast_core/cell/takeover.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/takeover.py
@@ -87,6 +87,7 @@
         # after it.
         run.known_at_ms = -1
         has_restarted = worker.born_ms != run_row.born_ms
+        run.lease_ms = 0 if has_restarted else run_row.lease_ms
         if has_restarted:
             crashes.record_restart(cell, run, now_ms)
         late_starts.assume_sent(run, has_restarted, now_ms)
--- a/packages/carawaymast-core/carawaymast_core/cell/untracked_runs.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/untracked_runs.py
@@ -52,6 +52,8 @@
         return None
     run = run_mod.Run(task, row.run_id, worker, now_ms)
     run.state = run_mod.RunState.ORDERED
+    # Other starts of it may have had no answer.
+    run.starts = 2
     worker.add(run)
     task.runs.append(run)
     cell.mark_dirty(task.step.job)
--- a/packages/carawaymast-core/carawaymast_core/cell/worker.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/worker.py
@@ -67,6 +67,8 @@
         # the lease expires.
         self.is_adopted = False
         self.is_gone = False
+        # Whether the leader has known no other incarnation of the worker.
+        self.is_first = False
         self.is_listed = True
         # Since when it is known and not adopted, and when that was last
         # logged.
--- a/packages/carawaymast-core/carawaymast_core/cell/worker_lease.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/worker_lease.py
@@ -4,10 +4,11 @@
 
 from carawaymast_core import errors
 
-__all__ = ['WorkerLease', 'max_real_ms']
+__all__ = ['WorkerLease', 'max_real_ms', 'usual_ms']
 
 # From the platform's contract: a worker's steady clock may be 2% slow.
 MIN_CLOCK_RATE = 0.98
+RECKONING_ERROR = 1 / MIN_CLOCK_RATE - 1
 
 
 def max_real_ms(worker_clock_ms: int) -> int:
@@ -15,6 +16,14 @@
     return math.ceil(worker_clock_ms / MIN_CLOCK_RATE)
 
 
+def usual_ms(lease_ms: int) -> int:
+    """Return the longest lease that calls for ``lease_ms`` may leave.
+
+    A leader reckons a worker's clock ahead by up to a lease.
+    """
+    return math.ceil(lease_ms * (1 + RECKONING_ERROR))
+
+
 class WorkerLease:
     """The end of a worker's lease, as far as the leader knows its clock.
 
@@ -43,6 +52,11 @@
         """The latest end that the lease may have, on the worker's clock."""
         return self._deadline_ms
 
+    @property
+    def left_ms(self) -> int:
+        """How long the lease may last at the latest reading of the clock."""
+        return max(0, self._deadline_ms - self._clock_ms)
+
     def record_clock(self, clock_ms: int, now_ms: int) -> None:
         """Record a reading of the worker's clock.
 
--- a/packages/carawaymast-core/carawaymast_core/cell/worker_lifecycle.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/worker_lifecycle.py
@@ -1,8 +1,10 @@
 """The life cycle of workers: listed, restarted, leaving and lost."""
 
+import math
 import typing
 
 from carawaymast_core.cell import crashes
+from carawaymast_core.cell import former_leases
 from carawaymast_core.cell import late_starts
 from carawaymast_core.cell import reports
 from carawaymast_core.cell import run as run_mod
@@ -73,6 +75,8 @@
 ) -> worker_mod.Worker:
     worker = worker_mod.Worker(entry)
     worker.fencing_token = cell.fencing_tokens.next()
+    worker.is_first = worker.worker_id not in cell.known_ids
+    cell.known_ids.add(worker.worker_id)
     worker.lease.assumed_lost_at_ms = now_ms + max(
         UNREACHED_WORKER_TIMEOUT_MS,
         worker_lease.max_real_ms(cell.max_lease_ms),
@@ -138,6 +142,7 @@
         if run.state is run_mod.RunState.RUNNING:
             run.known_at_ms = now_ms
         run.is_stopping = False
+        run.lease_ms = 0
         run.stop_answered_at_ms = None
         run.percent = run.use = 0.0
         run.state = run_mod.RunState.ORDERED
@@ -149,6 +154,7 @@
 
 def sweep(cell: 'cell_mod.Cell', now_ms: int, wall_ms: int) -> None:
     """Apply what depends on time: leases, leaving workers, scheduled steps."""
+    cell.write_listed(now_ms)
     is_check_due = (
         now_ms - cell.overdue_checked_at_ms >= OVERDUE_CHECK_INTERVAL_MS
     )
@@ -159,6 +165,9 @@
             for run in suspicion.check_overdue(cell, worker, now_ms):
                 cell.stop(run, suspicion.MOVE_REASON)
             _log_unadopted(cell, worker, now_ms)
+        if worker.run_by_task and worker.lease.assumed_lost_at_ms is not None:
+            lapsed = former_leases.lapsed_runs(cell, worker, now_ms)
+            _end_runs(cell, worker, lapsed, now_ms)
         if worker.run_by_task and worker.lease.is_expired(now_ms):
             _expire_lease(cell, worker, now_ms)
         elif not worker.is_listed and not worker.run_by_task:
@@ -209,6 +218,16 @@
         for run in worker.run_by_task.values()
         if now_ms >= late_starts.held_until_ms(run, cell.max_lease_ms)
     ]
+    _end_runs(cell, worker, ended, now_ms)
+
+
+def _end_runs(
+    cell: 'cell_mod.Cell',
+    worker: worker_mod.Worker,
+    ended: typing.Sequence[run_mod.Run],
+    now_ms: int,
+) -> None:
+    """End runs of a worker whose lease for them has expired."""
     if not ended and not worker.is_adopted:
         return
     cell.log_event(
@@ -220,6 +239,7 @@
         answered_ms_ago=now_ms - worker.last_answer_at_ms,
         clock_ms=worker.lease.clock_ms,
         lease_until_ms=worker.lease.deadline_ms,
+        formers_ended_ms_ago=_finite(now_ms - cell.formers_until_ms),
     )
     worker.is_adopted = False
     worker.unadopted_since_ms = now_ms
@@ -230,6 +250,10 @@
     crashes.give_up(cell, to_give_up, now_ms)
 
 
+def _finite(ms: float) -> float | None:
+    return ms if math.isfinite(ms) else None
+
+
 def _end_unlisted(
     cell: 'cell_mod.Cell', worker: worker_mod.Worker, now_ms: int
 ) -> None:
--- a/packages/carawaymast-node/carawaymast_node/cells/election.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/election.py
@@ -10,6 +10,7 @@
 import typing
 
 from carawaymast_core import clock as clock_mod
+from carawaymast_core.cell import former_terms as former_terms_mod
 from carawaymast_core.cell import records
 from carawaymast_node.cells import confirmation as confirmation_mod
 from carawaymast_node.cells import ports
@@ -20,7 +21,7 @@
 KEY = 'leader'
 # A renewal takes 6 ms; three in a row may be lost or late before another node
 # claims.
-RENEW_INTERVAL_MS = 400
+RENEW_INTERVAL_MS = former_terms_mod.RENEWAL_INTERVAL_MS
 LEADER_TIMEOUT_MS = 1_500
 # After this time without a renewal, a successor that misses the leader's
 # heartbeats claims. A node that is only cut off from the leader still reads
@@ -42,6 +43,7 @@
     end of the topic as far as it is known. ``confirmed_at_ms`` is when this
     node sent the last of its own records that has been stored, and
     ``confirmation`` has the same on a clock that counts suspension.
+    ``former_terms`` has what is known of the leaders before.
     ``is_lost`` returns whether the leader of an epoch seems to be lost before
     its record in the store is old, and ``may_succeed_itself`` whether this
     node claims at once after its own leading process has ended.
@@ -74,6 +76,7 @@
         self.record_read_at_ms = 0
         self.confirmed_at_ms = 0
         self.confirmation = confirmation_mod.Confirmation(clock)
+        self.former_terms = former_terms_mod.FormerTerms(node_id)
 
     @property
     def is_claimed_locally(self) -> bool:
@@ -100,6 +103,9 @@
         self.epoch = epoch
         self.record = record
         self.record_read_at_ms = self._clock.now()
+        self.former_terms.record(
+            record, epoch, item.offset, self.record_read_at_ms
+        )
         if is_change:
             self._on_change()
 
--- a/packages/carawaymast-node/carawaymast_node/cells/fabric.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/fabric.py
@@ -40,6 +40,8 @@
         self.member_by_id: dict[str, records.MemberRecord] = {}
         # The peers whose last call had no reply.
         self.unreachable_ids: set[str] = set()
+        # Whether the members topic has been read to its end.
+        self.is_complete: typing.Callable[[], bool] = lambda: False
 
     async def __aenter__(self) -> 'Peers':
         return self
@@ -153,6 +155,10 @@
         """Return the phase of a job."""
         await self._dispatch('ShowJob', stream)
 
+    async def ShowTerm(self, stream: server.Stream) -> None:  # noqa: N802
+        """Return whether this process may still send orders as a leader."""
+        await self._dispatch('ShowTerm', stream)
+
     async def Watch(self, stream: server.Stream) -> None:  # noqa: N802
         """Stay open while this process runs."""
         await self._dispatch('Watch', stream)
--- a/packages/carawaymast-node/carawaymast_node/cells/leader.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/leader.py
@@ -16,6 +16,7 @@
 from carawaymast_node.cells import advice_dispatcher
 from carawaymast_node.cells import context as context_mod
 from carawaymast_node.cells import dropping
+from carawaymast_node.cells import former_watch
 from carawaymast_node.cells import journal as journal_mod
 from carawaymast_node.cells import orders
 from carawaymast_node.cells import ports
@@ -98,6 +99,7 @@
         )
         self.is_open = False
         self._is_over = False
+        self._is_finished = False
         self._fence_reason = ''
 
     async def run(self) -> None:
@@ -118,6 +120,11 @@
             self._metrics.count('takeovers_total')
             self._metrics.record_ms('takeover', self._clock.now() - started_ms)
             self._tasks.spawn(self._workers.reader.run())
+            self._tasks.spawn(
+                former_watch.watch_formers(
+                    self._context, self.epoch, self._wake.set
+                )
+            )
             self._tasks.spawn(
                 dropping.keep_dropping(self._context, self._drop_state)
             )
@@ -182,10 +189,24 @@
         await waiting.wait_event(self._committed, STALL_POLL_INTERVAL_MS)
 
     async def finish(self, timeout_ms: int) -> None:
-        """Accept no more jobs and wait for the write in flight."""
+        """Accept no more jobs, store those accepted, and end all calls."""
         self.is_open = False
-        if self._commit_task is not None:
-            await asyncio.wait([self._commit_task], timeout=timeout_ms / 1000)
+        self._is_finished = True
+        until_ms = self._clock.now() + timeout_ms
+        await self._wait_for_write(until_ms)
+        if self._commit_task is None and self.cell.new_by_id:
+            self._begin_commit(self._clock.wall())
+            await self._wait_for_write(until_ms)
+        self._tasks.cancel()
+        self._workers.cancel()
+
+    async def _wait_for_write(self, until_ms: int) -> None:
+        if self._commit_task is None:
+            return
+        left_ms = max(0, until_ms - self._clock.now())
+        await asyncio.wait([self._commit_task], timeout=left_ms / 1000)
+        if self._commit_task.done():
+            self._commit_task = None
 
     # -- takeover ----------------------------------------------------------
 
@@ -198,10 +219,14 @@
         now_ms = self._clock.now()
         wall_ms = self._clock.wall()
         self.cell.set_clock(now_ms, wall_ms)
+        self.cell.formers_until_ms = self._formers_until_ms()
         takeover.load(self.cell, self._context.view, now_ms, wall_ms)
         self.is_open = True
         self._workers.begin_renewals()
 
+    def _formers_until_ms(self) -> float:
+        return self._context.election.former_terms.until_ms(self.epoch)
+
     async def _catch_up(self, reader: topic_reader_mod.TopicReader) -> None:
         """Read a topic up to its end at the time of the takeover."""
         while True:
@@ -242,9 +267,12 @@
             self._plan()
 
     def _plan(self) -> None:
+        if self._is_finished:
+            return
         now_ms = self._clock.now()
         wall_ms = self._clock.wall()
         self.cell.set_clock(now_ms, wall_ms)
+        self.cell.formers_until_ms = self._formers_until_ms()
         worker_lifecycle.sweep(self.cell, now_ms, wall_ms)
         # Also of workers that only an answer has shown, and of those whose
         # renewals have failed.
--- a/packages/carawaymast-node/carawaymast_node/cells/leadership.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/leadership.py
@@ -7,6 +7,7 @@
 from carawaymast_core.cell import candidacy
 from carawaymast_core.cell import lag
 from carawaymast_core.cell import leader_loss
+from carawaymast_node import fabric_pb2
 from carawaymast_node import waiting
 from carawaymast_node.cells import context as context_mod
 from carawaymast_node.cells import election as election_mod
@@ -43,6 +44,7 @@
         fail: typing.Callable[[BaseException], None],
         loss: leader_loss.LeaderLoss,
         path_lost_at_ms: typing.Callable[[], int | None],
+        boot_id: str,
     ):
         self._context = context
         self._clock = context.clock
@@ -52,8 +54,10 @@
         self._fail = fail
         self._loss = loss
         self._path_lost_at_ms = path_lost_at_ms
+        self._boot_id = boot_id
         self._wake = asyncio.Event()
         self._is_handing_over = False
+        self._may_claim = False
         self._lag = lag.LagMeter()
         self._began_at_ms = 0
         self._renewed_at_ms = 0
@@ -106,6 +110,30 @@
         if self._leader_task is not None:
             self._leader_task.cancel()
 
+    def end(self) -> None:
+        """End the term at once, without a release, as the process ends."""
+        self._end_leading('the process ends')
+
+    def allow_claims(self) -> None:
+        """Let this node claim from now on."""
+        self._may_claim = True
+        self.wake()
+
+    async def show_term(
+        self, message: fabric_pb2.TermCall
+    ) -> fabric_pb2.TermAnswer:
+        """Answer a later leader whether this process still sends orders."""
+        task, leader = self._leader_task, self.leader
+        if leader is None and task is not None and not task.done():
+            # What was cancelled ends within some iterations of the loop.
+            await asyncio.wait([task])
+            leader = self.leader
+        return fabric_pb2.TermAnswer(
+            boot_id=self._boot_id,
+            is_leading=leader is not None,
+            epoch=0 if leader is None else leader.epoch,
+        )
+
     async def keep_electing(self) -> typing.NoReturn:
         """Renew while leading, claim while there is no leader."""
         while True:
@@ -180,7 +208,7 @@
         await self._release(leader)
 
     async def _claim_if_possible(self) -> None:
-        if self._clock.now() < self._no_claim_until_ms:
+        if not self._may_claim or self._clock.now() < self._no_claim_until_ms:
             return
         if self._path_lost_at_ms() is not None:
             # It would hand over to a peer with a path of its own.
@@ -217,6 +245,7 @@
             await self._release(self.leader)
 
     async def _release(self, leader: leader_mod.Leader) -> None:
+        # The next leader counts on it that no order follows the release.
         await leader.finish(FINISH_TIMEOUT_MS)
         try:
             async with asyncio.timeout(RELEASE_TIMEOUT_MS / 1000):
--- a/packages/carawaymast-node/carawaymast_node/cells/service.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/service.py
@@ -89,6 +89,9 @@
             lambda: self.leader is not None,
             self._on_job,
         )
+        self.peers.is_complete = lambda: (
+            replica.members_reader.current_as_of_ms is not None
+        )
         self.election = election_mod.Election(
             self.store,
             self.clock,
@@ -148,6 +151,7 @@
             self.fail,
             self.leader_watch.loss,
             lambda: self.route.lost_at_ms,
+            self.boot_id,
         )
 
     def _on_job(self, job_id: str) -> None:
@@ -172,6 +176,7 @@
                 'Submit': self.leader_calls.answer_submit,
                 'Deliver': self.leader_calls.answer_deliver,
                 'ShowJob': self.leader_calls.answer_show,
+                'ShowTerm': self.leadership.show_term,
                 'Watch': leader_watch_mod.answer_watch,
             }
         )
@@ -245,9 +250,7 @@
             self.leader_watch.keep_beating(),
             self.leader_watch.keep_watching(),
             self._keep_sweeping(),
-            replica_mod.advertise_member(
-                self.store, self._member_record(), self.log
-            ),
+            self._advertise(),
             self.route.keep_probing(self._probe_store),
             telemetry_mod.stream_to_stdout(self.metrics),
         ]
@@ -261,11 +264,22 @@
                 await draining.drain(self)
             else:
                 self.log.log_event('failed', error=repr(self._failure))
+                self.leadership.end()
             for task in tasks:
                 task.cancel()
         if self._failure is not None:
             raise self._failure
 
+    async def _advertise(self) -> None:
+        """Publish this node's record, and let it claim from then on.
+
+        A next leader asks all members whether they have stopped.
+        """
+        await replica_mod.advertise_member(
+            self.store, self._member_record(), self.log
+        )
+        self.leadership.allow_claims()
+
     def _member_record(self) -> records.MemberRecord:
         """Return the record by which the other nodes reach this one."""
         settings = self.settings
--- a/packages/carawaymast-node/carawaymast_node/fabric_grpc.py
+++ b/packages/carawaymast-node/carawaymast_node/fabric_grpc.py
@@ -38,6 +38,10 @@
     async def Watch(self, stream: 'grpclib.server.Stream[carawaymast_node.fabric_pb2.WatchCall, carawaymast_node.fabric_pb2.WatchAnswer]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def ShowTerm(self, stream: 'grpclib.server.Stream[carawaymast_node.fabric_pb2.TermCall, carawaymast_node.fabric_pb2.TermAnswer]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/carawaymast.fabric.Fabric/CallStore': grpclib.const.Handler(
@@ -76,6 +80,12 @@
                 carawaymast_node.fabric_pb2.WatchCall,
                 carawaymast_node.fabric_pb2.WatchAnswer,
             ),
+            '/carawaymast.fabric.Fabric/ShowTerm': grpclib.const.Handler(
+                self.ShowTerm,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                carawaymast_node.fabric_pb2.TermCall,
+                carawaymast_node.fabric_pb2.TermAnswer,
+            ),
         }
 
 
@@ -118,3 +128,9 @@
             carawaymast_node.fabric_pb2.WatchCall,
             carawaymast_node.fabric_pb2.WatchAnswer,
         )
+        self.ShowTerm = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/carawaymast.fabric.Fabric/ShowTerm',
+            carawaymast_node.fabric_pb2.TermCall,
+            carawaymast_node.fabric_pb2.TermAnswer,
+        )
--- a/spec/incarnations.py
+++ b/spec/incarnations.py
@@ -42,6 +42,12 @@
       its late renewals too, which may extend the lease of such a run.
     - ``confirms_leadership``: a leader that was paused sends no start before
       it has confirmed that it leads.
+    - ``records_listed``: a leader records that an incarnation has listed the
+      run after its only start, and which lease that incarnation may have. A
+      leader that has the record awaits no start, and no longer lease.
+    - ``records_longest``: it records the longest lease while the incarnation
+      may have that, not the usual one.
+    - ``records_incarnation``: the record counts for that incarnation alone.
     - ``has_tickets``: a start is refused by the incarnations after the one
       that it was sent to. Some tasks have this instead of ``awaits_starts``.
     """
@@ -51,6 +57,9 @@
     awaits_starts: bool = True
     awaits_renewals: bool = True
     confirms_leadership: bool = True
+    records_listed: bool = True
+    records_longest: bool = True
+    records_incarnation: bool = True
     has_tickets: bool = False
 
 
@@ -62,16 +71,18 @@
 
     ``leads`` is the leader whose appends the store accepts, ``record`` the
     worker at which the store places the task, 0 for none, and ``last`` the
-    number of its last run. Of A, ``incarnation``, the highest ``token`` and
-    run number (``ended``) that it refuses by, ``lease``, and the run there
-    (``run_a``, 0 for none). Of each leader, the worker in its ``view``, the
-    incarnation of A that it has ``known``, and whether it has an answer of
-    it (``adopted``), the lease that it counts with (``belief``), whether the
-    start has been ``sent`` and is ``unanswered``, and the incarnations to
-    which its ``start`` (with number ``run``) and ``renewal`` in transit were
-    sent, 0 for none.
+    number of its last run. ``recorded`` is the lease in the record of a run
+    that was listed, 0 for none, and ``listed_by`` the incarnation. Of A,
+    ``incarnation``, the highest ``token`` and run number (``ended``) that it
+    refuses by, ``lease``, and the run there (``run_a``, 0 for none). Of each
+    leader, the worker in its ``view``, the incarnation of A that it has
+    ``known``, and whether it has an answer of it (``adopted``), the lease that
+    it counts with (``belief``), whether the start has been ``sent`` and is
+    ``unanswered``, and the incarnations to which its ``start`` (with number
+    ``run``) and ``renewal`` in transit were sent, 0 for none.
     """
     names = 'leads record last incarnation token ended lease run_a'.split()
+    names += ['recorded', 'listed_by']
     flags = ['run_b']
     for leader in LEADERS:
         for name in 'view known belief start run renewal'.split():
@@ -138,7 +149,7 @@
 def place(leader, worker, s, t):
     """A leader records at which worker the task is to run."""
     own = {'view': worker, 'sent': False, 'unanswered': True}
-    values = {'record': worker, 'last': s['last'] + 1}
+    values = {'record': worker, 'last': s['last'] + 1, 'recorded': 0}
     me = of(leader, s)
     parts = [me.leads, me.view == 0, s['last'] < MAX_RUNS]
     if worker == B:
@@ -196,9 +207,15 @@
     me = of(leader, s)
     is_accepted, values = carry_out(rules, leader, me.known, s)
     first = LONGEST if rules.assumes_longest_lease else USUAL
-    is_listed = s['run_a'] == s['last']
+    is_listed = z3.And(me.view == A, s['run_a'] == s['last'])
+    first = z3.If(has_record(rules, me, s), s['recorded'], first)
+    belief = z3.If(me.adopted, me.belief, first)
+    if rules.records_listed:
+        lease = belief if rules.records_longest else USUAL_VALUE
+        values['recorded'] = z3.If(is_listed, lease, s['recorded'])
+        values['listed_by'] = z3.If(is_listed, me.known, s['listed_by'])
     own = {
-        'belief': z3.If(me.adopted, me.belief, first),
+        'belief': belief,
         'adopted': True,
         'unanswered': z3.And(me.unanswered, z3.Not(is_listed)),
     }
@@ -206,6 +223,14 @@
     return z3.And(answered, changes(s, t, leader, own, **values))
 
 
+def has_record(rules, me, s) -> z3.BoolRef:
+    """Return whether a record says what the leader may conclude of A."""
+    parts = [me.view == A, s['recorded'] != 0]
+    if rules.records_incarnation:
+        parts.append(s['listed_by'] == me.known)
+    return z3.And(parts)
+
+
 def age(s, t):
     """The time of a longest lease passes, with usual renewals."""
     names = ('lease', 'belief1', 'belief2')
@@ -232,13 +257,17 @@
     """
     me = of(leader, s)
     parts = [me.leads, me.view == A]
+    is_recorded = has_record(rules, me, s)
     awaits = z3.Not(me.adopted)
     if rules.awaits_starts:
         awaits = z3.Or(awaits, me.unanswered)
+    awaits = z3.And(awaits, z3.Not(is_recorded))
+    if rules.awaits_starts:
         parts.append(z3.Implies(awaits, none_in_transit(s, 'start')))
         if rules.awaits_renewals:
             parts.append(z3.Implies(awaits, none_in_transit(s, 'renewal')))
-    is_over = s['lease'] <= z3.If(awaits, LONGEST_VALUE, me.belief)
+    known_lease = z3.If(me.adopted, me.belief, s['recorded'])
+    is_over = s['lease'] <= z3.If(awaits, LONGEST_VALUE, known_lease)
     values = {'record': 0}
     for other in LEADERS:
         # A late renewal may come just before the end and extend the lease.
@@ -315,6 +344,21 @@
         implies(s['run_b'], s['record'] == B),
         implies(run_a != 0, is_last),
         z3.Or(s['start1'] == 0, s['start2'] == 0),
+        both(s['recorded'] >= 0, s['recorded'] <= LONGEST),
+        both(s['listed_by'] >= 0, s['listed_by'] <= incarnation),
+    ]
+    is_listed = both(s['record'] == A, s['recorded'] != 0)
+    is_there = s['listed_by'] == incarnation
+    parts += [
+        implies(is_listed, both(no_start, s['listed_by'] >= 1)),
+        implies(both(is_listed, z3.Not(is_there)), run_a == 0),
+        implies(
+            both(is_listed, is_there),
+            both(
+                s['lease'] <= s['recorded'],
+                s['token'] >= token(rules, 1, incarnation),
+            ),
+        ),
     ]
     for leader in LEADERS:
         me = of(leader, s)
@@ -323,7 +367,18 @@
         answered = both(at_a, z3.Not(me.unanswered))
         greatest = token(rules, leader, incarnation)
         may_start = both(s['record'] == A, me.run == last)
+        late_token = token(rules, leader, me.renewal)
+        is_late = both(me.renewal != 0, me.renewal < incarnation)
         parts += [
+            implies(is_listed, implies(at_a, me.sent)),
+            implies(
+                both(is_listed, is_there),
+                both(
+                    implies(both(me.leads, me.adopted), is_current),
+                    implies(is_late, late_token < s['token']),
+                ),
+            ),
+            implies(me.adopted, me.belief <= LONGEST),
             both(me.known >= 0, me.known <= incarnation),
             both(me.start >= 0, me.start <= me.known),
             both(me.renewal >= 0, me.renewal <= me.known),
