A full page of ends proves no absence

Change: an answer says whether its list of ends is complete, which it is below the platform's limit. From an incomplete one nothing is concluded of the runs that it lacks: they are not released, nor are their starts repeated or stopped. Ends are taken in the order of their numbers, since an acknowledgement covers all lower ones, and the next page is read as soon as one is stored, without the pause of 30 ms, since the runs on it take capacity.

Looked at beside it: the pages of the newest records follow has_more to the end; reads of a log go on to its end offset. No other list has a limit.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -162,3 +162,16 @@
     Given the record of a job of 60 tasks that run
     Then its bytes are at most half of what they hold, and are read back
     And damaged bytes are refused
+
+  # Guards against tasks that run twice: a full page of ends tells nothing of
+  # the runs that it lacks.
+  Scenario Outline: A worker's list of ends is complete if it is not full
+    When a worker answers a renewal with <ends> ends, the last one first
+    Then the list is complete: <complete>
+    And the ends are in the order of their numbers
+
+    Examples:
+      | ends | complete |
+      | 0    | yes      |
+      | 499  | yes      |
+      | 500  | no       |
--- a/packages/carawaymast-core/carawaymast_core/cell/answers.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/answers.py
@@ -83,26 +83,31 @@
             cell.acks[worker.key] = end.number
             _apply_end(cell, worker, end, now_ms)
     listed = _apply_running(cell, worker, answer.running, now_ms)
-    for run in list(worker.run_by_task.values()):
-        name = (run.task.name, run.run_id)
-        if name in listed or name in ended_names:
-            continue
-        if _is_absence_certain(run, sent_at_ms):
-            if late_starts.is_held(run, reports.EndKind.ABSENT, sent_at_ms):
-                start_repeats.repeat_or_stop(cell, run, now_ms)
-                continue
-            run_ends.apply(cell, run, reports.EndKind.ABSENT, '', now_ms)
-        elif (
-            run.stop_reason == late_starts.NOT_ANSWERED and not run.is_stopping
-        ):
-            if sent_at_ms >= run.unanswered_at_ms:
-                run.is_missing = True
-                cell.stop(run, late_starts.NOT_ANSWERED)
+    if answer.is_complete:
+        present = listed | ended_names
+        for run in list(worker.run_by_task.values()):
+            if (run.task.name, run.run_id) not in present:
+                _apply_absence(cell, run, sent_at_ms, now_ms)
     for run in suspicion.check_stalled(cell, worker, now_ms):
         cell.stop(run, suspicion.MOVE_REASON)
     throttling.adjust_speed_limits(cell, worker, now_ms)
 
 
+def _apply_absence(
+    cell: 'cell_mod.Cell', run: run_mod.Run, sent_at_ms: int, now_ms: int
+) -> None:
+    """Apply that neither of two complete lists contains a run."""
+    if _is_absence_certain(run, sent_at_ms):
+        if late_starts.is_held(run, reports.EndKind.ABSENT, sent_at_ms):
+            start_repeats.repeat_or_stop(cell, run, now_ms)
+        else:
+            run_ends.apply(cell, run, reports.EndKind.ABSENT, '', now_ms)
+    elif run.stop_reason == late_starts.NOT_ANSWERED and not run.is_stopping:
+        if sent_at_ms >= run.unanswered_at_ms:
+            run.is_missing = True
+            cell.stop(run, late_starts.NOT_ANSWERED)
+
+
 def _apply_running(cell: 'cell_mod.Cell', worker, running, now_ms: int) -> set:
     """Apply the running runs; return their task names and run ids."""
     listed = set()
--- a/packages/carawaymast-core/carawaymast_core/cell/reports.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/reports.py
@@ -108,13 +108,15 @@
     """A worker's answer to a lease renewal: its clock and both its lists.
 
     ``clock_ms`` is the worker's steady clock; ``born_ms`` identifies its
-    incarnation.
+    incarnation. ``ended`` has the ends in the order of their numbers. If
+    ``is_complete`` is false, more of them follow once these are acknowledged.
     """
 
     clock_ms: int
     born_ms: int
     running: tuple[ListedRun, ...]
     ended: tuple[EndedRun, ...]
+    is_complete: bool = True
 
 
 class WorkerEntry(typing.NamedTuple):
--- a/packages/carawaymast-node/carawaymast_node/cells/orders.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/orders.py
@@ -271,6 +271,9 @@
             self._on_change()
         if worker.ack_number < worker.seen_number:
             await self._wait_for_ack(worker)
+            if not answer.is_complete:
+                # The runs whose ends follow still take capacity.
+                return
         elif not was_adopted:
             # This call only read the lists: renew the lease without a pause.
             return
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -14,6 +14,7 @@
 
 MAX_LEASE_MS = 10_000
 STOP_DELAY_MS = 900
+MAX_LISTED_ENDS = 500
 SPEED_LIMIT_DELAY_MS = 100
 FENCED = reports.StartRefusal.FENCED
 LATE = reports.StartRefusal.LATE
@@ -113,7 +114,11 @@
             for task, run in self.running.items()
         )
         return reports.LeaseRenewal(
-            int(self.clock_ms), self.born_ms, running, tuple(self.ended)
+            int(self.clock_ms),
+            self.born_ms,
+            running,
+            tuple(self.ended[:MAX_LISTED_ENDS]),
+            len(self.ended) <= MAX_LISTED_ENDS,
         )
 
     def start(
