A hand-over needs a sign of life, and is taken back if nobody claims

All leases lapsed each time; tasks that last stood still for good.

The 6 s in which the one that stepped down does not claim are longer than a lease.

Change: - A leader asks the better peers whether they would claim (ShowTerm), and releases only within 1 s of such an answer. This holds for faster peers, for a late event loop and for a lost path to the store. - If nobody has claimed 1.5 s after a release, or that long after a silent leader's time, nodes that left the claim to others claim too, and do not hand over again for 30 s. - A node drops its member record as it stops, once its term is over, on condition that the topic ends where it has read: a call that is carried out late cannot drop the record of its next process. - The leader's heartbeats go to nodes that watch it: those of which there is only a record leave their place among the 8 successors to others. - A node that drains does not finish a claim that it had begun.

--- a/features/steps/cell_steps.py
+++ b/features/steps/cell_steps.py
@@ -1,6 +1,7 @@
 """Steps on one cell, its leaders and in-memory runners."""
 
 import asyncio
+import types
 
 from behave import given
 from behave import then
@@ -324,10 +325,11 @@
 
 @then('it stays: {stays}, and waits {wait:d} ms before it claims')
 def stays_or_not(context, stays, wait):
-    hands_over = candidacy.should_hand_over(
-        context.speed, context.peer_speeds, False, context.term_ms
+    peers = [types.SimpleNamespace(speed=s) for s in context.peer_speeds]
+    better = candidacy.better_peers(
+        context.speed, peers, False, context.term_ms
     )
-    assert hands_over == (stays == 'no'), hands_over
+    assert bool(better) == (stays == 'no'), better
     found = candidacy.claim_delay_ms(context.speed, context.peer_speeds)
     assert found == wait, found
 
--- a/features/steps/draining_steps.py
+++ b/features/steps/draining_steps.py
@@ -51,6 +51,9 @@
     async def _hand_over(self):
         pass
 
+    async def withdraw(self, timeout_ms):
+        """It has no record."""
+
     def open(self):
         """Open the port for callers; return its address."""
         self.register(loop_mod.Root())
--- a/features/steps/leader_loss_steps.py
+++ b/features/steps/leader_loss_steps.py
@@ -101,6 +101,8 @@
             self.metrics,
             lambda: 0 if self.election.is_claimed_locally else None,
             lambda: None,
+            self.clock,
+            node_id,
         )
         self.watch.connection_made(context.network)
         self.resumed = asyncio.Event()
@@ -329,7 +331,7 @@
 
 @then('the {count:d} fastest are the successors, the fastest first')
 def fastest_first(context, count):
-    chosen = leader_loss.choose_successors(context.members)
+    chosen = leader_loss.Successors().choose(context.members, (), 0)
     speeds = sorted((m.speed for m in context.members), reverse=True)
     assert [m.speed for m in chosen] == speeds[:count], chosen
 
--- a/packages/carawaymast-core/carawaymast_core/cell/candidacy.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/candidacy.py
@@ -8,9 +8,10 @@
 import typing
 
 __all__ = [
+    'better_peers',
     'claim_delay_ms',
+    'is_unclaimed',
     'may_succeed_itself',
-    'should_hand_over',
     'should_step_aside',
 ]
 
@@ -28,6 +29,16 @@
 MIN_TERM_IF_ON_TIME_MS = 5_000
 # A path that only one call has found lost is regained by the next probe.
 PATH_LOST_MS = 300
+# A successor claims within the delays of claims, a poll and a long poll.
+UNCLAIMED_MS = 1_500
+MAX_READ_AGE_MS = 600
+
+
+class _Peer(typing.Protocol):
+    speed: float
+
+
+PeerT = typing.TypeVar('PeerT', bound=_Peer)
 
 
 def claim_delay_ms(speed: float, peer_speeds: typing.Iterable[float]) -> int:
@@ -46,22 +57,33 @@
     return not _is_any_faster(speed, peer_speeds)
 
 
-def should_hand_over(
+def better_peers(
     speed: float,
-    peer_speeds: typing.Sequence[float],
+    peers: typing.Sequence[PeerT],
     is_late: bool,
     term_ms: int,
-) -> bool:
-    """Return whether a leader should hand over to one of its peers.
+) -> list[PeerT]:
+    """Return the peers to which a leader should hand over, if they are alive.
 
-    ``peer_speeds`` are those of the peers that seem healthy, in cores;
     ``is_late`` is whether the leader's event loop runs late, and ``term_ms``
     how long it has led.
     """
     if is_late and term_ms > MIN_TERM_IF_LATE_MS:
-        return bool(peer_speeds)
-    return term_ms > MIN_TERM_IF_ON_TIME_MS and _is_any_faster(
-        speed, peer_speeds
+        return list(peers)
+    if term_ms <= MIN_TERM_IF_ON_TIME_MS:
+        return []
+    return [peer for peer in peers if peer.speed >= speed * FASTER_FACTOR]
+
+
+def is_unclaimed(free_since_ms: int, read_at_ms: int, now_ms: int) -> bool:
+    """Return whether nobody has claimed though any node might have.
+
+    ``read_at_ms`` is when the last read was sent that found no claim. Nodes
+    that have left the claim to others then claim too: leases outlast that.
+    """
+    return (
+        now_ms - free_since_ms >= UNCLAIMED_MS
+        and read_at_ms - free_since_ms >= UNCLAIMED_MS - MAX_READ_AGE_MS
     )
 
 
--- a/packages/carawaymast-core/carawaymast_core/cell/leader_loss.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/leader_loss.py
@@ -7,7 +7,7 @@
 
 import typing
 
-__all__ = ['LeaderLoss', 'check_rank', 'choose_successors']
+__all__ = ['LeaderLoss', 'Successors', 'check_rank']
 
 # Single datagrams get lost; four in a row are missed only by an ended,
 # unreachable or stopped leader.
@@ -16,6 +16,11 @@
 MAX_SUCCESSORS = 8
 # The time that a claim takes to reach the next successor.
 CLAIM_STEP_MS = 25
+# A successor keeps a call to the leader open, of 5 s at a time. One without
+# such a call leaves its place to others for a while.
+FIRST_CALL_MS = 2_000
+CALL_MS = 7_000
+SILENCE_MS = 16_000
 
 
 class _Candidate(typing.Protocol):
@@ -26,20 +31,57 @@
 CandidateT = typing.TypeVar('CandidateT', bound=_Candidate)
 
 
-def choose_successors(
-    peers: typing.Iterable[CandidateT],
-    unreachable_ids: typing.Container[str] = frozenset(),
-) -> list[CandidateT]:
-    """Return the nodes that should lead next, the first to claim first.
+class Successors:
+    """The nodes that should lead next, as the leader of a term sees them.
 
-    They are the fastest, in the order of their ids if equally fast. Those
-    that cannot be reached come after all others: they may be lost.
+    Records of nodes stay after these are gone, so those that do not watch the
+    leader after a while come after all others.
     """
-    ordered = sorted(
-        peers,
-        key=lambda p: (p.node_id in unreachable_ids, -p.speed, p.node_id),
-    )
-    return ordered[:MAX_SUCCESSORS]
+
+    def __init__(self) -> None:
+        self._chosen_at_ms_by_id: dict[str, int] = {}
+        self._watched_at_ms_by_id: dict[str, int] = {}
+
+    def record_watch(self, node_id: str, now_ms: int) -> None:
+        """Record that a node has called to watch the leader."""
+        self._watched_at_ms_by_id[node_id] = now_ms
+
+    def choose(
+        self,
+        peers: typing.Iterable[CandidateT],
+        unreachable_ids: typing.Container[str],
+        now_ms: int,
+    ) -> list[CandidateT]:
+        """Return the nodes that should lead next, the first to claim first.
+
+        They are the fastest, in the order of their ids if equally fast. Those
+        that cannot be reached, or are silent, come after all others: they may
+        be lost.
+        """
+        ordered = sorted(
+            peers,
+            key=lambda p: (
+                p.node_id in unreachable_ids
+                or self._is_silent(p.node_id, now_ms),
+                -p.speed,
+                p.node_id,
+            ),
+        )
+        chosen = ordered[:MAX_SUCCESSORS]
+        for peer in chosen:
+            chosen_at_ms = self._chosen_at_ms_by_id.get(peer.node_id)
+            if chosen_at_ms is None or now_ms - chosen_at_ms > SILENCE_MS:
+                self._chosen_at_ms_by_id[peer.node_id] = now_ms
+        return chosen
+
+    def _is_silent(self, node_id: str, now_ms: int) -> bool:
+        chosen_at_ms = self._chosen_at_ms_by_id.get(node_id)
+        if chosen_at_ms is None or now_ms - chosen_at_ms <= FIRST_CALL_MS:
+            return False
+        watched_at_ms = self._watched_at_ms_by_id.get(node_id)
+        if watched_at_ms is not None and now_ms - watched_at_ms <= CALL_MS:
+            return False
+        return now_ms - chosen_at_ms <= SILENCE_MS
 
 
 def check_rank(rank: int) -> None:
--- a/packages/carawaymast-node/carawaymast_node/cells/leader_watch.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/leader_watch.py
@@ -8,6 +8,7 @@
 import contextlib
 import typing
 
+from carawaymast_core import clock as clock_mod
 from carawaymast_core.cell import leader_loss
 from carawaymast_core.cell import records
 from carawaymast_node import channels
@@ -16,7 +17,7 @@
 from carawaymast_node.cells import fabric
 from carawaymast_node.cells import telemetry
 
-__all__ = ['LeaderWatch', 'answer_watch']
+__all__ = ['LeaderWatch']
 
 HEARTBEAT_INTERVAL_MS = 100
 # The open call is repeated, so that a silent connection is replaced.
@@ -40,6 +41,8 @@
         metrics: telemetry.Metrics,
         leading_epoch: typing.Callable[[], int | None],
         on_lost: typing.Callable[[], None],
+        clock: clock_mod.Clock,
+        node_id: str,
     ):
         self._election = election
         self._peers = peers
@@ -47,7 +50,11 @@
         self._metrics = metrics
         self._leading_epoch = leading_epoch
         self._on_lost = on_lost
+        self._clock = clock
+        self._node_id = node_id
         self._transport: asyncio.DatagramTransport | None = None
+        self._successors = leader_loss.Successors()
+        self._successors_epoch: int | None = None
         self.loss = leader_loss.LeaderLoss()
 
     @contextlib.asynccontextmanager
@@ -99,8 +106,13 @@
                 self._on_lost()
 
     def _send(self, epoch: int) -> None:
-        successors = leader_loss.choose_successors(
-            self._peers.member_by_id.values(), self._peers.unreachable_ids
+        if epoch != self._successors_epoch:
+            self._successors_epoch = epoch
+            self._successors = leader_loss.Successors()
+        successors = self._successors.choose(
+            self._peers.member_by_id.values(),
+            self._peers.unreachable_ids,
+            self._clock.now(),
         )
         for rank, member in enumerate(successors):
             heartbeat = records.Heartbeat(epoch, rank)
@@ -116,7 +128,7 @@
                 await asyncio.sleep(HEARTBEAT_INTERVAL_MS / 1000)
                 continue
             epoch = self._election.epoch
-            message = fabric_pb2.WatchCall(epoch=epoch)
+            message = fabric_pb2.WatchCall(epoch=epoch, node_id=self._node_id)
             try:
                 await self._peers.call(
                     member, 'Watch', message, WATCH_TIMEOUT_MS
@@ -140,13 +152,13 @@
             return None
         return self._peers.member_by_id.get(record.node_id)
 
+    async def answer_watch(
+        self, message: fabric_pb2.WatchCall
+    ) -> fabric_pb2.WatchAnswer:
+        """Answer a successor's call after a while.
 
-async def answer_watch(
-    message: fabric_pb2.WatchCall,
-) -> fabric_pb2.WatchAnswer:
-    """Answer a successor's call after a while.
-
-    The call serves only to show that this process has not ended.
-    """
-    await asyncio.sleep(WATCH_WAIT_MS / 1000)
-    return fabric_pb2.WatchAnswer()
+        The call shows that both processes run.
+        """
+        self._successors.record_watch(message.node_id, self._clock.now())
+        await asyncio.sleep(WATCH_WAIT_MS / 1000)
+        return fabric_pb2.WatchAnswer()
--- a/packages/carawaymast-node/carawaymast_node/cells/leadership.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/leadership.py
@@ -7,12 +7,14 @@
 from carawaymast_core.cell import candidacy
 from carawaymast_core.cell import lag
 from carawaymast_core.cell import leader_loss
+from carawaymast_core.cell import records
 from carawaymast_node import fabric_pb2
 from carawaymast_node import waiting
 from carawaymast_node.cells import context as context_mod
 from carawaymast_node.cells import election as election_mod
 from carawaymast_node.cells import leader as leader_mod
 from carawaymast_node.cells import ports
+from carawaymast_node.cells import successor_search
 from carawaymast_node.cells import topic_reader as topic_reader_mod
 
 __all__ = ['Leadership']
@@ -32,6 +34,8 @@
 # How long a node does not claim after it has stepped down; periods in which a
 # node is slow last 5 s and more on the users' platform.
 STEP_DOWN_COOLDOWN_MS = 6_000
+# After a hand-over that no node took.
+HAND_OVER_RETRY_MS = 30_000
 
 
 class Leadership:
@@ -62,6 +66,8 @@
         self._began_at_ms = 0
         self._renewed_at_ms = 0
         self._no_claim_until_ms = 0
+        self._no_hand_over_until_ms = 0
+        self._search = successor_search.SuccessorSearch(context)
         self._leader_task: asyncio.Task | None = None
         self.leader: leader_mod.Leader | None = None
 
@@ -132,6 +138,7 @@
             boot_id=self._boot_id,
             is_leading=leader is not None,
             epoch=0 if leader is None else leader.epoch,
+            may_claim=self._is_able_to_claim(),
         )
 
     async def keep_electing(self) -> typing.NoReturn:
@@ -172,28 +179,36 @@
         leader = self.leader
         if leader is None:
             await self._claim_if_possible()
-        elif self._should_step_down(now_ms):
+            return
+        better = self._better_peers(now_ms)
+        if better and self._search.has_found(now_ms):
             await self._step_down(leader, now_ms)
-        elif now_ms - self._renewed_at_ms >= election_mod.RENEW_INTERVAL_MS:
+            return
+        if better:
+            self._search.begin(better)
+        if now_ms - self._renewed_at_ms >= election_mod.RENEW_INTERVAL_MS:
             self._renewed_at_ms = now_ms
             await self._election.renew(leader.epoch)
 
-    def _should_step_down(self, now_ms: int) -> bool:
-        """Return whether another node is better suited to lead."""
+    def _better_peers(self, now_ms: int) -> list[records.MemberRecord]:
+        """Return the nodes that are better suited to lead, if they are there.
+
+        Their records say nothing of that: they stay after a node is gone.
+        """
+        if now_ms < self._no_hand_over_until_ms:
+            return []
+        peers = self._context.peers.candidates()
         if candidacy.should_step_aside(
             self._path_lost_at_ms(), self._election.confirmed_at_ms, now_ms
         ):
-            return True
-        return candidacy.should_hand_over(
+            return peers
+        return candidacy.better_peers(
             self._context.platform.settings.speed,
-            self._peer_speeds(),
+            peers,
             self._lag.is_slow,
             now_ms - self._began_at_ms,
         )
 
-    def _peer_speeds(self) -> list[float]:
-        return [peer.speed for peer in self._context.peers.candidates()]
-
     async def _step_down(self, leader: leader_mod.Leader, now_ms: int) -> None:
         """Release the leadership and do not claim it for a while."""
         self._log.log_event(
@@ -208,18 +223,49 @@
         await self._release(leader)
 
     async def _claim_if_possible(self) -> None:
-        if not self._may_claim or self._clock.now() < self._no_claim_until_ms:
-            return
-        if self._path_lost_at_ms() is not None:
-            # It would hand over to a peer with a path of its own.
+        is_left = self._is_left_unclaimed()
+        if not (self._is_able_to_claim() or is_left):
             return
         if not self._election.can_claim(self._reader):
             return
         await asyncio.sleep(self._claim_delay_ms() / 1000)
+        if self._is_handing_over:
+            return
         if self._election.can_claim(self._reader):
-            self._log.log_event('leadership_claimed')
+            self._log.log_event('leadership_claimed', left=is_left)
+            if is_left:
+                self._no_hand_over_until_ms = (
+                    self._clock.now() + HAND_OVER_RETRY_MS
+                )
             await self._election.claim(self._reader.end_offset)
 
+    def _is_able_to_claim(self) -> bool:
+        """Whether this node claims if there is no leader.
+
+        Without a path of its own to the store it would hand over to a peer
+        that has one.
+        """
+        return (
+            self._may_claim
+            and not self._is_handing_over
+            and self._clock.now() >= self._no_claim_until_ms
+            and self._path_lost_at_ms() is None
+        )
+
+    def _is_left_unclaimed(self) -> bool:
+        """Whether better nodes have left the claim to this one."""
+        record = self._election.record
+        if record is None or not self._may_claim or self._is_handing_over:
+            return False
+        free_since_ms = self._election.record_read_at_ms
+        if not record.is_released:
+            free_since_ms += election_mod.LEADER_TIMEOUT_MS
+        return candidacy.is_unclaimed(
+            free_since_ms,
+            self._reader.current_as_of_ms or 0,
+            self._clock.now(),
+        )
+
     def _claim_delay_ms(self) -> float:
         """Return how long this node leaves the claim to better ones."""
         election = self._election
--- a/packages/carawaymast-node/carawaymast_node/cells/replica.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/replica.py
@@ -14,7 +14,13 @@
 from carawaymast_node.cells import telemetry
 from carawaymast_node.cells import topic_reader as topic_reader_mod
 
-__all__ = ['PART', 'Replica', 'ReaderFactory', 'advertise_member']
+__all__ = [
+    'PART',
+    'Replica',
+    'ReaderFactory',
+    'advertise_member',
+    'withdraw_member',
+]
 
 # The number of the cell's partition in each topic; there is only one cell.
 PART = 0
@@ -30,6 +36,8 @@
 # Not urgent: until the other nodes have this node's record, calls only take
 # longer paths.
 ADVERTISE_RETRY_INTERVAL_MS = 500
+WITHDRAW_TRIES = 4
+WITHDRAW_RETRY_INTERVAL_MS = 150
 
 
 class ReaderFactory(typing.NamedTuple):
@@ -171,3 +179,27 @@
         except ports.StoreError as error:
             log.log_event('join_failed', error=str(error))
             await asyncio.sleep(ADVERTISE_RETRY_INTERVAL_MS / 1000)
+
+
+async def withdraw_member(
+    store: ports.StorePort,
+    node_id: str,
+    end_offset: int,
+    log: telemetry.Telemetry,
+) -> None:
+    """Drop a node's record as it stops, if the topic ends at ``end_offset``.
+
+    On that condition a call that is carried out late drops no record of the
+    node's next process, which is stored behind that offset.
+    """
+    item = ports.KeyValue(node_id, b'')
+    for _ in range(WITHDRAW_TRIES):
+        try:
+            await store.append(fabric.MEMBERS_TOPIC, PART, [item], end_offset)
+            return
+        except ports.ConflictError as conflict:
+            # Another node has joined or left.
+            end_offset = conflict.end_offset
+        except ports.StoreError as error:
+            log.log_event('leave_failed', error=str(error))
+            await asyncio.sleep(WITHDRAW_RETRY_INTERVAL_MS / 1000)
--- a/packages/carawaymast-node/carawaymast_node/cells/service.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/service.py
@@ -112,6 +112,8 @@
             self.metrics,
             lambda: self.leader.epoch if self.leader is not None else None,
             lambda: self.leadership.wake(),
+            self.clock,
+            settings.node_id,
         )
         self._lead_reader = reader_factory.topic_reader(
             election_mod.TOPIC,
@@ -177,7 +179,7 @@
                 'Deliver': self.leader_calls.answer_deliver,
                 'ShowJob': self.leader_calls.answer_show,
                 'ShowTerm': self.leadership.show_term,
-                'Watch': leader_watch_mod.answer_watch,
+                'Watch': self.leader_watch.answer_watch,
             }
         )
         peer_server = grpc_server.Server([service])
@@ -280,6 +282,19 @@
         )
         self.leadership.allow_claims()
 
+    async def withdraw(self, timeout_ms: int) -> None:
+        """Drop this node's record, so that no peer counts on it."""
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                await replica_mod.withdraw_member(
+                    self.store,
+                    self.settings.node_id,
+                    self.replica.members_reader.end_offset,
+                    self.log,
+                )
+        except TimeoutError:
+            self.log.log_event('leave_failed', error='the store is too slow')
+
     def _member_record(self) -> records.MemberRecord:
         """Return the record by which the other nodes reach this one."""
         settings = self.settings
