A leader that hands over says which lost workers it never reached

Change: with the release, a leader stores which workers with runs it has never reached, and when their leases expire. It has renewed none of them. The record counts for the leader that follows directly, by the epoch in it.

Evidence: the two examples "8 leaders hand over" of features/lost_with_leader.feature fail without the record, and "A worker is reached between two leaders that hand over" guards the epoch.

--- a/features/cell_world.py
+++ b/features/cell_world.py
@@ -16,6 +16,7 @@
 from carawaymast_core.cell import answers
 from carawaymast_core.cell import batching
 from carawaymast_core.cell import cell as cell_mod
+from carawaymast_core.cell import former_leases
 from carawaymast_core.cell import placing
 from carawaymast_core.cell import records
 from carawaymast_core.cell import reports
@@ -260,9 +261,18 @@
         self.cell.formers_until_ms = now_ms + self.formers_ms
         if self.epoch == FIRST_EPOCH:
             self.cell.formers_until_ms = -math.inf
+        else:
+            self.cell.former_epoch = self.epoch - FIRST_EPOCH
         takeover.load(self.cell, self.view, now_ms, now_ms)
         self.renew_leases()
 
+    def hand_over(self, listed=()):
+        """Let the leader release the leadership, and another one follow."""
+        unreached = former_leases.unreached_record(self.cell, self.clock.now())
+        if unreached is not None:
+            self.put_state(records.UNREACHED_KEY, records.encode(unreached))
+        self.take_over(listed)
+
     def _read_store(self):
         """Read all records again, as a node does at its start."""
         self.view = view_mod.JobView()
--- a/features/lost_with_leader.feature
+++ b/features/lost_with_leader.feature
@@ -17,12 +17,23 @@
       | service | without tickets | 12     | others lead 3 s apart    | 7  |
       | service | without tickets | 3      | another leads            | 7  |
       | service | with tickets    | 0      | another leads            | 11 |
+      | service | without tickets | 12     | 8 leaders hand over      | 7  |
+      | service | with tickets    | 12     | 8 leaders hand over      | 7  |
 
     Examples: They may renew leases for 8 s
       | kind    | tickets         | listed | leader                   | s  |
       | service | without tickets | 12     | another leads, unsure    | 15 |
       | service | with tickets    | 12     | another leads, unsure    | 15 |
 
+  # Guards against records of a leader that another one has followed, which may
+  # have reached the worker.
+  Scenario: A worker is reached between two leaders that hand over
+    Given a service task without tickets, listed for 12 s by its worker
+    When its worker is cut off as a leader hands over, and back for the next
+    And it is cut off again, and then another leads
+    Then it starts elsewhere within 7 s
+    And it did not run in two places at once
+
   # Guards against the reverse order: the next leader has just had its first
   # answer of the worker, and counts with the longest lease.
   Scenario: A worker is lost right after the next leader has reached it
--- a/features/steps/lost_with_leader_steps.py
+++ b/features/steps/lost_with_leader_steps.py
@@ -171,6 +171,42 @@
     lose_both(context)
 
 
+@when('its worker is lost for good, and then {count:d} leaders hand over')
+def lose_while_handing_over(context, count):
+    """Each one leads for a second; the task starts under one of them."""
+    case = context.case
+    case.lose(is_alive=False)
+    began_ms = case.world.clock.now()
+    for _ in range(count):
+        case.world.hand_over()
+        case.unlist()
+        case.cycle(1_000)
+        if case.runner() is not None:
+            break
+    took_ms = case.world.clock.now() - began_ms
+    assert took_ms <= 8_000, took_ms
+
+
+@when('its worker is cut off as a leader hands over, and back for the next')
+def cut_off_between(context):
+    case = context.case
+    case.lose(is_alive=True)
+    case.world.hand_over()
+    case.cycle(1_000)
+    case.world.hand_over()
+    case.cycle(1_000)
+    case.world.runner_by_id[case.cut_off.runner_id] = case.cut_off
+    case.cut_off, case.is_alive = None, False
+    case.world.take_over()
+    case.cycle(3_000)
+
+
+@when('it is cut off again, and then another leads')
+def cut_off_again(context):
+    context.case.lose(is_alive=True)
+    context.case.take_over()
+
+
 @when('another leads for 1 s, and then its worker is lost for good')
 def lose_after(context):
     case = context.case
--- a/packages/carawaymast-core/carawaymast_core/cell/batching.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/batching.py
@@ -32,6 +32,7 @@
     acks: dict[tuple[str, int], int]
     dropped_keys: typing.Sequence[str] = ()
     speeds: records.SpeedRecord | None = None
+    unreached: records.UnreachedRecord | None = None
 
     @property
     def is_empty(self) -> bool:
@@ -43,6 +44,7 @@
             or self.acks
             or self.dropped_keys
             or self.speeds
+            or self.unreached
         )
 
 
--- a/packages/carawaymast-core/carawaymast_core/cell/cell.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/cell.py
@@ -62,6 +62,8 @@
         self.known_ids: set[str] = set()
         # Until when former leaders may renew leases, see ``former_terms``.
         self.formers_until_ms = math.inf
+        # Of the leader right before this one.
+        self.former_epoch: int | None = None
         self.ready_by_name = waiting_mod.WaitingSteps()
         self.scheduled_by_name: dict[str, jobs.StepState] = {}
         self.reservations = reservations.Reservations(
--- a/packages/carawaymast-core/carawaymast_core/cell/former_leases.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/former_leases.py
@@ -7,9 +7,11 @@
 run, see ``records.RunRecord``.
 """
 
+import math
 import typing
 
 from carawaymast_core.cell import late_starts
+from carawaymast_core.cell import records
 from carawaymast_core.cell import run as run_mod
 from carawaymast_core.cell import worker_lease
 
@@ -17,7 +19,12 @@
     from carawaymast_core.cell import cell as cell_mod
     from carawaymast_core.cell import worker as worker_mod
 
-__all__ = ['adopted_lease_ms', 'lapsed_runs', 'record_listed']
+__all__ = [
+    'adopted_lease_ms',
+    'lapsed_runs',
+    'record_listed',
+    'unreached_record',
+]
 
 # Runs that end sooner need no further record.
 MIN_LISTED_MS = 1_000
@@ -70,10 +77,7 @@
     Their lease has expired: no former leader has named a later deadline, and
     no start of them may be carried out by another incarnation.
     """
-    recorded_ms = _recorded_lease_ms(worker)
-    lease_ms = cell.max_lease_ms if recorded_ms is None else recorded_ms
-    until_ms = cell.formers_until_ms + worker_lease.max_real_ms(lease_ms)
-    if now_ms < until_ms:
+    if now_ms < _lapses_at_ms(cell, worker):
         return []
     return [
         run
@@ -82,6 +86,32 @@
     ]
 
 
+def unreached_record(
+    cell: 'cell_mod.Cell', now_ms: int
+) -> records.UnreachedRecord | None:
+    """Return what the next leader needs to know of workers that are lost.
+
+    This one must have stopped all calls to workers. None if there are none.
+    """
+    rows = []
+    for worker in cell.worker_by_key.values():
+        is_reached = worker.lease.assumed_lost_at_ms is None
+        left_ms = _lapses_at_ms(cell, worker) - now_ms
+        if worker.run_by_task and not is_reached and math.isfinite(left_ms):
+            rows.append((*worker.key, max(0, math.ceil(left_ms))))
+    return records.UnreachedRecord(cell.epoch, tuple(rows)) if rows else None
+
+
+def _lapses_at_ms(cell: 'cell_mod.Cell', worker: 'worker_mod.Worker') -> float:
+    """Return when the lease of a worker that was never reached has expired."""
+    recorded_ms = _recorded_lease_ms(worker)
+    lease_ms = cell.max_lease_ms if recorded_ms is None else recorded_ms
+    until_ms = cell.formers_until_ms + worker_lease.max_real_ms(lease_ms)
+    if worker.lapses_at_ms is None:
+        return until_ms
+    return min(until_ms, worker.lapses_at_ms)
+
+
 def _recorded_lease_ms(worker: 'worker_mod.Worker') -> int | None:
     """Return the lease that records of runs show; None if none does."""
     found = [run.lease_ms for run in worker.run_by_task.values()]
--- a/packages/carawaymast-core/carawaymast_core/cell/former_terms.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/former_terms.py
@@ -109,6 +109,11 @@
         ]
         return max([self._unread_until_ms, *known])
 
+    def former_epoch(self, epoch: int) -> int | None:
+        """Return the epoch of the term right before ``epoch``, if any."""
+        found = [other for other in self._term_by_epoch if other < epoch]
+        return max(found, default=None)
+
     def ids_to_ask(
         self, epoch: int, member_ids: typing.Iterable[str], now_ms: int
     ) -> set[str]:
--- a/packages/carawaymast-core/carawaymast_core/cell/records.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/records.py
@@ -27,6 +27,8 @@
     'SUBMISSION_SUFFIX',
     'SpeedRecord',
     'TaskRecord',
+    'UNREACHED_KEY',
+    'UnreachedRecord',
     'check_encoded',
     'decode',
     'decode_cancel',
@@ -51,6 +53,8 @@
 CANCEL_SUFFIX = '/cancel'
 # Key of the state record with the workers' speeds; no job has this id.
 SPEEDS_KEY = 'paces'
+# Key of the state record of a leader that has released the leadership.
+UNREACHED_KEY = 'unreached'
 # Follows the job's id in the key of a submission that the leader stored with
 # the job's state.
 SUBMISSION_SUFFIX = '/job'
@@ -152,6 +156,19 @@
     rows: tuple[tuple[str, int, int, int], ...]
 
 
+class UnreachedRecord(typing.NamedTuple):
+    """The workers with runs that a leader had not reached when it stopped.
+
+    It has renewed no lease of them. ``epoch`` is its own: only the leader
+    that follows it directly may count on the record. Each row holds a
+    worker's id, the start of its incarnation in ms, and after how many ms its
+    lease has expired.
+    """
+
+    epoch: int
+    rows: tuple[tuple[str, int, int], ...]
+
+
 class LeaderRecord(typing.NamedTuple):
     """A claim on a cell's leadership, its renewal or its release.
 
@@ -194,6 +211,7 @@
     spec_mod.Submission,
     JobRecord,
     SpeedRecord,
+    UnreachedRecord,
     LeaderRecord,
     Heartbeat,
     MemberRecord,
--- a/packages/carawaymast-core/carawaymast_core/cell/takeover.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/takeover.py
@@ -30,6 +30,28 @@
     for job_id, record in view.record_by_id.items():
         if record.phase.is_final and record.tasks:
             cell.sync_job(view, job_id, now_ms, wall_ms)
+    _load_unreached(cell, view, now_ms)
+
+
+def _load_unreached(
+    cell: 'cell_mod.Cell', view: view_mod.JobView, now_ms: int
+) -> None:
+    """Apply what the leader before this one knew of workers that are lost."""
+    if not view.encoded_unreached:
+        return
+    try:
+        found = records.decode(records.UnreachedRecord, view.encoded_unreached)
+    except ValueError as error:
+        cell.log_event(
+            'record_unreadable', key=records.UNREACHED_KEY, error=str(error)
+        )
+        return
+    if found.epoch != cell.former_epoch:
+        return
+    for worker_id, born_ms, left_ms in found.rows:
+        worker = cell.worker_by_key.get((worker_id, born_ms))
+        if worker is not None:
+            worker.lapses_at_ms = now_ms + left_ms
 
 
 def _load_speeds(cell: 'cell_mod.Cell', view: view_mod.JobView) -> None:
--- a/packages/carawaymast-core/carawaymast_core/cell/view.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/view.py
@@ -30,6 +30,8 @@
         self.cancelled_at_ms_by_id: dict[str, int] = {}
         # The latest ``SpeedRecord`` as stored, empty if there is none.
         self.encoded_speeds = b''
+        # The latest ``UnreachedRecord``, the same.
+        self.encoded_unreached = b''
 
     def apply_intake(self, key: str, value: bytes) -> str | None:
         """Apply an intake record; return the job's id if the job changed.
@@ -58,6 +60,9 @@
         if key == records.SPEEDS_KEY:
             self.encoded_speeds = value
             return
+        if key == records.UNREACHED_KEY:
+            self.encoded_unreached = value
+            return
         if key.endswith(records.SUBMISSION_SUFFIX):
             self.apply_intake(
                 key.removesuffix(records.SUBMISSION_SUFFIX), value
--- a/packages/carawaymast-core/carawaymast_core/cell/worker.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/worker.py
@@ -69,6 +69,8 @@
         self.is_gone = False
         # Whether the leader has known no other incarnation of the worker.
         self.is_first = False
+        # When its lease has expired, as its former leader knew it.
+        self.lapses_at_ms: int | None = None
         self.is_listed = True
         # Since when it is known and not adopted, and when that was last
         # logged.
--- a/packages/carawaymast-node/carawaymast_node/cells/journal.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/journal.py
@@ -85,6 +85,11 @@
         if batch.speeds is not None:
             encoded_speeds = records.encode(batch.speeds)
             items.append(ports.KeyValue(records.SPEEDS_KEY, encoded_speeds))
+        if batch.unreached is not None:
+            encoded_unreached = records.encode(batch.unreached)
+            items.append(
+                ports.KeyValue(records.UNREACHED_KEY, encoded_unreached)
+            )
         if items:
             started_ms = self._clock.now()
             appended = await self._append(items)
@@ -101,6 +106,8 @@
         self._view.record_by_id.update(batch.records_by_id)
         if batch.speeds is not None:
             self._view.encoded_speeds = encoded_speeds
+        if batch.unreached is not None:
+            self._view.encoded_unreached = encoded_unreached
         for key in batch.dropped_keys:
             self._view.apply_state(key, b'')
 
--- a/packages/carawaymast-node/carawaymast_node/cells/leader.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/leader.py
@@ -7,6 +7,7 @@
 from carawaymast_core.cell import admission
 from carawaymast_core.cell import batching
 from carawaymast_core.cell import cell as cell_mod
+from carawaymast_core.cell import former_leases
 from carawaymast_core.cell import placing
 from carawaymast_core.cell import spec as spec_mod
 from carawaymast_core.cell import takeover
@@ -199,6 +200,13 @@
             await self._wait_for_write(until_ms)
         self._tasks.cancel()
         self._workers.cancel()
+        unreached = former_leases.unreached_record(
+            self.cell, self._clock.now()
+        )
+        if self._commit_task is None and unreached is not None:
+            batch = batching.Batch({}, {}, [], {}, unreached=unreached)
+            self._commit_task = asyncio.ensure_future(self._write(batch))
+            await self._wait_for_write(until_ms)
 
     async def _wait_for_write(self, until_ms: int) -> None:
         if self._commit_task is None:
@@ -220,6 +228,9 @@
         wall_ms = self._clock.wall()
         self.cell.set_clock(now_ms, wall_ms)
         self.cell.formers_until_ms = self._formers_until_ms()
+        self.cell.former_epoch = (
+            self._context.election.former_terms.former_epoch(self.epoch)
+        )
         takeover.load(self.cell, self._context.view, now_ms, wall_ms)
         self.is_open = True
         self._workers.begin_renewals()
