The record of a node in a module of its own

advertise and withdraw move from replica.py to membership.py, which keeps service.py and replica.py shorter. No change of behaviour; the scenarios of hand_over.feature and draining.feature pass.

--- a/features/steps/draining_steps.py
+++ b/features/steps/draining_steps.py
@@ -51,7 +51,7 @@
     async def _hand_over(self):
         pass
 
-    async def withdraw(self, timeout_ms):
+    async def leave(self):
         """It has no record."""
 
     def open(self):
--- a/features/steps/hand_over_steps.py
+++ b/features/steps/hand_over_steps.py
@@ -16,6 +16,7 @@
 from carawaymast_node.cells import context as context_mod
 from carawaymast_node.cells import election as election_mod
 from carawaymast_node.cells import leadership as leadership_mod
+from carawaymast_node.cells import membership
 from carawaymast_node.cells import replica as replica_mod
 from carawaymast_node.cells import telemetry
 from carawaymast_node.cells import topic_reader as topic_reader_mod
@@ -276,9 +277,10 @@
 def advertise(context, name, boot_id):
     """Store a node's record; return the end of the topic."""
     member = records.MemberRecord(name, name, PORT, 'd', boot_id)
-    context.loop.run_until_complete(
-        replica_mod.advertise_member(context.store, member, context.telemetry)
+    context.membership = membership.Membership(
+        context.store, member, context.telemetry
     )
+    context.loop.run_until_complete(context.membership.advertise())
     newest = newest_members(context)
     return newest.end_offset
 
@@ -289,31 +291,29 @@
     )
 
 
-def withdraw(context, end_offset):
-    context.loop.run_until_complete(
-        replica_mod.withdraw_member(
-            context.store, 'n1', end_offset, context.telemetry
-        )
-    )
+def withdraw(context, own, end_offset):
+    context.loop.run_until_complete(own.withdraw(end_offset))
 
 
 @when('it drops its record as it stops')
 def drop_record(context):
-    withdraw(context, context.end_offset)
+    withdraw(context, context.membership, context.end_offset)
 
 
 @when('it drops its record as another node joins')
 def drop_as_other_joins(context):
+    own = context.membership
     advertise(context, 'n2', 'n2-1')
-    withdraw(context, context.end_offset)
+    withdraw(context, own, context.end_offset)
 
 
 @when('it drops its record by a call carried out after its restart')
 def drop_late(context):
     """Only the one call that was under way is carried out."""
+    own = context.membership
     advertise(context, 'n1', 'n1-2')
-    with mock.patch.object(replica_mod, 'WITHDRAW_TRIES', 1):
-        withdraw(context, context.end_offset)
+    with mock.patch.object(membership, 'WITHDRAW_TRIES', 1):
+        withdraw(context, own, context.end_offset)
 
 
 def has_record(context):
--- a/packages/carawaymast-node/carawaymast_node/cells/draining.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/draining.py
@@ -13,7 +13,6 @@
 # The balancer removes a node after two checks, a second apart.
 SERVE_MS = 2_600
 POLL_INTERVAL_MS = 20
-WITHDRAW_TIMEOUT_MS = 1_000
 # For closing connections and the interpreter's exit, before SIGKILL.
 EXIT_RESERVE_MS = 1_000
 
@@ -31,7 +30,7 @@
     frontend.is_draining = True
     node.log.log_event('draining', in_flight=frontend.in_flight)
     await node.leadership.hand_over()
-    await node.withdraw(WITHDRAW_TIMEOUT_MS)
+    await node.leave()
     served_ms = node.clock.now() - began_ms
     await asyncio.sleep(max(0, SERVE_MS - served_ms) / 1000)
     while not _is_idle(node) and node.clock.now() < until_ms:
--- a/packages/carawaymast-node/carawaymast_node/cells/replica.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/replica.py
@@ -4,7 +4,6 @@
 import typing
 
 from carawaymast_core import clock as clock_mod
-from carawaymast_core.cell import records
 from carawaymast_core.cell import view as view_mod
 from carawaymast_node.cells import configuration as configuration_mod
 from carawaymast_node.cells import fabric
@@ -14,13 +13,7 @@
 from carawaymast_node.cells import telemetry
 from carawaymast_node.cells import topic_reader as topic_reader_mod
 
-__all__ = [
-    'PART',
-    'Replica',
-    'ReaderFactory',
-    'advertise_member',
-    'withdraw_member',
-]
+__all__ = ['PART', 'Replica', 'ReaderFactory']
 
 # The number of the cell's partition in each topic; there is only one cell.
 PART = 0
@@ -33,11 +26,6 @@
 MEMBERS_READ_INTERVAL_MS = 3_000
 # A long poll without an answer is detected within its wait and a second.
 LONG_POLL_WAIT_MS = 1_000
-# Not urgent: until the other nodes have this node's record, calls only take
-# longer paths.
-ADVERTISE_RETRY_INTERVAL_MS = 500
-WITHDRAW_TRIES = 4
-WITHDRAW_RETRY_INTERVAL_MS = 150
 
 
 class ReaderFactory(typing.NamedTuple):
@@ -163,43 +151,3 @@
         declarations = self._decode(item)
         if declarations is not None:
             self.configuration.routes.apply_update(declarations)
-
-
-async def advertise_member(
-    store: ports.StorePort,
-    member: records.MemberRecord,
-    log: telemetry.Telemetry,
-) -> None:
-    """Publish this node's record to the others; retry until it is stored."""
-    item = ports.KeyValue(member.node_id, records.encode(member))
-    while True:
-        try:
-            await store.append(fabric.MEMBERS_TOPIC, PART, [item])
-            return
-        except ports.StoreError as error:
-            log.log_event('join_failed', error=str(error))
-            await asyncio.sleep(ADVERTISE_RETRY_INTERVAL_MS / 1000)
-
-
-async def withdraw_member(
-    store: ports.StorePort,
-    node_id: str,
-    end_offset: int,
-    log: telemetry.Telemetry,
-) -> None:
-    """Drop a node's record as it stops, if the topic ends at ``end_offset``.
-
-    On that condition a call that is carried out late drops no record of the
-    node's next process, which is stored behind that offset.
-    """
-    item = ports.KeyValue(node_id, b'')
-    for _ in range(WITHDRAW_TRIES):
-        try:
-            await store.append(fabric.MEMBERS_TOPIC, PART, [item], end_offset)
-            return
-        except ports.ConflictError as conflict:
-            # Another node has joined or left.
-            end_offset = conflict.end_offset
-        except ports.StoreError as error:
-            log.log_event('leave_failed', error=str(error))
-            await asyncio.sleep(WITHDRAW_RETRY_INTERVAL_MS / 1000)
--- a/packages/carawaymast-node/carawaymast_node/cells/service.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/service.py
@@ -26,6 +26,7 @@
 from carawaymast_node.cells import leader_calls
 from carawaymast_node.cells import leader_watch as leader_watch_mod
 from carawaymast_node.cells import leadership
+from carawaymast_node.cells import membership
 from carawaymast_node.cells import pages
 from carawaymast_node.cells import ports
 from carawaymast_node.cells import relay
@@ -89,6 +90,18 @@
             lambda: self.leader is not None,
             self._on_job,
         )
+        self.membership = membership.Membership(
+            self.store,
+            records.MemberRecord(
+                settings.node_id,
+                settings.host,
+                settings.peer_port,
+                settings.domain,
+                self.boot_id,
+                settings.speed,
+            ),
+            self.log,
+        )
         self.peers.is_complete = lambda: (
             replica.members_reader.current_as_of_ms is not None
         )
@@ -252,7 +265,7 @@
             self.leader_watch.keep_beating(),
             self.leader_watch.keep_watching(),
             self._keep_sweeping(),
-            self._advertise(),
+            self._join(),
             self.route.keep_probing(self._probe_store),
             telemetry_mod.stream_to_stdout(self.metrics),
         ]
@@ -272,40 +285,17 @@
         if self._failure is not None:
             raise self._failure
 
-    async def _advertise(self) -> None:
-        """Publish this node's record, and let it claim from then on.
+    async def _join(self) -> None:
+        """Store this node's record, and let it claim from then on.
 
         A next leader asks all members whether they have stopped.
         """
-        await replica_mod.advertise_member(
-            self.store, self._member_record(), self.log
-        )
+        await self.membership.advertise()
         self.leadership.allow_claims()
 
-    async def withdraw(self, timeout_ms: int) -> None:
+    async def leave(self) -> None:
         """Drop this node's record, so that no peer counts on it."""
-        try:
-            async with asyncio.timeout(timeout_ms / 1000):
-                await replica_mod.withdraw_member(
-                    self.store,
-                    self.settings.node_id,
-                    self.replica.members_reader.end_offset,
-                    self.log,
-                )
-        except TimeoutError:
-            self.log.log_event('leave_failed', error='the store is too slow')
-
-    def _member_record(self) -> records.MemberRecord:
-        """Return the record by which the other nodes reach this one."""
-        settings = self.settings
-        return records.MemberRecord(
-            settings.node_id,
-            settings.host,
-            settings.peer_port,
-            settings.domain,
-            self.boot_id,
-            settings.speed,
-        )
+        await self.membership.withdraw(self.replica.members_reader.end_offset)
 
     async def _probe_store(self, timeout_ms: int) -> None:
         """Send the store a read that it answers at once, by itself."""
