--- a/packages/carawaymast-core/carawaymast_core/cell/batching.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/batching.py
@@ -66,8 +66,7 @@
             job.phase = records.JobPhase.RUNNING
             job.changed_at_ms = wall_ms
     if cell.dirty_ids:
-        cell.dirty_ids |= cell.listed_ids
-        cell.listed_ids = set()
+        cell.dirty_ids |= cell.listed.take()
     for job_id in cell.dirty_ids:
         job = cell.job_by_id.get(job_id)
         if job is None:
--- a/packages/carawaymast-core/carawaymast_core/cell/cell.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/cell.py
@@ -19,6 +19,7 @@
 from carawaymast_core.cell import availability
 from carawaymast_core.cell import fencing
 from carawaymast_core.cell import fleet as fleet_mod
+from carawaymast_core.cell import former_leases
 from carawaymast_core.cell import jobs
 from carawaymast_core.cell import records
 from carawaymast_core.cell import reservations
@@ -35,7 +36,6 @@
 
 
 Log = typing.Callable[..., None]
-LISTED_RECORD_DELAY_MS = 500
 
 
 class Cell:
@@ -95,10 +95,7 @@
         # ended runs by the workers' keys.
         self.new_by_id: dict[str, spec_mod.Submission] = {}
         self.dirty_ids: set[str] = set()
-        # Jobs of which a run was listed, to be written with others or after
-        # ``LISTED_RECORD_DELAY_MS``, and since when there are any.
-        self.listed_ids: set[str] = set()
-        self.listed_since_ms = 0
+        self.listed = former_leases.ListedJobs()
         self.starts: list[run_mod.Run] = []
         self.acks: dict[tuple[str, int], int] = {}
         # State records that have expired, see ``retention``.
@@ -230,19 +227,6 @@
         if job.phase.is_final and not any(job.runs()):
             self.mark_dirty(job)
 
-    def mark_listed(self, job: jobs.Job, now_ms: int) -> None:
-        """Write the job's state with the next batch, which may be later."""
-        if not self.listed_ids:
-            self.listed_since_ms = now_ms
-        self.listed_ids.add(job.job_id)
-
-    def write_listed(self, now_ms: int) -> None:
-        """Write the states of listed runs that have waited for others."""
-        is_due = now_ms - self.listed_since_ms >= LISTED_RECORD_DELAY_MS
-        if self.listed_ids and is_due:
-            self.dirty_ids |= self.listed_ids
-            self.listed_ids.clear()
-
     def mark_dirty(self, job: jobs.Job) -> None:
         """Have the next batch write the state of a job."""
         self.dirty_ids.add(job.job_id)
--- a/packages/carawaymast-core/carawaymast_core/cell/former_leases.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/former_leases.py
@@ -20,6 +20,7 @@
     from carawaymast_core.cell import worker as worker_mod
 
 __all__ = [
+    'ListedJobs',
     'adopted_lease_ms',
     'lapsed_runs',
     'record_listed',
@@ -28,6 +29,34 @@
 
 # Runs that end sooner need no further record.
 MIN_LISTED_MS = 1_000
+RECORD_DELAY_MS = 500
+
+
+class ListedJobs:
+    """Jobs of which a run was listed: their states are written with others.
+
+    After ``RECORD_DELAY_MS`` they are written in any case.
+    """
+
+    def __init__(self) -> None:
+        self._job_ids: set[str] = set()
+        self._since_ms = 0
+
+    def add(self, job_id: str, now_ms: int) -> None:
+        """Add a job."""
+        if not self._job_ids:
+            self._since_ms = now_ms
+        self._job_ids.add(job_id)
+
+    def is_due(self, now_ms: int) -> bool:
+        """Return whether the states have waited for long enough."""
+        waited_ms = now_ms - self._since_ms
+        return bool(self._job_ids) and waited_ms >= RECORD_DELAY_MS
+
+    def take(self) -> set[str]:
+        """Return all jobs, and forget them."""
+        found, self._job_ids = self._job_ids, set()
+        return found
 
 
 def record_listed(
@@ -45,7 +74,7 @@
     lease_ms = usual_ms if is_usual else cell.max_lease_ms
     if not run.lease_ms or lease_ms < run.lease_ms:
         run.lease_ms = lease_ms
-        cell.mark_listed(run.task.step.job, now_ms)
+        cell.listed.add(run.task.step.job.job_id, now_ms)
 
 
 def adopted_lease_ms(
--- a/packages/carawaymast-core/carawaymast_core/cell/worker_lifecycle.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/worker_lifecycle.py
@@ -154,7 +154,8 @@
 
 def sweep(cell: 'cell_mod.Cell', now_ms: int, wall_ms: int) -> None:
     """Apply what depends on time: leases, leaving workers, scheduled steps."""
-    cell.write_listed(now_ms)
+    if cell.listed.is_due(now_ms):
+        cell.dirty_ids |= cell.listed.take()
     is_check_due = (
         now_ms - cell.overdue_checked_at_ms >= OVERDUE_CHECK_INTERVAL_MS
     )
--- a/packages/carawaymast-node/carawaymast_node/cells/leader.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/leader.py
@@ -3,8 +3,6 @@
 import asyncio
 import typing
 
-from carawaymast_core import errors
-from carawaymast_core.cell import admission
 from carawaymast_core.cell import batching
 from carawaymast_core.cell import cell as cell_mod
 from carawaymast_core.cell import former_leases
@@ -21,8 +19,8 @@
 from carawaymast_node.cells import journal as journal_mod
 from carawaymast_node.cells import orders
 from carawaymast_node.cells import ports
+from carawaymast_node.cells import refusals
 from carawaymast_node.cells import start_events
-from carawaymast_node.cells import topic_reader as topic_reader_mod
 from carawaymast_node.cells import worker_follower
 
 __all__ = ['Leader']
@@ -30,7 +28,6 @@
 # Events within this time are planned together.
 PLAN_DELAY_MS = 8
 IDLE_PLAN_INTERVAL_MS = 100
-RETRY_INTERVAL_MS = 150
 # How often a caller's wait for a commit checks for a stalled store.
 STALL_POLL_INTERVAL_MS = 100
 
@@ -173,7 +170,7 @@
             )
         refusal = self.cell.check_admission(submission)
         if refusal is not None:
-            raise _refusal_error(refusal)
+            raise refusals.to_error(refusal)
         self.cell.accept(submission, self._clock.now(), self._clock.wall())
         if job_id in self._context.view.cancelled_at_ms_by_id:
             self.on_job(job_id)
@@ -222,8 +219,8 @@
         # Concurrently: on a slow store each call takes a quarter second.
         async with asyncio.TaskGroup() as group:
             group.create_task(self._journal.open())
-            group.create_task(self._catch_up(self._context.intake_reader))
-            group.create_task(self._catch_up(self._workers.reader))
+            group.create_task(self._context.intake_reader.read_to_end())
+            group.create_task(self._workers.reader.read_to_end())
         now_ms = self._clock.now()
         wall_ms = self._clock.wall()
         self.cell.set_clock(now_ms, wall_ms)
@@ -238,27 +235,6 @@
     def _formers_until_ms(self) -> float:
         return self._context.election.former_terms.until_ms(self.epoch)
 
-    async def _catch_up(self, reader: topic_reader_mod.TopicReader) -> None:
-        """Read a topic up to its end at the time of the takeover."""
-        while True:
-            try:
-                if reader.offset is None:
-                    # Reads the newest record of each key.
-                    await reader.catch_up(0)
-                    return
-                answer = await self._context.store.read(
-                    reader.topic,
-                    reader.part,
-                    reader.offset,
-                    0,
-                )
-                await reader.catch_up(answer.end_offset)
-                return
-            except ports.TrimmedError:
-                reader.offset = None
-            except ports.StoreError:
-                await asyncio.sleep(RETRY_INTERVAL_MS / 1000)
-
     def _on_fenced(self, reason: str) -> None:
         """Stop leading, because another node has a higher epoch."""
         self._fence_reason = reason
@@ -335,12 +311,3 @@
         committed = self._committed
         self._committed = asyncio.Event()
         committed.set()
-
-
-def _refusal_error(refusal: admission.Refusal) -> errors.SchedulerError:
-    if not refusal.retry_after_s:
-        kind = errors.ErrorKind.IMPOSSIBLE_JOB
-        return errors.SchedulerError(kind, refusal.reason)
-    return errors.SchedulerError(
-        errors.ErrorKind.OVERLOADED, refusal.reason, refusal.retry_after_s
-    )
--- a/packages/carawaymast-node/carawaymast_node/cells/leadership.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/leadership.py
@@ -109,9 +109,8 @@
     def _end_leading(self, reason: str) -> None:
         if self.leader is None:
             return
-        self._log.log_event(
-            'leading_ended', epoch=self.leader.epoch, why=reason
-        )
+        epoch = self.leader.epoch
+        self._log.log_event('leading_ended', epoch=epoch, why=reason)
         self.leader = None
         if self._leader_task is not None:
             self._leader_task.cancel()
@@ -181,10 +180,10 @@
             await self._claim_if_possible()
             return
         better = self._better_peers(now_ms)
-        if better and self._search.has_found(now_ms):
-            await self._step_down(leader, now_ms)
-            return
         if better:
+            if self._search.has_found(now_ms):
+                await self._step_down(leader, now_ms)
+                return
             self._search.begin(better)
         if now_ms - self._renewed_at_ms >= election_mod.RENEW_INTERVAL_MS:
             self._renewed_at_ms = now_ms
--- a/packages/carawaymast-node/carawaymast_node/cells/membership.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/membership.py
@@ -8,7 +8,7 @@
 from carawaymast_node.cells import replica
 from carawaymast_node.cells import telemetry
 
-__all__ = ['Membership']
+__all__ = ['Membership', 'make_record']
 
 RETRY_INTERVAL_MS = 500
 WITHDRAW_TRIES = 4
@@ -16,6 +16,20 @@
 WITHDRAW_TIMEOUT_MS = 1_000
 
 
+def make_record(
+    settings: ports.CellSettings, boot_id: str
+) -> records.MemberRecord:
+    """Return the record of a process of this node."""
+    return records.MemberRecord(
+        settings.node_id,
+        settings.host,
+        settings.peer_port,
+        settings.domain,
+        boot_id,
+        settings.speed,
+    )
+
+
 class Membership:
     """The record by which the other nodes reach this one."""
 
--- a/packages/carawaymast-node/carawaymast_node/cells/replica.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/replica.py
@@ -104,6 +104,11 @@
             and self.intake_reader.current_as_of_ms is not None
         )
 
+    @property
+    def has_members(self) -> bool:
+        """Whether the records of all nodes have been read."""
+        return self.members_reader.current_as_of_ms is not None
+
     def coroutines(self) -> list[typing.Coroutine]:
         """Return the coroutines that run for as long as the node does."""
         return [
--- a/packages/carawaymast-node/carawaymast_node/cells/service.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/service.py
@@ -10,7 +10,6 @@
 
 from carawaymast_core import clock as clock_mod
 from carawaymast_core.cell import candidacy
-from carawaymast_core.cell import records
 from carawaymast_node import connection_limiter as connection_limiter_mod
 from carawaymast_node import lifecycle
 from carawaymast_node import loop as loop_mod
@@ -92,19 +91,10 @@
         )
         self.membership = membership.Membership(
             self.store,
-            records.MemberRecord(
-                settings.node_id,
-                settings.host,
-                settings.peer_port,
-                settings.domain,
-                self.boot_id,
-                settings.speed,
-            ),
+            membership.make_record(settings, self.boot_id),
             self.log,
         )
-        self.peers.is_complete = lambda: (
-            replica.members_reader.current_as_of_ms is not None
-        )
+        self.peers.is_complete = lambda: replica.has_members
         self.election = election_mod.Election(
             self.store,
             self.clock,
@@ -253,8 +243,6 @@
     def _state_page(self) -> tuple[int, str]:
         return 200, msgspec.json.encode(gauges.state(self)).decode()
 
-    # -- the process -------------------------------------------------------
-
     async def serve(self) -> None:
         """Run until ``request_stop`` and then shut down gracefully."""
         coroutines = [
--- a/packages/carawaymast-node/carawaymast_node/cells/topic_reader.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/topic_reader.py
@@ -209,3 +209,21 @@
                 error=str(error),
             )
         self.reachable_since_ms = None
+
+    async def read_to_end(self) -> None:
+        """Read up to the end that the topic has now, with retries."""
+        while True:
+            try:
+                if self.offset is None:
+                    # Reads the newest record of each key.
+                    await self.catch_up(0)
+                    return
+                answer = await self._store.read(
+                    self.topic, self.part, self.offset, 0
+                )
+                await self.catch_up(answer.end_offset)
+                return
+            except ports.TrimmedError:
+                self.offset = None
+            except ports.StoreError:
+                await asyncio.sleep(RETRY_INTERVAL_MS / 1000)
