restarting cell: a repeated start is carried out behind the cut

The rule that loses a worker with the leader now also delivers a start that was repeated to the next incarnation.

--- a/features/restart_machine.py
+++ b/features/restart_machine.py
@@ -245,11 +245,18 @@
     @stateful.rule(
         name=NAME,
         is_lease_long=st.booleans(),
+        is_start_lost=st.booleans(),
         before=st.sampled_from([3, 12, 20, 60]),
         clock_rate=CLOCK_RATE,
     )
-    def lose_with_leader(self, name, is_lease_long, before, clock_rate):
-        """Cut a runner off as the leader changes, maybe with a long lease."""
+    def lose_with_leader(
+        self, name, is_lease_long, is_start_lost, before, clock_rate
+    ):
+        """Cut a runner off as the leader changes.
+
+        It may have a long lease, or a start that was repeated and that its
+        next incarnation carries out behind the cut.
+        """
         self.reconnect()
         self.run_cycles(1)
         if is_lease_long:
@@ -259,9 +266,17 @@
                 self.deliver_late_call(0)
             self.reconnect()
         self.submit(1, False, LONG_WORK_MS)
+        if is_start_lost:
+            self.lose_starts(False)
+            started_at = [late.worker_key[0] for late in self.late_calls]
+            name = (started_at or [name])[-1]
         self.run_cycles(before)
         self.cut_off(name)
         self.change_leader()
+        if is_start_lost:
+            self.restart(name, True, False, clock_rate)
+            while self.late_calls:
+                self.deliver_late_call(0)
         self.run_cycles(60)
 
     def _change_leader_if(self, is_wanted):
