No order follows the end of a leader's calls, whatever is under way

A leader that hands over ends its calls before its release, which the next one takes for the end of all its orders. Found in reading: a batch that was being stored for longer than the 0.3 s of finish() sent its starts afterwards, and a takeover that was under way began renewals. Both are cut now. The runs of such a batch are started by the next leader, from the record.

"A batch is stored as a leader hands over" (features/renewals.feature) fails without the check.

--- a/features/renewals.feature
+++ b/features/renewals.feature
@@ -42,3 +42,9 @@
     Given a leader that renews the leases of 3 idle workers
     When the leader finishes, to release the leadership
     Then it calls no worker any more
+
+  # Guards against starts of a batch that is stored after the calls have ended.
+  Scenario: A batch is stored as a leader hands over
+    Given a leader that renews the leases of 3 idle workers
+    When a job is being stored as the leader finishes, for 500 ms
+    Then no start is sent
--- a/features/steps/renewal_steps.py
+++ b/features/steps/renewal_steps.py
@@ -44,6 +44,7 @@
         self.silent_ids = set()
         self.in_flight = collections.Counter()
         self.total = 0
+        self.started = []
 
     async def renew_lease(
         self, worker, epoch, deadline_ms, wait_ms, timeout_ms
@@ -63,6 +64,11 @@
             self._clock.now(), self.born_ms_by_id[worker_id], (), ()
         )
 
+    async def start(self, run, epoch, deadline_ms, timeout_ms):
+        """Answer at once."""
+        self.started.append(run.task.name)
+        return reports.StartOutcome(True)
+
     async def stop(self, order, epoch, timeout_ms):
         """Answer at once."""
         return True
@@ -204,6 +210,31 @@
     context.calls = parts.calls.total
 
 
+@when('a job is being stored as the leader finishes, for {ms:d} ms')
+def store_while_finishing(context, ms):
+    parts = context.parts
+    write = parts.leader._journal.write
+
+    async def write_slowly(batch):
+        await asyncio.sleep(ms / MS_PER_S)
+        await write(batch)
+
+    parts.leader._journal.write = write_slowly
+    now_ms = parts.clock.now()
+    submission = cell_world.job('j1', cell_world.step(1, cpu=100, memory=100))
+    parts.cell.accept(submission, now_ms, now_ms)
+    parts.leader._wake.set()
+    parts.advance(0.1)
+    assert parts.leader._commit_task is not None
+    parts.loop.run_until_complete(parts.leader.finish(300))
+
+
+@then('no start is sent')
+def no_start(context):
+    context.parts.advance(2)
+    assert not context.parts.calls.started, context.parts.calls.started
+
+
 @then('it calls no worker any more')
 def no_more_calls(context):
     context.parts.advance(5)
--- a/packages/carawaymast-node/carawaymast_node/cells/leader.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/leader.py
@@ -98,6 +98,8 @@
         self.is_open = False
         self._is_over = False
         self._is_finished = False
+        # From then on no order is sent, whatever is still under way.
+        self._has_ended_calls = False
         self._fence_reason = ''
 
     async def run(self) -> None:
@@ -195,6 +197,7 @@
         if self._commit_task is None and self.cell.new_by_id:
             self._begin_commit(self._clock.wall())
             await self._wait_for_write(until_ms)
+        self._has_ended_calls = True
         self._tasks.cancel()
         self._workers.cancel()
         unreached = former_leases.unreached_record(
@@ -229,8 +232,9 @@
             self._context.election.former_terms.former_epoch(self.epoch)
         )
         takeover.load(self.cell, self._context.view, now_ms, wall_ms)
-        self.is_open = True
-        self._workers.begin_renewals()
+        if not self._is_finished:
+            self.is_open = True
+            self._workers.begin_renewals()
 
     def _formers_until_ms(self) -> float:
         return self._context.election.former_terms.until_ms(self.epoch)
@@ -306,8 +310,9 @@
         starts = batching.mark_stored(self.cell, batch)
         for fields in start_events.fields_by_step(starts, self._clock.wall()):
             self._log.log_event('started_step', epoch=self.epoch, **fields)
-        for run in starts:
-            self._tasks.spawn(self._orders.start(run))
+        if not self._has_ended_calls:
+            for run in starts:
+                self._tasks.spawn(self._orders.start(run))
         committed = self._committed
         self._committed = asyncio.Event()
         committed.set()
