--- a/features/steps/explaining_steps.py
+++ b/features/steps/explaining_steps.py
@@ -15,7 +15,7 @@
 from carawaymast_core.cell import worker_lifecycle
 from carawaymast_node.cells import frontend
 from carawaymast_node.cells import gauges
-from carawaymast_node.cells import leader
+from carawaymast_node.cells import refusals
 from carawaymast_node.cells import start_events
 from carawaymast_node.cells import telemetry
 from features import cell_world
@@ -91,7 +91,7 @@
     world = context.world
     submission = cell_world.job(job_id, cell_world.step())
     context.refusal = world.cell.check_admission(submission)
-    error = leader._refusal_error(context.refusal)
+    error = refusals.to_error(context.refusal)
     answer = frontend._error_answer(error)
     world.log(
         'request_refused',
