--- a/packages/carawaymast-core/carawaymast_core/cell/advice.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/advice.py
@@ -22,10 +22,11 @@
 
 
 class Grant(typing.NamedTuple):
-    """A ticket for one worker."""
+    """A ticket for one worker, issued before ``received_at_ms``."""
 
     ticket: str
     expires_at_ms: int
+    received_at_ms: int
 
 
 class StepAdvice:
@@ -98,12 +99,16 @@
         granted: typing.Mapping[str, str],
         issued_at_ms: int,
         valid_ms: int,
+        received_at_ms: int | None = None,
     ) -> None:
         """Apply an answer to a call about ``asked_ids``.
 
         ``granted`` holds the tickets by worker id; the other workers are
-        denied. The tickets were issued at ``issued_at_ms`` or later.
+        denied. The tickets were issued at ``issued_at_ms`` or later, and came
+        at ``received_at_ms``, by default at the same time.
         """
+        if received_at_ms is None:
+            received_at_ms = issued_at_ms
         self.is_call_pending = False
         self.called_at_ms = issued_at_ms
         expires_at_ms = issued_at_ms + valid_ms
@@ -113,7 +118,7 @@
                 self.denied_ids.add(worker_id)
                 self.grant_by_worker.pop(worker_id, None)
             else:
-                grant = Grant(ticket, expires_at_ms)
+                grant = Grant(ticket, expires_at_ms, received_at_ms)
                 self.grant_by_worker[worker_id] = grant
         self._on_grants_changed()
 
--- a/packages/carawaymast-core/carawaymast_core/cell/answers.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/answers.py
@@ -58,6 +58,7 @@
             successor.is_listed = False
         return
     worker.record_answer(answer.clock_ms, now_ms)
+    worker.confirmed_at_ms = max(worker.confirmed_at_ms, sent_at_ms)
     worker.lease.assumed_lost_at_ms = None
     worker.silent_since_ms = None
     if worker.lapsed_tasks:
@@ -133,6 +134,7 @@
             late_starts.record_listed(run)
             # A previous leader may have set the limit.
             run.speed_limit = int(row.percent)
+        run.is_listed = True
         former_leases.record_listed(cell, run, now_ms)
         if run.task.crashes != records.NO_CRASHES:
             crashes.apply_survival(cell, run, now_ms)
@@ -176,6 +178,7 @@
 def _apply_end(cell: 'cell_mod.Cell', worker, end, now_ms: int) -> None:
     run = worker.run_by_task.get(end.task)
     if run is not None and run.run_id == end.run_id:
+        run.is_listed = True
         run_ends.apply(cell, run, end.how, end.checkpoint, now_ms)
         return
     run_ends.apply_untracked(cell, end, now_ms)
--- a/packages/carawaymast-core/carawaymast_core/cell/placing.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/placing.py
@@ -150,6 +150,9 @@
         run_id = 1 + max(t.last_run_id for t in step.tasks if t.is_waiting)
     run = run_mod.Run(task, run_id, worker, now_ms)
     run.ticket = ticket
+    if step.advice is not None:
+        grant = step.advice.grant_by_worker[worker.worker_id]
+        run.ticket_at_ms = grant.received_at_ms
     worker.add(run)
     task.runs.append(run)
     errors.check(
--- a/packages/carawaymast-core/carawaymast_core/cell/run.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/run.py
@@ -27,8 +27,9 @@
         'began_at_ms',
         'is_crash_counted',
         'is_held',
-        'is_start_lost',
+        'is_listed',
         'is_missing',
+        'is_start_lost',
         'is_stop_sent',
         'is_stopping',
         'is_under_way',
@@ -48,6 +49,7 @@
         'stop_reason',
         'task',
         'ticket',
+        'ticket_at_ms',
         'unanswered_at_ms',
         'use',
         'worker',
@@ -64,6 +66,8 @@
         self.run_id = run_id
         self.worker = worker
         self.ticket = ''
+        # When its ticket was received, so that it was issued before.
+        self.ticket_at_ms = 0
         self.state = RunState.PLACED
         self.placed_at_ms = now_ms
         # When its start was confirmed; None if it continued from a checkpoint
@@ -89,6 +93,8 @@
         self.starts = 1
         self.late_until_ms = 0
         self.is_held = False
+        # Whether this incarnation of its worker has listed it, or its end.
+        self.is_listed = False
         # See ``records.RunRecord``.
         self.lease_ms = 0
         # Whether a start is sent, or about to be, and has no outcome yet.
--- a/packages/carawaymast-core/carawaymast_core/cell/worker.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/worker.py
@@ -84,6 +84,9 @@
         self.ack_number = 0
         self.seen_number = 0
         self.last_answer_at_ms = 0
+        # When the latest renewal that it has answered was sent: at that time
+        # this incarnation had not ended.
+        self.confirmed_at_ms = -1
         self.lease = worker_lease.WorkerLease(self.worker_id, self.born_ms)
         self.suspect_until_ms = 0
         # How long it is suspected if it is found too slow again before a run
--- a/packages/carawaymast-core/carawaymast_core/cell/worker_lifecycle.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/worker_lifecycle.py
@@ -136,8 +136,25 @@
         if run.state is run_mod.RunState.PLACED:
             start_check.withdraw(cell, run, 'its worker has restarted', now_ms)
             continue
+        cell.log_event(
+            'run_moved',
+            task=run.task.name,
+            run_id=run.run_id,
+            worker=successor.worker_id,
+            from_born_ms=predecessor.born_ms,
+            to_born_ms=successor.born_ms,
+            state=run.state.value,
+            listed=run.is_listed,
+            under_way=run.is_under_way,
+            has_ticket=bool(run.ticket),
+            # None if no call was answered.
+            confirmed_after_ticket_ms=None
+            if predecessor.confirmed_at_ms < 0
+            else predecessor.confirmed_at_ms - run.ticket_at_ms,
+        )
         predecessor.remove(run)
         run.worker = successor
+        run.is_listed = False
         successor.add(run)
         if run.state is run_mod.RunState.RUNNING:
             run.known_at_ms = now_ms
--- a/packages/carawaymast-node/carawaymast_node/cells/advice_dispatcher.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/advice_dispatcher.py
@@ -169,6 +169,7 @@
             answer.ticket_by_worker,
             sent_at_ms + min(elapsed_ms, expected_ms),
             answer.valid_ms,
+            sent_at_ms + elapsed_ms,
         )
         self._log.log_event(
             'advised',
