Reproduced: a start with a ticket of the worker's next incarnation runs twice

Those of the second need no entry of the next incarnation at all: the lease of the one that the leader knew expires while the next one has the run; one of them is without a ticket.

--- /dev/null
+++ b/features/next_tickets.feature
@@ -0,0 +1,83 @@
+Feature: A ticket may be of an incarnation that the leader does not know yet
+
+  # Guards against two runs of a task: the start with such a ticket ran at the
+  # next incarnation, and the leader ended it by the leases of former leaders.
+  Scenario Outline: A start at the next incarnation, which is then cut off
+    Given a <kind> task with a ticket of a worker's next incarnation
+    And <leader> sends its start there, which is <answer>
+    When the leader reads of the restart, and the worker is cut off
+    And <then>
+    Then the task ran nowhere else while that worker could run it
+    And the task starts elsewhere in the end
+
+    Examples: The leader stays
+      | kind    | leader          | answer       | then                        |
+      | batch   | the leader      | answered     | nothing else happens        |
+      | service | the leader      | answered     | nothing else happens        |
+      | batch   | another leader  | answered     | nothing else happens        |
+      | service | another leader  | answered     | nothing else happens        |
+      | service | another leader  | not answered | nothing else happens        |
+      | service | another leader  | answered     | it restarts once more there |
+
+    Examples: Others lead
+      | kind    | leader          | answer       | then                        |
+      | service | another leader  | answered     | the next leader takes over  |
+      | service | another leader  | not answered | the next leader takes over  |
+      | batch   | another leader  | answered     | the leader hands over       |
+      | service | another leader  | answered     | two leaders hand over       |
+      | service | another leader  | answered     | two leaders take over       |
+
+  # Guards against two runs of a task: the lease of the incarnation that the
+  # leader knew had expired, and that of the next one had not.
+  Scenario Outline: A start at a next incarnation of which nobody reads
+    Given a <kind> task <tickets> a ticket of a worker's next incarnation
+    And <leader> sends its start there, which is <answer>
+    When the worker is cut off
+    And <then>
+    Then the task ran nowhere else while that worker could run it
+    And the task starts elsewhere in the end
+
+    Examples:
+      | kind    | tickets | leader         | answer       | then                       |
+      | batch   | with    | the leader     | answered     | nothing else happens       |
+      | service | with    | another leader | answered     | nothing else happens       |
+      | service | with    | another leader | not answered | nothing else happens       |
+      | batch   | without | another leader | answered     | nothing else happens       |
+      | service | with    | another leader | answered     | the next leader takes over |
+      | service | with    | another leader | not answered | the next leader takes over |
+      | service | with    | another leader | answered     | the leader hands over      |
+      | service | with    | another leader | answered     | two leaders take over      |
+
+  # Guards against starts that arrive there only after the leader has read of
+  # the restart, or has lost the leadership.
+  Scenario Outline: A late start at the next incarnation, behind a cut
+    Given a service task with a ticket of a worker's next incarnation
+    And another leader sends its start, which arrives <late> s late
+    When the leader reads of the restart, and the worker is cut off
+    And <then>
+    Then the task ran nowhere else while that worker could run it
+    And the task starts elsewhere in the end
+
+    Examples:
+      | late | then                       |
+      | 1    | nothing else happens       |
+      | 11   | nothing else happens       |
+      | 11   | the next leader takes over |
+      | 5    | two leaders take over      |
+      | 11   | the leader hands over      |
+
+  # Guards against tasks that stand still though the incarnation that ran them
+  # has certainly ended.
+  Scenario Outline: A run that the former incarnation has listed ends with it
+    Given a <kind> task <tickets> tickets, listed for 3 s by its worker
+    When its worker restarts, is listed and cut off, and <leader>
+    Then it starts elsewhere within 1 s
+    And it did not run in two places at once
+
+    Examples:
+      | kind    | tickets | leader                |
+      | service | with    | the leader stays      |
+      | service | without | the leader stays      |
+      | batch   | without | the leader stays      |
+      | service | with    | another leader follows |
+      | service | without | another leader follows |
