A start may be at an incarnation that its leader does not know yet

Cause: a ticket says which incarnation of a worker it was issued for, not which one the leader had in mind. A call for advice that is answered after a restart brings a ticket of the next incarnation, and the start goes through there.

A run now counts as bound to its worker's incarnations up to the present one only if that one has listed it, or has answered a renewal that was sent after the ticket came. A run that is not bound is held like one without a ticket, until the longest lease after the last call that may have begun or extended it. An answered start counts as such a call, since its answer does not say which incarnation gave it. lapsed_runs takes runs of the record alone, whose field lease_ms now says that they are bound, also for tickets.

crashes.feature: a run that no list has shown ends 10.2 s after its start, not with the lease. The scenario is on crashes that show after that, so its workers restart after 12 s in place of 8; with 8 s the crash shows first, and counts.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -54,7 +54,7 @@
   # Guards against crashes that are never counted, as the lease expires first.
   Scenario: A crash that shows only after the lease has expired counts
     Given a cell of 6 workers
-    And workers that restart after 8 s and are not listed in between
+    And workers that restart after 12 s and are not listed in between
     And a job "bad" of 4 tasks, of which the first crashes its workers
     When time passes until "bad" is failed
     Then "bad.0.0.0" crashed at least 2 workers and at most 5
--- a/packages/carawaymast-core/carawaymast_core/cell/answers.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/answers.py
@@ -196,6 +196,7 @@
         return
     if outcome.is_running:
         _record_begun(cell, run)
+        late_starts.record_answered(run, now_ms)
         run.state = run_mod.RunState.RUNNING
         run.known_at_ms = now_ms
         if not run.task.checkpoint:
@@ -240,7 +241,7 @@
     run.is_start_lost = True
     run.task.step.job.record_not_begun()
     cell.mark_dirty(run.task.step.job)
-    if late_starts.may_act_later(run):
+    if late_starts.is_start_repeated(run):
         run.known_at_ms = now_ms
     elif run.task.step.spec.may_miss:
         run.stop_reason = late_starts.NOT_ANSWERED
--- a/packages/carawaymast-core/carawaymast_core/cell/batching.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/batching.py
@@ -3,6 +3,7 @@
 import typing
 
 from carawaymast_core import resources
+from carawaymast_core.cell import former_leases
 from carawaymast_core.cell import placing
 from carawaymast_core.cell import records
 from carawaymast_core.cell import run as run_mod
@@ -57,6 +58,7 @@
     placing.align_gang_run_ids(cell)
     records_by_id = {}
     for run in cell.starts:
+        former_leases.record_bound(cell, run)
         task = run.task
         task.last_run_id = max(task.last_run_id, run.run_id)
         job = run.task.step.job
--- a/packages/carawaymast-core/carawaymast_core/cell/former_leases.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/former_leases.py
@@ -23,6 +23,7 @@
     'ListedJobs',
     'adopted_lease_ms',
     'lapsed_runs',
+    'record_bound',
     'record_listed',
     'unreached_record',
 ]
@@ -59,6 +60,15 @@
         return found
 
 
+def record_bound(cell: 'cell_mod.Cell', run: run_mod.Run) -> None:
+    """Record that no further incarnation can begin a run about to start.
+
+    Nothing is known of a lease that is shorter than the longest one.
+    """
+    if not run.lease_ms and not late_starts.may_act_later(run):
+        run.lease_ms = cell.max_lease_ms
+
+
 def record_listed(
     cell: 'cell_mod.Cell', run: run_mod.Run, now_ms: int
 ) -> None:
@@ -88,7 +98,7 @@
     leaders for one would have expired.
     """
     recorded_ms = _recorded_lease_ms(worker)
-    if recorded_ms is not None:
+    if recorded_ms is not None and recorded_ms < cell.max_lease_ms:
         return recorded_ms
     late_ms = late_starts.LATE_CALL_MS + worker_lease.max_real_ms(
         cell.max_lease_ms
@@ -104,15 +114,12 @@
     """Return the runs of a worker that was never reached that have ended.
 
     Their lease has expired: no former leader has named a later deadline, and
-    no start of them may be carried out by another incarnation.
+    no start of them may be carried out by another incarnation. Runs that this
+    leader has moved there are not among them: it may have sent their starts.
     """
     if now_ms < _lapses_at_ms(cell, worker):
         return []
-    return [
-        run
-        for run in worker.run_by_task.values()
-        if run.lease_ms or not late_starts.may_act_later(run)
-    ]
+    return [run for run in worker.run_by_task.values() if run.lease_ms]
 
 
 def unreached_record(
--- a/packages/carawaymast-core/carawaymast_core/cell/late_starts.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/late_starts.py
@@ -6,8 +6,12 @@
 refuses the start. Until the start can no longer act, its run is held: the task
 starts nowhere else.
 
-Tickets are for one incarnation of a worker: the next one refuses starts that
-carry a former ticket, so runs with tickets are never held.
+Tickets are for one incarnation of a worker, which need not be the one that the
+leader knows: a call for advice may be answered after a restart of which it has
+not read. Once an incarnation has answered a renewal that was sent after the
+ticket came, the ticket is of that one or an earlier one, and no further
+incarnation takes a start with it. Until then the run counts like one without a
+ticket, but its start is not repeated.
 """
 
 import typing
@@ -28,10 +32,13 @@
     'assume_sent',
     'held_until_ms',
     'hold',
+    'is_bound',
     'is_held',
     'is_only_start_listed',
+    'is_start_repeated',
     'is_too_large',
     'may_act_later',
+    'record_answered',
     'record_late_renewal',
     'record_listed',
     'record_unanswered',
@@ -58,17 +65,40 @@
 )
 
 
+def is_bound(run: run_mod.Run) -> bool:
+    """Return whether no further incarnation of the worker begins the run.
+
+    Its ticket is of the incarnation that the run is at, or of an earlier one:
+    that one has listed the run, or has answered a renewal that was sent after
+    the ticket had come.
+    """
+    if not _has_tickets(run):
+        return False
+    is_confirmed = run.worker.confirmed_at_ms > run.ticket_at_ms
+    return run.is_listed or run.lease_ms > 0 or is_confirmed
+
+
 def may_act_later(run: run_mod.Run) -> bool:
     """Return whether a late start may begin a run that must be the only one.
 
-    The worker's next incarnation refuses starts with a former ticket, and
-    copies of speculative tasks may run at the same time.
+    Copies of speculative tasks may run at the same time.
     """
-    step = run.task.step
-    return (
-        step.job.submission.queue.advice is None
-        and not step.spec.is_speculative
-    )
+    return not (run.task.step.spec.is_speculative or is_bound(run))
+
+
+def is_start_repeated(run: run_mod.Run) -> bool:
+    """Return whether a start of the run without an answer is sent again.
+
+    Any incarnation would begin it, however late. With a ticket the run is
+    stopped instead.
+    """
+    return not (run.task.step.spec.is_speculative or _has_tickets(run))
+
+
+def record_answered(run: run_mod.Run, now_ms: int) -> None:
+    """Record that a start was carried out, by whichever incarnation."""
+    if may_act_later(run) and not run.is_listed:
+        run.late_until_ms = max(run.late_until_ms, now_ms)
 
 
 def record_unanswered(run: run_mod.Run, sent_at_ms: int) -> None:
@@ -77,6 +107,7 @@
     run.worker.lease.record_late_call(until_ms)
     if may_act_later(run):
         run.late_until_ms = max(run.late_until_ms, until_ms)
+    if is_start_repeated(run):
         take_number(run)
 
 
@@ -115,14 +146,14 @@
     run.worker.lease.record_late_call(now_ms + renewed_for_ms + LATE_CALL_MS)
     if may_act_later(run) and not run.lease_ms:
         run.late_until_ms = now_ms + MAX_UNCONFIRMED_START_MS + LATE_CALL_MS
-        if run.task.last_run_id > run.run_id:
+        if is_start_repeated(run) and run.task.last_run_id > run.run_id:
             run.starts += 1
 
 
 def is_only_start_listed(run: run_mod.Run) -> bool:
     """Return whether a list shows that a run's only start was carried out."""
     return (
-        may_act_later(run)
+        is_start_repeated(run)
         and run.starts == 1
         and run.state is run_mod.RunState.RUNNING
     )
@@ -136,9 +167,8 @@
 
 def is_held(run: run_mod.Run, how: reports.EndKind, now_ms: int) -> bool:
     """Return whether a run that ended must not be released yet."""
-    is_under_way = run.is_under_way and may_act_later(run)
-    may_act = is_under_way or now_ms < run.late_until_ms
-    if not may_act or how in _ENDS_OF_WORKERS:
+    is_late = run.is_under_way or now_ms < run.late_until_ms
+    if not (is_late and may_act_later(run)) or how in _ENDS_OF_WORKERS:
         return False
     if how in _UNKNOWN_ENDS and run.stop_answered_at_ms is None:
         return True
@@ -149,7 +179,8 @@
 def is_too_large(run: run_mod.Run) -> bool:
     """Return whether a late start must not begin a run: its worker shrank."""
     return (
-        run.late_until_ms > 0
+        is_start_repeated(run)
+        and run.late_until_ms > 0
         # Otherwise its capacity may not be known.
         and run.worker.is_adopted
         and run.state is run_mod.RunState.ORDERED
@@ -182,13 +213,18 @@
     An incarnation that nobody has reached may have begun it, and other late
     calls may have extended the lease there.
     """
-    worker = run.worker
-    is_resolved = run.late_until_ms <= worker.last_answer_at_ms
-    if is_resolved or not _may_run_again(run):
+    lease = run.worker.lease
+    # If the worker was called since, its lists have shown it.
+    is_resolved = run.late_until_ms < max(1, run.worker.confirmed_at_ms)
+    if is_resolved or not may_act_later(run) or not _may_run_again(run):
         return 0
-    last_call_ms = max(run.late_until_ms, worker.lease.late_until_ms)
+    last_call_ms = max(run.late_until_ms, lease.late_until_ms)
     return last_call_ms + worker_lease.max_real_ms(max_lease_ms)
 
 
+def _has_tickets(run: run_mod.Run) -> bool:
+    return run.task.step.job.submission.queue.advice is not None
+
+
 def _may_run_again(run: run_mod.Run) -> bool:
     return not (run.task.is_done or run.task.step.job.phase.is_final)
--- a/packages/carawaymast-core/carawaymast_core/cell/records.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/records.py
@@ -84,9 +84,10 @@
 
     ``born_ms`` identifies the worker's incarnation. ``address`` is where
     another one may answer after the worker is no longer listed. ``lease_ms``
-    is 0 until this incarnation has listed the run after its only start; then
-    it is the longest lease, on the worker's clock, that calls up to now may
-    leave at this incarnation.
+    is 0 while a further incarnation may begin the run by a start that is
+    carried out late. Once this one has listed the run after its only start, or
+    has confirmed itself after the ticket came, it is the longest lease, on the
+    worker's clock, that calls up to now may leave at this incarnation.
     """
 
     run_id: int
--- a/packages/carawaymast-core/carawaymast_core/cell/takeover.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/takeover.py
@@ -108,6 +108,8 @@
         # on the worker: no order of the previous leader can take effect
         # after it.
         run.known_at_ms = -1
+        # Its ticket came before its record was stored.
+        run.ticket_at_ms = now_ms - 1
         has_restarted = worker.born_ms != run_row.born_ms
         run.lease_ms = 0 if has_restarted else run_row.lease_ms
         if has_restarted:
--- a/packages/carawaymast-node/carawaymast_node/cells/orders.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/orders.py
@@ -125,7 +125,7 @@
             self._cell, run, outcome, self._clock.now()
         )
         self._metrics.record_ms('start_call', self._clock.now() - now_ms)
-        if not outcome.is_known and late_starts.may_act_later(run):
+        if not outcome.is_known and late_starts.is_start_repeated(run):
             # The lists show whether it is to be repeated.
             await self._read_lists(worker)
         self._on_change()
