A run that its worker's incarnation has listed ends with that incarnation

Cause: each run was moved to the next incarnation, and waited for its lists or for its lease. But the former incarnation had listed the run after its only start, or the ticket is of that one: nothing can begin it at the next one.

Such a run now ends as crashed as soon as the restart is known, also where a new leader finds it in the record with an earlier incarnation. Starts that may have been carried out twice, and starts under way without a ticket, still wait.

--- a/packages/carawaymast-core/carawaymast_core/cell/late_starts.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/late_starts.py
@@ -32,6 +32,7 @@
     'assume_sent',
     'held_until_ms',
     'hold',
+    'ends_with_incarnation',
     'is_bound',
     'is_held',
     'is_only_start_listed',
@@ -95,6 +96,17 @@
     return not (run.task.step.spec.is_speculative or _has_tickets(run))
 
 
+def ends_with_incarnation(run: run_mod.Run) -> bool:
+    """Return whether a run is gone once its worker's incarnation has ended.
+
+    Otherwise the next one may have it, or may still begin it.
+    """
+    if _has_tickets(run):
+        return is_bound(run)
+    is_listed = run.is_listed or run.lease_ms > 0
+    return is_listed and run.starts == 1 and not run.is_under_way
+
+
 def record_answered(run: run_mod.Run, now_ms: int) -> None:
     """Record that a start was carried out, by whichever incarnation."""
     if may_act_later(run) and not run.is_listed:
--- a/packages/carawaymast-core/carawaymast_core/cell/takeover.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/takeover.py
@@ -10,6 +10,7 @@
 from carawaymast_core.cell import records
 from carawaymast_core.cell import reports
 from carawaymast_core.cell import run as run_mod
+from carawaymast_core.cell import run_ends
 from carawaymast_core.cell import view as view_mod
 from carawaymast_core.cell import worker as worker_mod
 from carawaymast_core.cell import worker_lifecycle
@@ -79,6 +80,7 @@
         for step, task_rows in zip(steps, rows, strict=True):
             for task, row in zip(step.tasks, task_rows, strict=True):
                 _restore_task(cell, task, row, now_ms)
+    _end_lost_runs(cell, job, now_ms)
     # Runs that are only known from the record may never have begun.
     has_ends = any(
         task.is_done or task.failures
@@ -88,6 +90,13 @@
     job.has_begun = has_ends or (record.has_started and not any(job.runs()))
 
 
+def _end_lost_runs(cell: 'cell_mod.Cell', job: jobs.Job, now_ms: int) -> None:
+    """End the runs that have ended with a former incarnation."""
+    for run in list(job.runs()):
+        if run.is_crash_counted and late_starts.ends_with_incarnation(run):
+            run_ends.apply(cell, run, reports.EndKind.CRASHED, '', now_ms)
+
+
 def _restore_task(
     cell: 'cell_mod.Cell', task: jobs.Task, row, now_ms: int
 ) -> None:
@@ -110,8 +119,8 @@
         run.known_at_ms = -1
         # Its ticket came before its record was stored.
         run.ticket_at_ms = now_ms - 1
+        run.lease_ms = run_row.lease_ms
         has_restarted = worker.born_ms != run_row.born_ms
-        run.lease_ms = 0 if has_restarted else run_row.lease_ms
         if has_restarted:
             crashes.record_restart(cell, run, now_ms)
         late_starts.assume_sent(run, has_restarted, now_ms)
--- a/packages/carawaymast-core/carawaymast_core/cell/worker_lifecycle.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/worker_lifecycle.py
@@ -125,8 +125,8 @@
 
     A start that was under way may take effect there, so only the lists of the
     new incarnation, or a stop that it answered, prove that it did not. Runs
-    whose start was not sent are withdrawn: the new incarnation may be of
-    another kind or size.
+    that the former one certainly had end with it. Runs whose start was not
+    sent are withdrawn: the new one may be of another kind or size.
     """
     successor.lease.record_late_call(predecessor.lease.late_until_ms)
     to_give_up = []
@@ -136,6 +136,9 @@
         if run.state is run_mod.RunState.PLACED:
             start_check.withdraw(cell, run, 'its worker has restarted', now_ms)
             continue
+        if late_starts.ends_with_incarnation(run):
+            run_ends.apply(cell, run, reports.EndKind.CRASHED, '', now_ms)
+            continue
         cell.log_event(
             'run_moved',
             task=run.task.name,
