A start waits until its worker has confirmed the ticket

A start with a fresh ticket, without an answer or with an answer and no list yet, may be at an incarnation that nobody knows. If the worker is then lost, its task would stand still for the longest lease, after a start without an answer for 22 s, where the rule allows 9 s.

No longer or shorter time helps: the answer to a start does not say which incarnation gave it, and the clock of a new one starts anywhere. So the leader asks before it sends: a start waits until the incarnation that it knows has answered a call that was sent after the ticket came. The call is made while the placement is being stored, once for all runs of a worker, and only if no renewal has shown it. Without an answer the run is withdrawn, and its task is placed elsewhere at once; before, it waited for the lease of a worker that was gone. A start without a ticket is followed by a read of the lists for the same reason.

--- a/features/next_tickets.feature
+++ b/features/next_tickets.feature
@@ -81,3 +81,33 @@
       | batch   | without | the leader stays      |
       | service | with    | another leader follows |
       | service | without | another leader follows |
+
+  # Guards against starts of which nobody can tell at which incarnation they
+  # are: if the worker is lost then, the task has to wait for the longest lease.
+  Scenario Outline: A start waits until its worker has confirmed the ticket
+    Given a leader with 5 stored runs, whose tickets came after the last answer
+    When it is about to start them, and the worker answers <answer>
+    Then it sends <starts> starts after <reads> reads of the lists
+    And <waiting> tasks wait again
+
+    Examples:
+      | answer                      | starts | reads | waiting |
+      | as the leader knows it      | 5      | 1     | 0       |
+      | as its next incarnation     | 0      | 1     | 5       |
+      | the second call only        | 5      | 2     | 0       |
+      | nothing                     | 0      | 2     | 5       |
+
+  # Guards against calls that show nothing new.
+  Scenario: A worker that has answered since its tickets came is not called
+    Given a leader with 5 stored runs, whose tickets came after the last answer
+    When the worker answers a renewal, and the leader is about to start them
+    Then it sends 5 starts after 0 reads of the lists
+
+  # Guards against crashes that are counted against tasks that were not there.
+  Scenario: A worker restarts while a start waits for it
+    Given a leader with 5 stored runs, whose tickets came after the last answer
+    When it is about to start them, and the worker answers nothing
+    And its entry shows a restart before the calls have failed
+    Then it sends 0 starts after 1 reads of the lists
+    And 5 tasks wait again
+    And no crash counts against them
--- a/packages/carawaymast-core/carawaymast_core/cell/former_leases.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/former_leases.py
@@ -24,6 +24,7 @@
     'adopted_lease_ms',
     'lapsed_runs',
     'record_bound',
+    'record_confirmed',
     'record_listed',
     'unreached_record',
 ]
@@ -69,6 +70,19 @@
         run.lease_ms = cell.max_lease_ms
 
 
+def record_confirmed(
+    cell: 'cell_mod.Cell', run: run_mod.Run, now_ms: int
+) -> None:
+    """Record the same of a run whose placement is stored.
+
+    Services are to stand still as briefly as possible if their worker is lost
+    with the leader, so a record is written soon.
+    """
+    record_bound(cell, run)
+    if run.lease_ms and run.task.step.spec.is_service:
+        cell.listed.add(run.task.step.job.job_id, now_ms)
+
+
 def record_listed(
     cell: 'cell_mod.Cell', run: run_mod.Run, now_ms: int
 ) -> None:
--- a/packages/carawaymast-core/carawaymast_core/cell/late_starts.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/late_starts.py
@@ -39,11 +39,13 @@
     'is_start_repeated',
     'is_too_large',
     'may_act_later',
+    'needs_confirmation',
     'record_answered',
     'record_late_renewal',
     'record_listed',
     'record_unanswered',
     'take_number',
+    'workers_to_confirm',
 ]
 
 NOT_ANSWERED = 'start not answered'
@@ -87,6 +89,21 @@
     return not (run.task.step.spec.is_speculative or is_bound(run))
 
 
+def needs_confirmation(run: run_mod.Run) -> bool:
+    """Return whether a run's ticket may be of a later incarnation.
+
+    Its start waits until its worker has answered once more.
+    """
+    return _has_tickets(run) and may_act_later(run)
+
+
+def workers_to_confirm(
+    runs: typing.Iterable[run_mod.Run],
+) -> set['worker_mod.Worker']:
+    """Return the workers that have to confirm tickets of these runs."""
+    return {run.worker for run in runs if needs_confirmation(run)}
+
+
 def is_start_repeated(run: run_mod.Run) -> bool:
     """Return whether a start of the run without an answer is sent again.
 
--- a/packages/carawaymast-node/carawaymast_node/cells/leader.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/leader.py
@@ -6,6 +6,7 @@
 from carawaymast_core.cell import batching
 from carawaymast_core.cell import cell as cell_mod
 from carawaymast_core.cell import former_leases
+from carawaymast_core.cell import late_starts
 from carawaymast_core.cell import placing
 from carawaymast_core.cell import spec as spec_mod
 from carawaymast_core.cell import takeover
@@ -302,6 +303,10 @@
         batch = batching.collect(self.cell, wall_ms)
         if batch.is_empty:
             return
+        # While the batch is being stored, so that the starts wait no longer.
+        for worker in late_starts.workers_to_confirm(batch.starts):
+            reading = self._orders.lists.read(worker, self._clock.now())
+            self._tasks.spawn(reading)
         self._commit_task = asyncio.ensure_future(self._write(batch))
         self._commit_task.add_done_callback(lambda task: self._wake.set())
 
--- a/packages/carawaymast-node/carawaymast_node/cells/orders.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/orders.py
@@ -16,6 +16,7 @@
 from carawaymast_core.cell import worker_lifecycle
 from carawaymast_node import waiting
 from carawaymast_node.cells import confirmation as confirmation_mod
+from carawaymast_node.cells import list_reads
 from carawaymast_node.cells import ports
 from carawaymast_node.cells import telemetry
 
@@ -36,10 +37,10 @@
 # Runs that end in close succession are read by one call.
 RENEWAL_INTERVAL_MS = 30
 RENEWAL_RETRY_INTERVAL_MS = 250
-CLOCK_TICK_MS = 1
 # How long the acknowledgement of ended runs waits for the store before the
 # lease is renewed without it.
 ACK_WAIT_MS = 400
+NOT_CONFIRMED = 'its worker has not confirmed its ticket'
 
 
 # Bounds on the time-out of an order. A worker answers within a few ms; the
@@ -86,22 +87,31 @@
         self._answer_times = answer_times.AnswerTimes(
             MIN_ORDER_TIMEOUT_MS, MAX_ORDER_TIMEOUT_MS
         )
+        self.lists = list_reads.ListReads(
+            clock, log, workers, cell, self._answer_times
+        )
 
     async def start(self, run: run_mod.Run) -> None:
         """Start a run whose placement is stored.
 
-        It is withdrawn if its worker has changed since, and may not run it.
+        It is withdrawn if its worker has changed since, and may not run it, or
+        has not confirmed that no later incarnation takes its ticket.
 
         No start is sent later than ``MAX_UNCONFIRMED_START_MS`` after a
         successor's claim, except by a suspension between the check and the
         call. What still waits when the term ends is cancelled with it.
         """
+        if late_starts.needs_confirmation(run):
+            await self.lists.confirm_ticket(run)
         await self._confirmation.wait(late_starts.MAX_UNCONFIRMED_START_MS)
         now_ms = self._clock.now()
         if not start_check.is_wanted(run):
             run.is_under_way = False
             return
         reason = start_check.refusal_now(run)
+        if not reason and late_starts.needs_confirmation(run):
+            reason = NOT_CONFIRMED
+            run.worker.mark_unresponsive(now_ms)
         if reason:
             start_check.withdraw(self._cell, run, reason, now_ms)
             self._on_change()
@@ -125,9 +135,10 @@
             self._cell, run, outcome, self._clock.now()
         )
         self._metrics.record_ms('start_call', self._clock.now() - now_ms)
-        if not outcome.is_known and late_starts.is_start_repeated(run):
-            # The lists show whether it is to be repeated.
-            await self._read_lists(worker)
+        is_uncertain = outcome.is_running or not outcome.is_known
+        if is_uncertain and late_starts.is_start_repeated(run):
+            # The lists show at which incarnation it is, if at any.
+            await self.lists.read(worker, self._clock.now())
         self._on_change()
 
     async def stop(self, order: worker_mod.StopOrder) -> None:
@@ -156,32 +167,9 @@
             now_ms = self._clock.now()
             answers.apply_stop_answer(order.run, is_answered, now_ms)
             if is_answered and answers.is_start_unanswered(order.run):
-                await self._read_lists(order.worker)
+                await self.lists.read(order.worker, self._clock.now())
         self._on_change()
 
-    async def _read_lists(self, worker: worker_mod.Worker) -> None:
-        """Read a worker's lists of runs now, beside its lease renewals."""
-        # Lists show nothing of what happened in the same millisecond.
-        await asyncio.sleep(CLOCK_TICK_MS / 1000)
-        sent_at_ms = self._clock.now()
-        try:
-            answer = await self._workers.renew_lease(
-                worker,
-                worker.fencing_token,
-                None,
-                0,
-                self._answer_times.timeout_ms,
-            )
-        except ports.WorkerError as error:
-            # The next renewal shows them.
-            self._log.log_event(
-                'lists_unread', worker=worker.worker_id, error=str(error)
-            )
-            return
-        answers.apply_lease_renewal(
-            self._cell, worker, answer, sent_at_ms, self._clock.now()
-        )
-
     async def limit_speed(self, order: worker_mod.SpeedLimitOrder) -> None:
         """Limit a run's speed; repeated until the worker reports the limit."""
         if not await self._workers.limit_speed(
