--- a/features/next_tickets.feature
+++ b/features/next_tickets.feature
@@ -111,3 +111,10 @@
     Then it sends 0 starts after 1 reads of the lists
     And 5 tasks wait again
     And no crash counts against them
+
+  # Guards against answered starts of which no list has shown yet that the
+  # incarnation is the one that the leader knows.
+  Scenario: Starts without tickets are followed by a read of the lists
+    Given a leader with 5 stored runs without tickets
+    When it starts them, and the worker answers
+    Then it sends 5 starts and then 1 read of the lists
--- a/features/steps/ticket_confirmation_steps.py
+++ b/features/steps/ticket_confirmation_steps.py
@@ -52,6 +52,17 @@
     'answer'
 )
 def make_leader(context, count):
+    _make_leader(context)
+    _store(context, count, ADVICE)
+
+
+@given('a leader with {count:d} stored runs without tickets')
+def make_leader_without_tickets(context, count):
+    _make_leader(context)
+    _store(context, count, None)
+
+
+def _make_leader(context):
     context.loop = loop = virtual.VirtualLoop()
     asyncio.set_event_loop(loop)
     context.stack.callback(loop.close)
@@ -63,15 +74,20 @@
         clock, context.port
     )
     context.worker = worker
-    context.cell = cell = context.orders._cell
+    context.cell = context.orders._cell
     worker.entry = worker.entry._replace(service=cell_world.SERVICE)
     now_ms = clock.now()
     worker.record_answer(5_000, now_ms)
     worker.confirmed_at_ms = now_ms - 1
     worker.is_adopted = True
-    worker.lease.assume_longest(cell.max_lease_ms)
+    worker.lease.assume_longest(context.cell.max_lease_ms)
+
+
+def _store(context, count, advice):
+    """Place the tasks of a job at the worker, and store that."""
+    cell, now_ms = context.cell, context.clock.now()
     step = cell_world.step(count, cpu=1, memory=1)
-    policy = cell_world.queue(advice=ADVICE)
+    policy = cell_world.queue(advice=advice)
     cell.accept(cell_world.job('j1', step, policy=policy), now_ms, now_ms)
     for state, ids in placing.steps_needing_advice(cell, now_ms, now_ms):
         tickets = dict.fromkeys(ids, 'ticket')
@@ -105,6 +121,11 @@
     _begin_starts(context, born_by_read)
 
 
+@when('it starts them, and the worker answers')
+def start_without_tickets(context):
+    _begin_starts(context, [1])
+
+
 @when('the worker answers a renewal, and the leader is about to start them')
 def renew_first(context):
     context.worker.confirmed_at_ms = context.clock.now() + 1
@@ -120,6 +141,7 @@
     )
 
 
+@then('it sends {starts:d} starts and then {reads:d} read of the lists')
 @then('it sends {starts:d} starts after {reads:d} reads of the lists')
 def count_calls(context, starts, reads):
     _pass(context, 2_000)
