A job whose start was not carried out as its worker restarted still waits

What callers saw: GET PREFIX could give too few pending jobs after a restart.

Cause: each run that ended with its worker's incarnation ended as crashed, which counts its job as begun, also where the start was never carried out. Such a run now ends as absent if neither a list, nor an answer, nor the record shows that it began. Crashes count as before.

--- a/features/cell_world.py
+++ b/features/cell_world.py
@@ -134,6 +134,8 @@
         # How long after a takeover the former leader may renew leases, as
         # far as its successor knows.
         self.formers_ms = 0
+        # See ``Cell.confirms_tickets``; starts are then for the test to send.
+        self.confirms_tickets = False
         for number in range(workers):
             self.add_runner(f'w{number}')
         self.take_over()
@@ -258,6 +260,7 @@
                 self.cell, self.entry(runner), now_ms
             )
         self.cell.set_clock(now_ms, now_ms)
+        self.cell.confirms_tickets = self.confirms_tickets
         self.cell.formers_until_ms = now_ms + self.formers_ms
         if self.epoch == FIRST_EPOCH:
             self.cell.formers_until_ms = -math.inf
--- a/features/next_tickets.feature
+++ b/features/next_tickets.feature
@@ -118,3 +118,15 @@
     Given a leader with 5 stored runs without tickets
     When it starts them, and the worker answers
     Then it sends 5 starts and then 1 read of the lists
+
+  # Guards against jobs that count as begun though none of their starts was
+  # carried out.
+  Scenario Outline: A worker restarts before it has carried out a start
+    Given a job of which the only start got no answer
+    When the worker of that start restarts, and <leader>
+    Then the job counts as waiting
+
+    Examples:
+      | leader                 |
+      | the leader stays       |
+      | another leader follows |
--- a/features/steps/next_ticket_steps.py
+++ b/features/steps/next_ticket_steps.py
@@ -5,6 +5,7 @@
 from behave import when
 
 from carawaymast_core.cell import answers
+from carawaymast_core.cell import late_starts
 from carawaymast_core.cell import placing
 from carawaymast_core.cell import worker_lifecycle
 from features import cell_world
@@ -180,3 +181,113 @@
     case.cut_off, case.is_alive = runner, True
     if leader == 'another leader follows':
         world.take_over(listed=[runner])
+
+
+@given(
+    'a {kind} task that is stored, at a worker that has to confirm its ticket'
+)
+def stored_only(context, kind):
+    case = context.case = lost_with_leader_steps.Case(context, kind, True)
+    world = case.world
+    world.confirms_tickets = world.cell.confirms_tickets = True
+    case.cycle(500)
+    case.submit()
+    case.advise()
+    world.plan(is_sent=False)
+    ((run, *_),) = world.pending_starts
+    assert late_starts.needs_confirmation(run)
+    case.lost = world.runner_by_id[run.worker.worker_id]
+
+
+@when('that worker is lost for good, and {count:d} leaders hand over')
+def lose_unconfirmed(context, count):
+    """They lead for 2 s each; the task starts under one of them, or later."""
+    case = context.case
+    del case.world.runner_by_id[case.lost.runner_id]
+    case.cut_off, case.is_alive = case.lost, False
+    began_ms = case.world.clock.now()
+    for _ in range(count):
+        case.world.hand_over()
+        case.unlist()
+        case.cycle(2_000)
+        if case.runner() is not None:
+            break
+    took_ms = case.world.clock.now() - began_ms
+    assert took_ms <= 11_000, took_ms
+
+
+@given('a {kind} task {tickets} tickets, just started and listed at once')
+def listed_by_earlier_call(context, kind, tickets):
+    """The call that lists the run was sent before its start."""
+    case = context.case = lost_with_leader_steps.Case(
+        context, kind, tickets == 'with'
+    )
+    world = case.world
+    case.cycle(500)
+    case.submit()
+    case.advise()
+    sent_at_ms = world.clock.now()
+    world.clock.advance(5)
+    world.plan()
+    runner = case.runner()
+    worker = world.worker(runner.runner_id)
+    world.clock.advance(200)
+    runner.advance(205)
+    answer = runner.renew_lease(
+        worker.fencing_token,
+        worker.ack_number,
+        worker.lease.next_deadline(sent_at_ms, cell_world.LEASE_MS),
+    )
+    answers.apply_lease_renewal(
+        world.cell, worker, answer, sent_at_ms, world.clock.now()
+    )
+
+
+@when('its worker is lost for good')
+def lose_listed(context):
+    context.case.lose(is_alive=False)
+
+
+@given('a job of which the only start got no answer')
+def unanswered(context):
+    case = context.case = lost_with_leader_steps.Case(context, 'batch', True)
+    world = case.world
+    case.cycle(500)
+    case.submit()
+    case.advise()
+    world.clock.advance(5)
+    world.renew_leases()
+    world.plan(is_sent=False)
+    ((run, *_),), world.pending_starts = world.pending_starts, []
+    case.lost = world.runner_by_id[run.worker.worker_id]
+    case.lost.is_up = False
+    answers.apply_start_outcome(
+        world.cell, run, cell_world.NO_ANSWER, world.clock.now()
+    )
+    world.plan()
+    assert not world.view.record_by_id['j1'].has_started
+
+
+@when('the worker of that start restarts, and {leader}')
+def restart_unanswered(context, leader):
+    world = context.case.world
+    runner = world.add_runner(context.case.lost.runner_id, 2)
+    if leader == 'another leader follows':
+        world.take_over()
+    else:
+        worker_lifecycle.apply_worker_entry(
+            world.cell, world.entry(runner), world.clock.now()
+        )
+    # Without a ticket the task waits.
+    for job in world.cell.job_by_id.values():
+        for step in job.steps():
+            step.advice.drop(set(world.runner_by_id))
+    for _ in range(5):
+        world.run_cycle(CYCLE_MS)
+
+
+@then('the job counts as waiting')
+def counts_as_waiting(context):
+    world = context.case.world
+    assert not any(r.started for r in world.runner_by_id.values())
+    assert not world.view.record_by_id['j1'].has_started
--- a/packages/carawaymast-core/carawaymast_core/cell/late_starts.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/late_starts.py
@@ -32,6 +32,7 @@
     'assume_sent',
     'held_until_ms',
     'hold',
+    'end_kind',
     'ends_with_incarnation',
     'is_bound',
     'is_held',
@@ -124,6 +125,20 @@
     return is_listed and run.starts == 1 and not run.is_under_way
 
 
+def end_kind(cell: 'cell_mod.Cell', run: run_mod.Run) -> reports.EndKind:
+    """Return how a run ends that is gone with its worker's incarnation.
+
+    The record of a run that was listed mostly has a shorter lease than the
+    longest one; otherwise nothing shows that it ever began.
+    """
+    has_begun = (
+        run.is_listed
+        or run.state is run_mod.RunState.RUNNING
+        or 0 < run.lease_ms < cell.max_lease_ms
+    )
+    return reports.EndKind.CRASHED if has_begun else reports.EndKind.ABSENT
+
+
 def record_answered(run: run_mod.Run, now_ms: int) -> None:
     """Record that a start was carried out, by whichever incarnation."""
     if may_act_later(run) and not run.is_listed:
--- a/packages/carawaymast-core/carawaymast_core/cell/takeover.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/takeover.py
@@ -94,7 +94,8 @@
     """End the runs that have ended with a former incarnation."""
     for run in list(job.runs()):
         if run.is_crash_counted and late_starts.ends_with_incarnation(run):
-            run_ends.apply(cell, run, reports.EndKind.CRASHED, '', now_ms)
+            how = late_starts.end_kind(cell, run)
+            run_ends.apply(cell, run, how, '', now_ms)
 
 
 def _restore_task(
--- a/packages/carawaymast-core/carawaymast_core/cell/worker_lifecycle.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/worker_lifecycle.py
@@ -137,7 +137,8 @@
             start_check.withdraw(cell, run, 'its worker has restarted', now_ms)
             continue
         if late_starts.ends_with_incarnation(run):
-            run_ends.apply(cell, run, reports.EndKind.CRASHED, '', now_ms)
+            how = late_starts.end_kind(cell, run)
+            run_ends.apply(cell, run, how, '', now_ms)
             continue
         cell.log_event(
             'run_moved',
