Each list that shows a run resolves its only start

What callers saw: without tickets a task could stand still for 10.2 s in place of 4.5 s, though its worker had listed the run before it was lost.

Cause: a list resolved the start only if no answer had confirmed it before. A call that was sent before the start, and answered after it, lists the run of an answered start.

Evidence: features/next_tickets.feature, 'A list that was under way shows a run'; the example without a ticket failed before.

--- a/features/next_tickets.feature
+++ b/features/next_tickets.feature
@@ -119,6 +119,18 @@
     When it starts them, and the worker answers
     Then it sends 5 starts and then 1 read of the lists
 
+  # Guards against tasks that stand still though a list has shown their run: the
+  # list was on its way as the start was sent.
+  Scenario Outline: A list that was under way shows a run, whose worker is lost
+    Given a <kind> task <tickets> tickets, just started and listed at once
+    When its worker is lost for good
+    Then it starts elsewhere within 7 s
+
+    Examples:
+      | kind    | tickets |
+      | service | with    |
+      | service | without |
+
   # Guards against jobs that count as begun though none of their starts was
   # carried out.
   Scenario Outline: A worker restarts before it has carried out a start
--- a/packages/carawaymast-core/carawaymast_core/cell/answers.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/answers.py
@@ -131,10 +131,10 @@
             _record_begun(cell, run)
             run.state = run_mod.RunState.RUNNING
             run.known_at_ms = now_ms
-            late_starts.record_listed(run)
             # A previous leader may have set the limit.
             run.speed_limit = int(row.percent)
         run.is_listed = True
+        late_starts.record_listed(run)
         former_leases.record_listed(cell, run, now_ms)
         if run.task.crashes != records.NO_CRASHES:
             crashes.apply_survival(cell, run, now_ms)
