Records say that starts wait for confirmed tickets

What callers saw: a task of a worker that was lost with the leader within some 0.5 s of its start (1.5 s for batches) stood still for 30 s in place of 10.4 s, and with each leader that followed anew: 62 s with five of them 8 s apart.

Cause: as the placement is stored the ticket is mostly not confirmed yet, so the record did not say that the run was bound, and a new leader counted late starts. But no start leaves before its ticket is confirmed, so for whoever reads the record the run is bound from the first one on. Cell.confirms_tickets says that starts wait; the leader sets it. The extra record for services goes.

Evidence: features/next_tickets.feature, 'A worker is lost before it has confirmed a ticket', 3 of 3 examples failed before.

--- a/features/next_tickets.feature
+++ b/features/next_tickets.feature
@@ -119,6 +119,19 @@
     When it starts them, and the worker answers
     Then it sends 5 starts and then 1 read of the lists
 
+  # Guards against tasks that stand still for 30 s, and with each further leader
+  # anew, since the record does not say that starts wait for confirmed tickets.
+  Scenario Outline: A worker is lost before it has confirmed a ticket
+    Given a <kind> task that is stored, at a worker that has to confirm its ticket
+    When that worker is lost for good, and <leaders> leaders hand over
+    Then it starts elsewhere within 11 s
+
+    Examples:
+      | kind    | leaders |
+      | service | 1       |
+      | batch   | 1       |
+      | service | 5       |
+
   # Guards against tasks that stand still though a list has shown their run: the
   # list was on its way as the start was sent.
   Scenario Outline: A list that was under way shows a run, whose worker is lost
--- a/packages/carawaymast-core/carawaymast_core/cell/cell.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/cell.py
@@ -62,6 +62,9 @@
         self.known_ids: set[str] = set()
         # Until when former leaders may renew leases, see ``former_terms``.
         self.formers_until_ms = math.inf
+        # Whether a start with a ticket is sent only once the incarnation of
+        # its worker has answered since the ticket came.
+        self.confirms_tickets = False
         # Of the leader right before this one.
         self.former_epoch: int | None = None
         self.ready_by_name = waiting_mod.WaitingSteps()
--- a/packages/carawaymast-core/carawaymast_core/cell/former_leases.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/former_leases.py
@@ -24,7 +24,6 @@
     'adopted_lease_ms',
     'lapsed_runs',
     'record_bound',
-    'record_confirmed',
     'record_listed',
     'unreached_record',
 ]
@@ -64,23 +63,16 @@
 def record_bound(cell: 'cell_mod.Cell', run: run_mod.Run) -> None:
     """Record that no further incarnation can begin a run about to start.
 
-    Nothing is known of a lease that is shorter than the longest one.
+    Nothing is known of a lease that is shorter than the longest one. If its
+    start waits for a confirmation, the run is bound for all that read its
+    record, and not yet for this leader.
     """
-    if not run.lease_ms and not late_starts.may_act_later(run):
+    if run.lease_ms:
+        return
+    if not late_starts.may_act_later(run):
         run.lease_ms = cell.max_lease_ms
-
-
-def record_confirmed(
-    cell: 'cell_mod.Cell', run: run_mod.Run, now_ms: int
-) -> None:
-    """Record the same of a run whose placement is stored.
-
-    Services are to stand still as briefly as possible if their worker is lost
-    with the leader, so a record is written soon.
-    """
-    record_bound(cell, run)
-    if run.lease_ms and run.task.step.spec.is_service:
-        cell.listed.add(run.task.step.job.job_id, now_ms)
+    elif cell.confirms_tickets and late_starts.needs_confirmation(run):
+        run.stored_lease_ms = cell.max_lease_ms
 
 
 def record_listed(
--- a/packages/carawaymast-core/carawaymast_core/cell/jobs.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/jobs.py
@@ -60,7 +60,7 @@
                     run.run_id,
                     *run.worker.key,
                     run.worker.entry.address,
-                    run.lease_ms,
+                    run.lease_ms or run.stored_lease_ms,
                 )
                 for run in self.runs
             ),
--- a/packages/carawaymast-core/carawaymast_core/cell/run.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/run.py
@@ -46,6 +46,7 @@
         'starts',
         'state',
         'stop_answered_at_ms',
+        'stored_lease_ms',
         'stop_reason',
         'task',
         'ticket',
@@ -97,6 +98,8 @@
         self.is_listed = False
         # See ``records.RunRecord``.
         self.lease_ms = 0
+        # What the record has in its place while this one is 0.
+        self.stored_lease_ms = 0
         # Whether a start is sent, or about to be, and has no outcome yet.
         self.is_under_way = False
         # When the call for its start failed without an answer, and whether
--- a/packages/carawaymast-core/carawaymast_core/cell/worker_lifecycle.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/worker_lifecycle.py
@@ -163,7 +163,7 @@
         if run.state is run_mod.RunState.RUNNING:
             run.known_at_ms = now_ms
         run.is_stopping = False
-        run.lease_ms = 0
+        run.lease_ms = run.stored_lease_ms = 0
         run.stop_answered_at_ms = None
         run.percent = run.use = 0.0
         run.state = run_mod.RunState.ORDERED
--- a/packages/carawaymast-node/carawaymast_node/cells/leader.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/leader.py
@@ -53,6 +53,7 @@
             self._log.log_event,
             max_lease_ms,
         )
+        self.cell.confirms_tickets = True
         self._journal = journal_mod.Journal(
             context.store,
             context.clock,
