At most one read of a worker's lists at a time, which counts for time-outs

Starts without tickets that were answered a few ms apart each began a read of their own (review: 40 reads for 40 starts, 15 at once). Reads now wait for the one under way, unless that serves them. They count for the time-outs of orders, of which they are a large part now.

--- a/packages/carawaymast-node/carawaymast_node/cells/list_reads.py
+++ b/packages/carawaymast-node/carawaymast_node/cells/list_reads.py
@@ -6,7 +6,6 @@
 from carawaymast_core.cell import answer_times
 from carawaymast_core.cell import answers
 from carawaymast_core.cell import cell as cell_mod
-from carawaymast_core.cell import former_leases
 from carawaymast_core.cell import late_starts
 from carawaymast_core.cell import run as run_mod
 from carawaymast_core.cell import start_check
@@ -55,14 +54,11 @@
 
         Return once it was answered, or has failed.
         """
-        while True:
-            read = self._read_by_worker.get(worker)
-            if read is None or not _may_be_later(read, after_ms):
-                await self._begin(worker)
-                return
+        while (read := self._read_by_worker.get(worker)) is not None:
             await read.over.wait()
             if read.sent_at_ms is not None and read.sent_at_ms > after_ms:
                 return
+        await self._begin(worker)
 
     async def confirm_ticket(self, run: run_mod.Run) -> None:
         """Wait until a run's worker has answered since the ticket came.
@@ -78,7 +74,6 @@
             if not late_starts.needs_confirmation(run):
                 break
         run.state = run_mod.RunState.ORDERED
-        former_leases.record_confirmed(self._cell, run, self._clock.now())
 
     async def _begin(self, worker: worker_mod.Worker) -> None:
         self._read_by_worker[worker] = read = _Read()
@@ -88,8 +83,7 @@
             read.sent_at_ms = self._clock.now()
             await self._call(worker, read.sent_at_ms)
         finally:
-            if self._read_by_worker.get(worker) is read:
-                del self._read_by_worker[worker]
+            del self._read_by_worker[worker]
             read.over.set()
 
     async def _call(self, worker: worker_mod.Worker, sent_at_ms: int) -> None:
@@ -101,7 +95,9 @@
                 0,
                 self._answer_times.timeout_ms,
             )
+            self._answer_times.add(self._clock.now() - sent_at_ms)
         except ports.WorkerError as error:
+            self._answer_times.add(self._clock.now() - sent_at_ms)
             # The next renewal shows them.
             self._log.log_event(
                 'lists_unread', worker=worker.worker_id, error=str(error)
@@ -110,7 +106,3 @@
         answers.apply_lease_renewal(
             self._cell, worker, answer, sent_at_ms, self._clock.now()
         )
-
-
-def _may_be_later(read: _Read, after_ms: int) -> bool:
-    return read.sent_at_ms is None or read.sent_at_ms > after_ms
