A list that was overtaken by a later one shows no run

A list was read, the run failed, and the answer with its end came first. The run of the earlier list was then taken for one that the leader does not have, and adopted.

The worker's clock in the answers tells their order. Of an answer that is older than one that was applied, only the ends are applied, which stay listed until they are acknowledged.

Evidence: features/renewals.feature, 'A list is overtaken by one with the end of its run', failed before.

--- a/features/renewals.feature
+++ b/features/renewals.feature
@@ -21,6 +21,13 @@
     Then all workers are usable within 3 s
     And each of them is renewed by one call at a time
 
+  # Guards against runs that go on at the leader though they have ended, so that
+  # their tasks wait for seconds: calls are answered out of order.
+  Scenario: A list is overtaken by one with the end of its run
+    Given a service task without tickets, listed for 3 s by its worker
+    When a list is read, the run fails, and a later list overtakes the first
+    Then the task waits at once, and no run of it is adopted
+
   # Guards against a life of a worker that only its answer shows, and that is
   # not asked for its runs until its entry comes.
   Scenario: A worker restarts under its id while the store is down
--- a/packages/carawaymast-core/carawaymast_core/cell/answers.py
+++ b/packages/carawaymast-core/carawaymast_core/cell/answers.py
@@ -57,6 +57,8 @@
         if successor is not None:
             successor.is_listed = False
         return
+    # A later answer, which was faster, has been applied.
+    is_overtaken = answer.clock_ms < worker.lease.clock_ms
     worker.record_answer(answer.clock_ms, now_ms)
     worker.confirmed_at_ms = max(worker.confirmed_at_ms, sent_at_ms)
     worker.lease.assumed_lost_at_ms = None
@@ -83,6 +85,8 @@
             worker.seen_number = end.number
             cell.acks[worker.key] = end.number
             _apply_end(cell, worker, end, now_ms)
+    if is_overtaken:
+        return
     listed = _apply_running(cell, worker, answer.running, now_ms)
     if answer.is_complete:
         present = listed | ended_names
