restarting cell: starts with tickets of the next incarnation

A rule restarts a runner unread, starts a task there with a ticket of the new incarnation (answered, answer lost, or late), cuts it off, lets leaders take over or hand over, and may restart it once more.

Renewals that the machine holds up are recorded as not answered, as the node does (cells/orders.py).

--- a/features/mutants.py
+++ b/features/mutants.py
@@ -83,6 +83,8 @@
 original_prove_idle = slot_ledger.SlotLedger.prove_idle
 original_add_part = records.Replica._add_part
 original_record_listed = former_leases.record_listed
+original_lapsed_runs = former_leases.lapsed_runs
+original_assume_sent = late_starts.assume_sent
 
 
 def state_dropped_first():
@@ -146,6 +148,49 @@
     )
 
 
+def tickets_always_bound():
+    """Take each ticket for one of the incarnation that the leader knows."""
+    return mock.patch.object(late_starts, 'is_bound', late_starts._has_tickets)
+
+
+def answers_prove_incarnation():
+    """Take each answered start for one at the known incarnation."""
+    return mock.patch.object(
+        late_starts, 'record_answered', lambda run, now_ms: None
+    )
+
+
+def moved_runs_lapse():
+    """End runs that this leader has moved by the leases of former leaders."""
+
+    def lapsed_runs(cell, worker, now_ms):
+        found = original_lapsed_runs(cell, worker, now_ms)
+        if now_ms >= former_leases._lapses_at_ms(cell, worker):
+            # Runs of former leaders have no ticket.
+            found += [r for r in worker.run_by_task.values() if r.ticket]
+        return found
+
+    return mock.patch.object(former_leases, 'lapsed_runs', lapsed_runs)
+
+
+def former_tickets_not_awaited():
+    """Await no start with a ticket that a former leader may have sent."""
+
+    def assume_sent(run, has_restarted, now_ms):
+        original_assume_sent(run, has_restarted, now_ms)
+        if late_starts._has_tickets(run):
+            run.late_until_ms = 0
+
+    return mock.patch.object(late_starts, 'assume_sent', assume_sent)
+
+
+def moved_runs_end():
+    """End runs with tickets, listed or not, once their worker restarts."""
+    return mock.patch.object(
+        late_starts, 'ends_with_incarnation', late_starts._has_tickets
+    )
+
+
 FAULT_BY_NAME = {
     'no fault': contextlib.nullcontext,
     'no guard interval': no_guard_interval,
@@ -161,4 +206,9 @@
     'late starts end with lease': late_starts_end_with_lease,
     'listed after any start': listed_after_any_start,
     'usual lease recorded': usual_lease_recorded,
+    'tickets always bound': tickets_always_bound,
+    'answers prove incarnation': answers_prove_incarnation,
+    'moved runs lapse': moved_runs_lapse,
+    'moved runs end': moved_runs_end,
+    'former tickets not awaited': former_tickets_not_awaited,
 }
--- a/features/randomised.feature
+++ b/features/randomised.feature
@@ -42,3 +42,8 @@
       | late starts end with lease  | restarting cell | 800      |
       | listed after any start      | restarting cell | 800      |
       | usual lease recorded        | restarting cell | 800      |
+      | tickets always bound        | restarting cell | 800      |
+      | answers prove incarnation   | restarting cell | 800      |
+      | moved runs lapse            | restarting cell | 800      |
+      | moved runs end              | restarting cell | 800      |
+      | former tickets not awaited  | restarting cell | 800      |
--- a/features/randomised.py
+++ b/features/randomised.py
@@ -16,13 +16,13 @@
 from features import cell_machine
 from features import core_machines
 from features import fleet_machine
-from features import restart_machine
+from features import next_ticket_machine
 
 __all__ = ['MACHINE_BY_NAME', 'run']
 
 MACHINE_BY_NAME: dict[str, type[stateful.RuleBasedStateMachine]] = {
     'cell': cell_machine.CellMachine,
-    'restarting cell': restart_machine.RestartMachine,
+    'restarting cell': next_ticket_machine.NextTicketMachine,
     'queue': core_machines.QueueMachine,
     'shares': core_machines.ShareMachine,
     'replica': core_machines.ReplicaMachine,
--- a/features/restart_machine.py
+++ b/features/restart_machine.py
@@ -123,7 +123,10 @@
 
     @stateful.rule(name=NAME)
     def lose_renewal(self, name):
-        """Hold up a renewal; a silent worker gets none with a deadline."""
+        """Hold up a renewal; a silent worker gets none with a deadline.
+
+        The leader gets no answer, and records that.
+        """
         worker = self.world.worker(name)
         if worker is None or not worker.is_adopted or worker.is_unresponsive:
             return
@@ -131,6 +134,7 @@
         deadline_ms = worker.lease.next_deadline(now_ms, cell_world.LEASE_MS)
         call = worker.fencing_token, worker.ack_number, deadline_ms
         self.late_calls.append(LateCall(worker.key, now_ms, None, call))
+        late_starts.record_late_renewal(self.world.cell, worker, now_ms)
 
     @stateful.precondition(lambda self: self.late_calls)
     @stateful.rule(which=st.integers(0, 1_000))
