Model: a ticket names the incarnation that issued it

New rules: confirms_tickets (a run is bound once the incarnation that the leader knows has answered since) and ends_certain_runs (a restart ends bound or listed runs at once). The lemma now covers starts with tickets too.

Not modelled: records of bound runs that no list has shown (record_bound), and runs that lapse by the bound of former leaders.

--- a/features/model.feature
+++ b/features/model.feature
@@ -16,6 +16,19 @@
   Scenario: Tickets make up for starts that are not awaited
     Given the incarnations model with awaits_starts as False, has_tickets as True
     Then no violation is found within 9 steps
+    And safety and lemma are inductive
+
+  # Guards against two runs of a task whose ticket is of an incarnation that its
+  # leader does not know.
+  Scenario Outline: A rule on tickets that is left out leads to a violation
+    Given the incarnations model with awaits_starts as False, has_tickets as True, <rule> as False
+    Then a violation is found within 9 steps
+    And safety and lemma are not inductive
+
+    Examples:
+      | rule              |
+      | confirms_tickets  |
+      | ends_certain_runs |
 
   Scenario Outline: A rule that is left out leads to a violation
     Given the <model> model with <rule> as <value>
@@ -43,3 +56,4 @@
       | incarnations | awaits_renewals           | False | 11    |
       | incarnations | confirms_leadership       | False | 11    |
       | incarnations | records_longest           | False | 10    |
+      | incarnations | ends_certain_runs         | False | 11    |
--- a/spec/incarnations.py
+++ b/spec/incarnations.py
@@ -48,8 +48,18 @@
     - ``records_longest``: it records the longest lease while the incarnation
       may have that, not the usual one.
     - ``records_incarnation``: the record counts for that incarnation alone.
-    - ``has_tickets``: a start is refused by the incarnations after the one
-      that it was sent to. Some tasks have this instead of ``awaits_starts``.
+    - ``ends_certain_runs``: as it reads of a restart, a leader ends only a run
+      that a former incarnation has listed, or whose ticket is not of a later
+      one. Otherwise it ends every run.
+    - ``has_tickets``: a start is refused by all incarnations but the one that
+      issued its ticket, at any time up to the placement. That one may be later
+      than the one that the leader knows. Some tasks have this instead of
+      ``awaits_starts``.
+    - ``confirms_tickets``: a start with a ticket counts as one that the next
+      incarnation may begin until the incarnation that the leader knows has
+      answered a renewal since the ticket came, or is recorded to have listed
+      the run. If the worker is lost before, the leader awaits starts and, by
+      ``awaits_renewals``, renewals, and then the longest lease.
     """
 
     has_token_per_incarnation: bool = True
@@ -60,7 +70,9 @@
     records_listed: bool = True
     records_longest: bool = True
     records_incarnation: bool = True
+    ends_certain_runs: bool = True
     has_tickets: bool = False
+    confirms_tickets: bool = True
 
 
 ALL_RULES = Rules()
@@ -79,15 +91,18 @@
     ``known``, and whether it has an answer of it (``adopted``), the lease that
     it counts with (``belief``), whether the start has been ``sent`` and is
     ``unanswered``, and the incarnations to which its ``start`` (with number
-    ``run``) and ``renewal`` in transit were sent, 0 for none.
+    ``run``) and ``renewal`` in transit were sent, 0 for none. With tickets,
+    the incarnations that issued the one of the last run placed at A
+    (``grant``) and that of the start in transit (``ticket``), and whether the
+    incarnation that is known has answered since the former (``bound``).
     """
     names = 'leads record last incarnation token ended lease run_a'.split()
     names += ['recorded', 'listed_by']
     flags = ['run_b']
     for leader in LEADERS:
-        for name in 'view known belief start run renewal'.split():
+        for name in 'view known belief start run renewal grant ticket'.split():
             names.append(f'{name}{leader}')
-        for name in 'adopted sent unanswered'.split():
+        for name in 'adopted sent unanswered bound'.split():
             flags.append(f'{name}{leader}')
     found: dict[str, z3.SortRef] = dict.fromkeys(names, NUMBER)
     found.update(dict.fromkeys(flags, z3.BoolSort()))
@@ -146,9 +161,13 @@
     return z3.And([s[f'{name}{leader}'] == 0 for leader in LEADERS])
 
 
-def place(leader, worker, s, t):
-    """A leader records at which worker the task is to run."""
-    own = {'view': worker, 'sent': False, 'unanswered': True}
+def place(rules, leader, worker, s, t):
+    """A leader records at which worker the task is to run.
+
+    With tickets, it has just got one for A, of any incarnation up to the
+    present one.
+    """
+    own = {'view': worker, 'sent': False, 'unanswered': True, 'bound': False}
     values = {'record': worker, 'last': s['last'] + 1, 'recorded': 0}
     me = of(leader, s)
     parts = [me.leads, me.view == 0, s['last'] < MAX_RUNS]
@@ -156,6 +175,9 @@
         values['run_b'] = True
     else:
         parts.append(me.adopted)
+        if rules.has_tickets:
+            grant = own['grant'] = t[f'grant{leader}']
+            parts += [grant >= 1, grant <= s['incarnation']]
     return z3.And(*parts, changes(s, t, leader, own, **values))
 
 
@@ -166,6 +188,7 @@
     if rules.confirms_leadership:
         parts.append(me.leads)
     own = {'sent': True, 'start': me.known, 'run': s['last']}
+    own['ticket'] = me.grant
     return z3.And(*parts, changes(s, t, leader, own))
 
 
@@ -175,7 +198,7 @@
     is_accepted, values = carry_out(rules, leader, me.start, s)
     is_taken = z3.BoolVal(True)
     if rules.has_tickets:
-        is_taken = me.start == s['incarnation']
+        is_taken = me.ticket == s['incarnation']
     begins = z3.And(
         is_accepted, is_taken, s['run_a'] == 0, me.run > s['ended']
     )
@@ -217,6 +240,7 @@
     own = {
         'belief': belief,
         'adopted': True,
+        'bound': True,
         'unanswered': z3.And(me.unanswered, z3.Not(is_listed)),
     }
     answered = z3.And(me.leads, me.known == s['incarnation'], is_accepted)
@@ -261,8 +285,12 @@
     awaits = z3.Not(me.adopted)
     if rules.awaits_starts:
         awaits = z3.Or(awaits, me.unanswered)
+    awaits_calls = rules.awaits_starts
+    if rules.has_tickets and rules.confirms_tickets:
+        awaits = z3.Or(awaits, z3.Not(me.bound))
+        awaits_calls = True
     awaits = z3.And(awaits, z3.Not(is_recorded))
-    if rules.awaits_starts:
+    if awaits_calls:
         parts.append(z3.Implies(awaits, none_in_transit(s, 'start')))
         if rules.awaits_renewals:
             parts.append(z3.Implies(awaits, none_in_transit(s, 'renewal')))
@@ -305,15 +333,30 @@
 
 def read_list(leader, s, t):
     """A leader reads that A has restarted."""
-    own = {'known': s['incarnation'], 'adopted': False}
+    own = {'known': s['incarnation'], 'adopted': False, 'bound': False}
     return z3.And(of(leader, s).leads, changes(s, t, leader, own))
 
 
+def end_with_incarnation(rules, leader, s, t):
+    """A leader reads that A has restarted, and ends the run that was there."""
+    me = of(leader, s)
+    was_there = me.bound if rules.has_tickets else z3.Not(me.unanswered)
+    if not rules.ends_certain_runs:
+        was_there = z3.BoolVal(True)
+    has_restarted = z3.And(was_there, me.known < s['incarnation'])
+    if rules.records_listed:
+        is_recorded = z3.And(s['recorded'] != 0, s['listed_by'] < me.known)
+        has_restarted = z3.Or(has_restarted, is_recorded)
+    own = {'known': s['incarnation'], 'adopted': False, 'bound': False}
+    change = changes(s, t, leader, {'view': 0, **own}, record=0)
+    return z3.And(me.leads, me.view == A, has_restarted, change)
+
+
 def take_over(s, t):
     """Leader 2 reads the record, and a list that may be out of date."""
     known = t['known2']
     own = {'view': s['record'], 'known': known}
-    own.update(unanswered=True, sent=True)
+    own.update(unanswered=True, sent=True, bound=False)
     is_known = z3.And(known >= 1, known <= s['incarnation'])
     return z3.And(s['leads'] == 1, is_known, changes(s, t, 2, own, leads=2))
 
@@ -323,6 +366,40 @@
     return z3.Not(z3.And(s['run_a'] != 0, s['run_b']))
 
 
+def may_begin(rules, leader, s) -> z3.BoolRef:
+    """Return whether a leader's start in transit may still begin a run."""
+    me = of(leader, s)
+    if not rules.has_tickets:
+        return me.start != 0
+    is_accepted = token(rules, leader, me.start) >= s['token']
+    is_new = me.run > s['ended']
+    is_taken = me.ticket == s['incarnation']
+    return z3.And(me.start != 0, is_accepted, is_new, is_taken)
+
+
+def ticket_lemma(rules, leader, s) -> z3.BoolRef:
+    """Return what holds of starts with tickets.
+
+    If the leader's run is bound, only its own start may begin it, at the
+    incarnation that it knows.
+    """
+    me = of(leader, s)
+    incarnation = s['incarnation']
+    is_current = me.known == incarnation
+    is_bound = z3.And(me.leads, me.view == A, me.bound)
+    parts = [
+        z3.Implies(me.start != 0, me.ticket <= incarnation),
+        me.grant <= incarnation,
+        z3.Implies(is_bound, z3.And(me.adopted, me.grant <= me.known)),
+        z3.Implies(z3.And(is_bound, s['run_a'] != 0), is_current),
+    ]
+    for other in LEADERS:
+        is_own = z3.And(me.start == me.known, is_current)
+        may_act = z3.And(is_bound, may_begin(rules, other, s))
+        parts.append(z3.Implies(may_act, is_own if other == leader else False))
+    return z3.And(parts)
+
+
 def lemma(rules, s) -> z3.BoolRef:
     """Return the lemma: a run, now or to come, is only at ``record``.
 
@@ -331,7 +408,9 @@
     """
     implies, both = z3.Implies, z3.And
     incarnation, run_a, last = s['incarnation'], s['run_a'], s['last']
-    no_start = none_in_transit(s, 'start')
+    no_start = both(
+        [z3.Or(s[f'start{i}'] == 0, s[f'run{i}'] != last) for i in LEADERS]
+    )
     is_last = both(s['record'] == A, run_a == last, no_start)
     idle2 = both(s['start2'] == 0, s['view2'] == 0, s['renewal2'] == 0)
     parts = [
@@ -343,7 +422,7 @@
         both(s['ended'] >= 0, s['ended'] <= last),
         implies(s['run_b'], s['record'] == B),
         implies(run_a != 0, is_last),
-        z3.Or(s['start1'] == 0, s['start2'] == 0),
+        z3.Or(s['start1'] == 0, s['start2'] == 0, s['run1'] != s['run2']),
         both(s['recorded'] >= 0, s['recorded'] <= LONGEST),
         both(s['listed_by'] >= 0, s['listed_by'] <= incarnation),
     ]
@@ -367,15 +446,22 @@
         answered = both(at_a, z3.Not(me.unanswered))
         greatest = token(rules, leader, incarnation)
         may_start = both(s['record'] == A, me.run == last)
-        late_token = token(rules, leader, me.renewal)
-        is_late = both(me.renewal != 0, me.renewal < incarnation)
+        late_calls_fenced = both(
+            [
+                implies(
+                    both(called != 0, called < incarnation),
+                    token(rules, leader, called) < s['token'],
+                )
+                for called in (me.renewal, me.start)
+            ]
+        )
         parts += [
             implies(is_listed, implies(at_a, me.sent)),
             implies(
                 both(is_listed, is_there),
                 both(
                     implies(both(me.leads, me.adopted), is_current),
-                    implies(is_late, late_token < s['token']),
+                    late_calls_fenced,
                 ),
             ),
             implies(me.adopted, me.belief <= LONGEST),
@@ -385,7 +471,8 @@
             implies(me.leads, both(me.known >= 1, me.view == s['record'])),
             implies(me.leads, s['token'] <= greatest),
             implies(me.adopted, me.belief >= USUAL),
-            implies(me.start != 0, may_start),
+            implies(may_begin(rules, leader, s), may_start),
+            implies(me.start != 0, me.run <= last),
             implies(at_a, last >= 1),
             implies(answered, both(me.sent, no_start)),
             implies(both(at_a, z3.Not(me.sent)), both(run_a == 0, no_start)),
@@ -395,20 +482,22 @@
                 both(s['token'] == greatest, s['lease'] <= me.belief),
             ),
         ]
+        if rules.has_tickets:
+            parts.append(ticket_lemma(rules, leader, s))
     return both(parts)
 
 
 def model(rules: Rules = ALL_RULES) -> checking.Model:
     """Return the model under some rules."""
     late = send_start, carry_out_start, carry_out_renewal
-    ruled = *late, renew, release, expire
+    ruled = *late, renew, release, expire, end_with_incarnation
     transitions: list[checking.Formula] = [take_over, restart, end_run, age]
     for leader in LEADERS:
         transitions += [functools.partial(act, rules, leader) for act in ruled]
         for act in (send_renewal, end_at_b, read_list):
             transitions.append(functools.partial(act, leader))
         for worker in (A, B):
-            transitions.append(functools.partial(place, leader, worker))
+            transitions.append(functools.partial(place, rules, leader, worker))
         for name in (f'start{leader}', f'renewal{leader}'):
             transitions.append(functools.partial(lose, name))
     ruled_lemma = functools.partial(lemma, rules)
