Bench: a start that the leader withholds counts as a round

The script took a round in which the leader does not send the start as one that could not run. It counts now if the next incarnation issued a ticket for the job and the tasks run elsewhere. Pairs of runs are found by a module of its own.

--- a/bench/next_ticket.py
+++ b/bench/next_ticket.py
@@ -6,7 +6,8 @@
 under way, the runner where the job's data is restarts under its id, and its
 entry comes late. So the ticket, and the start with it, are of an incarnation
 that the leader does not know yet. Right after the start the runner is cut off
-while it runs the tasks::
+while it runs the tasks. If the leader starts them elsewhere instead, though it
+has that ticket, the round counts too::
 
     python -m bench.next_ticket [ROUNDS]
 
@@ -18,7 +19,6 @@
 import asyncio
 import collections
 import json
-import math
 import os
 import pathlib
 import random
@@ -31,11 +31,11 @@
 
 from aiohttp import web
 
+from bench import run_overlaps
 from review.second import bed as bed_mod
-from review.second import judging
 from review.second import runner as runner_mod
 
-__all__ = ['Advice', 'Run', 'Runner', 'overlaps', 'play']
+__all__ = ['Advice', 'Runner', 'play']
 
 ROUNDS, RUNNERS, TASKS = 2, 4, 2
 WORK_MS = 30_000
@@ -160,37 +160,6 @@
         )
 
 
-class Run(typing.NamedTuple):
-    """A run as its runner saw it."""
-
-    task: str
-    begin_s: float
-    run_id: int
-    runner: str
-    end_s: float = math.inf
-    how: str = 'goes on'
-
-
-def overlaps(bed: bed_mod.Bed) -> list[tuple[Run, Run]]:
-    """Return the pairs of runs of one task that were there together."""
-    began: dict[tuple[str, str], Run] = {}
-    runs = []
-    for event in bed.history.events:
-        at_s, runner, what, task, run_id, _ = event
-        if what == 'start':
-            began[runner, task] = Run(task, at_s, run_id, runner)
-        elif what in judging.ENDS and (runner, task) in began:
-            run = began.pop((runner, task))
-            runs.append(run._replace(end_s=at_s, how=what))
-    runs = sorted([*runs, *began.values()])
-    return [
-        (one, other)
-        for i, one in enumerate(runs)
-        for other in runs[i + 1 :]
-        if one.task == other.task and other.begin_s < one.end_s
-    ]
-
-
 async def _disturb(bed: bed_mod.Bed, runner: Runner, called) -> None:
     """Restart a runner while a call for advice is under way."""
     await called.wait()
@@ -225,6 +194,14 @@
     return leader
 
 
+def _is_withheld(bed: bed_mod.Bed, runner: Runner, job: str) -> bool:
+    """Return whether a job runs only elsewhere, though it has the ticket."""
+    others = [other for other in bed.runners if other is not runner]
+    tasks = [task for other in others for task in other.running]
+    has_ticket = any(t.startswith(job) for t in runner.expires_s_by_ticket)
+    return has_ticket and any(task.startswith(job) for task in tasks)
+
+
 async def _play_round(
     bed: bed_mod.Bed, advice: Advice, runner: Runner, number: int
 ) -> bool:
@@ -238,12 +215,17 @@
     disturbance = asyncio.create_task(_disturb(bed, runner, called))
     await bed.submit(bed.nodes[0], job, {'work_ms': WORK_MS}, [phase])
     until_s = time.monotonic() + PLACED_S
+    is_withheld = False
     while runner.is_cut_next and time.monotonic() < until_s:
+        is_withheld = bed_mod.is_troubled() and _is_withheld(bed, runner, job)
+        if is_withheld:
+            break
         await asyncio.sleep(0.01)
     has_begun_unread = runner.cut_at_s < runner.entry_from_s
     is_meant = not runner.is_cut_next and await bed.leader() is leader
     is_meant &= has_begun_unread is bed_mod.is_troubled()
     runner.is_cut_next = False
+    is_meant |= is_withheld
     if is_meant:
         await asyncio.sleep(WATCH_S)
     await disturbance
@@ -273,7 +255,7 @@
     for life in lives:
         life.cancel()
     print(f'{meant} of {rounds} rounds as they are meant to be')
-    found = overlaps(bed)
+    found = run_overlaps.overlaps(bed.history.events)
     if not meant and not found:
         raise bed_mod.CannotRunError('no start came as it was meant to')
     lines = ['\n  '.join(['TWICE:', *map(str, pair)]) for pair in found]
